Serve an idempotent request end to end as separate processes

Cause: there was no code. Every later measurement needs a whole path from a caller through an entry instance to a target and back.

Ruled out: one process for all stand-ins (hides connection failures), and per-service REST clients (five adapters with the same code; one table of paths and reply types serves them all).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Every target works on a fresh machine with Python 3.11, make and the package
+# registry. VENV may name an existing environment.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.stamp-$(shell cat requirements.lock requirements-dev.lock | cksum | cut -d' ' -f1)
+SEED ?= 1
+EXAMPLES ?= 200
+
+.PHONY: setup test lint format demo
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements-dev.lock
+	touch $(STAMP)
+
+test: setup
+	$(PY) -m tests
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PY) -m standins.demo
--- /dev/null
+++ b/dandelionpick/dispatch.py
@@ -0,0 +1,104 @@
+"""Extension points of the reducer: handlers register by type."""
+
+import dataclasses
+import functools
+from typing import Any
+
+from dandelionpick import effects
+from dandelionpick import events
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+
+
+@dataclasses.dataclass(slots=True)
+class Step:
+    """One run of the reducer: the event's moment and the effects it emitted.
+
+    Attributes:
+        trace: W3C traceparent that the calls of this step belong to.
+    """
+
+    moment: events.Moment
+    trace: str = ""
+    emitted: list[effects.Effect] = dataclasses.field(default_factory=list)
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Adds an effect."""
+        self.emitted.append(effect)
+
+    def note(
+        self, part: effects.Part, text: str, warning: bool = False
+    ) -> None:
+        """Adds a log line."""
+        self.emitted.append(effects.Note(part, text, warning))
+
+    def count(self, metric: str, *labels: str) -> None:
+        """Adds one to a counter."""
+        self.emitted.append(effects.Count(metric, labels))
+
+    def respond(self, exchange_id: ids.ExchangeId, message: Any) -> None:
+        """Answers an exchange."""
+        self.emitted.append(effects.Respond(exchange_id, message))
+
+
+def call(
+    state: state_lib.State,
+    step: Step,
+    destination: effects.Destination,
+    message: Any,
+    context: Any,
+    timeout_s: float,
+) -> ids.CallId:
+    """Sends a message; `returned` or `failed` runs later with the context.
+
+    Args:
+        state: the reducer's state.
+        step: the current step.
+        destination: the receiver.
+        message: a typed message of the receiver's interface.
+        context: a struct whose type has `returned` and `failed` handlers.
+        timeout_s: seconds until the call fails as LOST.
+
+    Returns:
+        The id of the call.
+    """
+    state.calls_made += 1
+    call_id = ids.CallId(f"{state.incarnation}-{state.calls_made}")
+    state.calls[call_id] = state_lib.PendingCall(
+        destination, context, step.trace
+    )
+    step.emit(
+        effects.Call(call_id, destination, message, timeout_s, step.trace)
+    )
+    return call_id
+
+
+@functools.singledispatch
+def receive(
+    message: Any,
+    state: state_lib.State,
+    step: Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    """Handles a message from a caller, operator or peer."""
+    raise TypeError(f"no handler for message {type(message).__name__}")
+
+
+@functools.singledispatch
+def returned(
+    context: Any, state: state_lib.State, step: Step, reply: Any
+) -> None:
+    """Handles the reply to a call that was made with this context."""
+    raise TypeError(f"no handler for context {type(context).__name__}")
+
+
+@functools.singledispatch
+def failed(
+    context: Any,
+    state: state_lib.State,
+    step: Step,
+    failure: kinds.CallFailure,
+) -> None:
+    """Handles a call without a reply that was made with this context."""
+    raise TypeError(f"no handler for context {type(context).__name__}")
--- /dev/null
+++ b/dandelionpick/effects.py
@@ -0,0 +1,90 @@
+"""Outputs of the reducer, performed by the runtime."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from dandelionpick import ids
+from dandelionpick import kinds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """Where a call goes.
+
+    Attributes:
+        service: the interface.
+        name: id of the instance or target; "" for the platform's services.
+        address: host and port, as in "127.0.0.1:8080".
+    """
+
+    service: kinds.Service
+    name: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """Sends a message and expects Returned or Failed within timeout_s."""
+
+    call_id: ids.CallId
+    destination: Destination
+    message: Any
+    timeout_s: float
+    trace: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Respond:
+    """Answers a Received exchange; at most once for each exchange."""
+
+    exchange_id: ids.ExchangeId
+    message: Any
+
+
+class Part(enum.Enum):
+    """Parts of the system; each is the fixed prefix of its log lines."""
+
+    ADMISSION = "admission"
+    CLAIMS = "claims"
+    CONFIGURATION = "configuration"
+    DRAIN = "drain"
+    JOBS = "jobs"
+    MEMBERSHIP = "membership"
+    REQUESTS = "requests"
+    ROUTING = "routing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """Writes a log line."""
+
+    part: Part
+    text: str
+    warning: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Adds to a counter declared in metrics."""
+
+    metric: str
+    labels: tuple[str, ...] = ()
+    amount: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observe:
+    """Records a value in a histogram declared in metrics."""
+
+    metric: str
+    value: float
+    labels: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exit:
+    """Ends the process after a planned stop."""
+
+
+Effect = Call | Respond | Note | Count | Observe | Exit
--- /dev/null
+++ b/dandelionpick/events.py
@@ -0,0 +1,81 @@
+"""Inputs of the reducer."""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import ids
+from dandelionpick import kinds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """Time and randomness of an event.
+
+    Attributes:
+        now_s: monotonic seconds.
+        unix_ms: Unix time in milliseconds.
+        draw: a random number in [0, 1).
+    """
+
+    now_s: float
+    unix_ms: int
+    draw: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message from a caller, operator or peer that expects a response.
+
+    Attributes:
+        exchange_id: names the exchange in the Respond effect.
+        message: a struct of caller_, operator_ or peer_messages.
+        trace: W3C traceparent of the exchange's span, or "".
+    """
+
+    moment: Moment
+    exchange_id: ids.ExchangeId
+    message: Any
+    trace: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """The reply to one of our calls."""
+
+    moment: Moment
+    call_id: ids.CallId
+    reply: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """One of our calls returned no reply."""
+
+    moment: Moment
+    call_id: ids.CallId
+    failure: kinds.CallFailure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Passage of time; drives every timeout and period."""
+
+    moment: Moment
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stalled:
+    """The event loop did not run for stall_s seconds."""
+
+    moment: Moment
+    stall_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """A planned stop was asked for."""
+
+    moment: Moment
+
+
+Event = Received | Returned | Failed | Tick | Stalled | StopRequested
--- /dev/null
+++ b/dandelionpick/ids.py
@@ -0,0 +1,48 @@
+"""Identifier types."""
+
+import uuid
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+FailureDomain = NewType("FailureDomain", str)
+Region = NewType("Region", str)
+OrganisationId = NewType("OrganisationId", str)
+ClassName = NewType("ClassName", str)
+RequestKey = NewType("RequestKey", str)
+TaskId = NewType("TaskId", str)
+GangId = NewType("GangId", str)
+CallId = NewType("CallId", str)
+ExchangeId = NewType("ExchangeId", str)
+EditId = NewType("EditId", str)
+Incarnation = NewType("Incarnation", str)
+
+UUID7_VERSION = 7
+TIMESTAMP_SHIFT_BITS = 80
+RANDOM_MASK = (1 << 74) - 1
+
+
+def new_key(unix_ms: int, random_bits: int) -> RequestKey:
+    """Builds a UUIDv7 key.
+
+    Args:
+        unix_ms: the key's timestamp in Unix milliseconds.
+        random_bits: at least 74 random bits.
+
+    Returns:
+        The key in its usual text form.
+    """
+    bits = random_bits & RANDOM_MASK
+    high = (unix_ms << 16) | (UUID7_VERSION << 12) | (bits >> 62)
+    low = (0b10 << 62) | (bits & ((1 << 62) - 1))
+    return RequestKey(str(uuid.UUID(int=(high << 64) | low)))
+
+
+def key_time_ms(key: str) -> int | None:
+    """Returns the Unix milliseconds of a UUIDv7 key, or None if it is none."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID7_VERSION or str(parsed) != key:
+        return None
+    return parsed.int >> TIMESTAMP_SHIFT_BITS
--- /dev/null
+++ b/dandelionpick/job_state.py
@@ -0,0 +1,8 @@
+"""State of jobs on the preferred scheduler."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Jobs:
+    """All unfinished jobs of the failure domain."""
--- /dev/null
+++ b/dandelionpick/server.py
@@ -0,0 +1,93 @@
+"""Serves the HTTP interface until the instance exits."""
+
+import asyncio
+import signal
+import socket
+
+import uvicorn
+from absl import logging
+from starlette import applications
+
+KEEP_ALIVE_S = 60
+BACKLOG = 512
+
+
+class Server(uvicorn.Server):
+    """A server whose process handles the signals itself."""
+
+    def install_signal_handlers(self) -> None:
+        """Leaves the signals to serve_until."""
+
+    def capture_signals(self):
+        """Leaves the signals to serve_until."""
+        return _NoCapture()
+
+
+class _NoCapture:
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *details):
+        return None
+
+
+def bind(address: str) -> socket.socket:
+    """Binds a listening socket; port 0 lets the system choose.
+
+    Raises:
+        OSError: the address can't be bound.
+    """
+    host, port = address.rsplit(":", 1)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+async def serve_until(
+    app: applications.Starlette,
+    listener: socket.socket,
+    exited: asyncio.Event,
+    request_stop,
+) -> None:
+    """Serves until `exited` is set, then closes idle connections.
+
+    Args:
+        app: the application.
+        listener: a bound socket.
+        exited: set when the process should end.
+        request_stop: called on the first SIGTERM or SIGINT; the second one
+            ends the process at once.
+    """
+    config = uvicorn.Config(
+        app,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        http="httptools",
+        ws="none",
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=5,
+    )
+    server = Server(config)
+    signals = 0
+
+    def on_signal() -> None:
+        nonlocal signals
+        signals += 1
+        if signals == 1:
+            request_stop()
+            return
+        logging.warning("server: second signal, ending at once")
+        exited.set()
+        server.force_exit = True
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    serving = asyncio.ensure_future(server.serve(sockets=[listener]))
+    await exited.wait()
+    server.should_exit = True
+    await serving
--- /dev/null
+++ b/dandelionpick/store_messages.py
@@ -0,0 +1,60 @@
+"""Messages of the platform's configuration store."""
+
+import msgspec
+
+
+class Read(msgspec.Struct, frozen=True):
+    """Reads a key."""
+
+    key: str
+
+
+class Watch(msgspec.Struct, frozen=True):
+    """Waits until a key's version differs from after_version.
+
+    Attributes:
+        after_version: the version that the watcher has.
+        wait_s: seconds after which the unchanged value is returned.
+    """
+
+    key: str
+    after_version: int
+    wait_s: float
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Replaces a key's value if its version is expected_version.
+
+    Attributes:
+        expected_version: 0 for a key that must not exist.
+        value: the new text, at most 1 MB, or None to delete the key.
+        write_id: names this write in logs.
+    """
+
+    key: str
+    expected_version: int
+    value: str | None
+    write_id: str
+
+
+class Value(msgspec.Struct, frozen=True, tag=True):
+    """A key's value; version 0 and value None if it does not exist."""
+
+    key: str
+    version: int
+    value: str | None
+
+
+class Written(msgspec.Struct, frozen=True, tag=True):
+    """The write took effect and the key has this version."""
+
+    key: str
+    version: int
+
+
+class Conflict(msgspec.Struct, frozen=True, tag=True):
+    """The version did not match; gives the current version and value."""
+
+    key: str
+    version: int
+    value: str | None
--- /dev/null
+++ b/dandelionpick/wire.py
@@ -0,0 +1,104 @@
+"""HTTP paths and reply types of each message.
+
+Every call is a POST of the message as JSON; the reply is JSON with a "type"
+field that names its struct.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from dandelionpick import caller_messages as caller
+from dandelionpick import executor_messages as executor
+from dandelionpick import list_messages
+from dandelionpick import peer_messages as peer
+from dandelionpick import store_messages as store
+from dandelionpick import worker_messages as worker
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where a message goes and what can come back.
+
+    Attributes:
+        path: path of the POST.
+        message: decoder of the message, for the receiver.
+        reply: decoder of the reply, for the sender.
+    """
+
+    path: str
+    message: msgspec.json.Decoder
+    reply: msgspec.json.Decoder
+
+
+def _endpoint(path: str, message: Any, reply: Any) -> Endpoint:
+    return Endpoint(
+        path, msgspec.json.Decoder(message), msgspec.json.Decoder(reply)
+    )
+
+
+PART = worker.PartReply | worker.PartRefused
+ANSWER = caller.Answer | peer.Refused
+JOB = caller.JobStatus | peer.Refused
+
+STORE = {
+    store.Read: _endpoint("/v1/read", store.Read, store.Value),
+    store.Watch: _endpoint("/v1/watch", store.Watch, store.Value),
+    store.Write: _endpoint(
+        "/v1/write", store.Write, store.Written | store.Conflict
+    ),
+}
+LIST = {
+    list_messages.ReadInstances: _endpoint(
+        "/v1/instances", list_messages.ReadInstances, list_messages.Instances
+    ),
+}
+EXECUTOR = {
+    executor.StartTask: _endpoint(
+        "/v1/start-task", executor.StartTask, executor.TaskReply
+    ),
+    executor.QueryTask: _endpoint(
+        "/v1/query-task", executor.QueryTask, executor.TaskReply
+    ),
+    executor.CancelTask: _endpoint(
+        "/v1/cancel-task", executor.CancelTask, executor.TaskReply
+    ),
+    executor.ListTasks: _endpoint(
+        "/v1/list-tasks", executor.ListTasks, executor.TaskList
+    ),
+}
+WORKER = {
+    worker.HoldPart: _endpoint("/v1/hold-part", worker.HoldPart, PART),
+    worker.StartPart: _endpoint("/v1/start-part", worker.StartPart, PART),
+    worker.StopPart: _endpoint("/v1/stop-part", worker.StopPart, PART),
+    worker.RenewLeases: _endpoint(
+        "/v1/renew-leases", worker.RenewLeases, worker.WorkerReport
+    ),
+}
+PEER = {
+    peer.Heartbeat: _endpoint(
+        "/peer/v1/heartbeat", peer.Heartbeat, peer.Heartbeat
+    ),
+    peer.ReadDocument: _endpoint(
+        "/peer/v1/read-document", peer.ReadDocument, peer.Document
+    ),
+    peer.ForwardRequest: _endpoint(
+        "/peer/v1/forward-request", peer.ForwardRequest, ANSWER
+    ),
+    peer.FetchPeerAnswer: _endpoint(
+        "/peer/v1/fetch-answer", peer.FetchPeerAnswer, ANSWER
+    ),
+    peer.ForwardJob: _endpoint("/peer/v1/forward-job", peer.ForwardJob, JOB),
+    peer.FetchPeerJob: _endpoint("/peer/v1/fetch-job", peer.FetchPeerJob, JOB),
+    peer.CancelPeerJob: _endpoint(
+        "/peer/v1/cancel-job", peer.CancelPeerJob, JOB
+    ),
+}
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode(message: Any) -> bytes:
+    """Encodes a message as JSON."""
+    return _encoder.encode(message)
--- /dev/null
+++ b/dandelionpick/wiring.py
@@ -0,0 +1,60 @@
+"""The composition root: builds an instance from its settings and runs it."""
+
+import asyncio
+import functools
+import secrets
+
+from absl import logging
+
+from dandelionpick import api
+from dandelionpick import events
+from dandelionpick import http_client
+from dandelionpick import ids
+from dandelionpick import runtime as runtime_lib
+from dandelionpick import server
+from dandelionpick import settings as settings_lib
+from dandelionpick import state as state_lib
+from dandelionpick import tracing
+
+# An executor allows 64 connections; nine instances share them.
+CONNECTIONS_PER_HOST = 7
+
+
+def build_state(settings: settings_lib.Settings) -> state_lib.State:
+    """Builds the reducer's first state."""
+    identity = state_lib.Identity(
+        instance=ids.InstanceId(settings.instance.name),
+        failure_domain=ids.FailureDomain(settings.instance.failure_domain),
+        region=ids.Region(settings.instance.region),
+        store_address=settings.platform.store,
+        list_address=settings.platform.instance_list,
+    )
+    return state_lib.State(
+        identity=identity,
+        incarnation=ids.Incarnation(secrets.token_hex(8)),
+        limits=settings_lib.limits_of(settings),
+    )
+
+
+async def run_instance(settings: settings_lib.Settings) -> None:
+    """Runs an entry instance until a planned stop or a second signal."""
+    listener = server.bind(settings.instance.listen)
+    tracer = tracing.Tracer(
+        settings.instance.name, settings.tracing.sampled_share
+    )
+    async with http_client.open_session(CONNECTIONS_PER_HOST) as session:
+        runtime = runtime_lib.Runtime(
+            build_state(settings),
+            functools.partial(http_client.send, session),
+            tracer,
+        )
+        ticks = asyncio.ensure_future(runtime.run_ticks())
+        host, port = listener.getsockname()
+        logging.info("server: listening on %s:%d", host, port)
+        await server.serve_until(
+            api.build(runtime),
+            listener,
+            runtime.exited,
+            lambda: runtime.deliver(events.StopRequested(runtime.moment())),
+        )
+        ticks.cancel()
--- /dev/null
+++ b/standins/executor.py
@@ -0,0 +1,178 @@
+"""A stand-in for an executor that runs small requests in slots.
+
+`Executor` is the model. Time comes in with each call, so that tests can drive
+it in virtual time; `standins.serve` puts it behind HTTP.
+"""
+
+import dataclasses
+import functools
+from typing import Any
+
+from dandelionpick import executor_messages as messages
+from dandelionpick import ids
+from dandelionpick import kinds
+
+
+@dataclasses.dataclass
+class Task:
+    """A task that was started or tombstoned.
+
+    Attributes:
+        end_s: when the task ends, in the model's seconds.
+    """
+
+    labels: messages.TaskLabels | None
+    body: bytes
+    end_s: float
+    tombstone: bool = False
+
+
+class Executor:
+    """Runs tasks in slots; a task's output is its input reversed.
+
+    Attributes:
+        runs: number of starts by task id, for the oracle of tests.
+        leaving: refuse new tasks.
+    """
+
+    def __init__(self, slots: int, incarnation: str, run_s: float = 0.02):
+        self.slots = slots
+        self.incarnation = ids.Incarnation(incarnation)
+        self.run_s = run_s
+        self.leaving = False
+        self.tasks: dict[ids.TaskId, Task] = {}
+        self.runs: dict[ids.TaskId, int] = {}
+
+    def running(self, now_s: float) -> int:
+        """Returns the number of tasks in slots."""
+        return sum(
+            1
+            for task in self.tasks.values()
+            if not task.tombstone and task.end_s > now_s
+        )
+
+    def free_slots(self, now_s: float) -> int:
+        """Returns the number of slots without a task."""
+        return self.slots - self.running(now_s)
+
+    def handle(self, message: Any, now_s: float, unix_ms: int) -> Any:
+        """Answers a message.
+
+        A start or query of a running task is answered TaskRunning; the caller
+        of the model asks again at the task's end.
+        """
+        return _handle(message, self, now_s, unix_ms)
+
+    def reply(self, reply_type: type, now_s: float, **fields: Any) -> Any:
+        """Builds a reply with the fields that every reply has."""
+        return reply_type(
+            incarnation=self.incarnation,
+            free_slots=self.free_slots(now_s),
+            leaving=self.leaving,
+            **fields,
+        )
+
+    def describe(self, task_id: ids.TaskId, now_s: float) -> Any:
+        """Returns the reply that tells a task's state."""
+        task = self.tasks.get(task_id)
+        if task is None:
+            return self.reply(messages.TaskUnknown, now_s, task_id=task_id)
+        if task.tombstone:
+            return self.reply(messages.TaskTombstoned, now_s, task_id=task_id)
+        if task.end_s > now_s:
+            return self.reply(messages.TaskRunning, now_s, task_id=task_id)
+        output = task.body[::-1]
+        return self.reply(
+            messages.TaskResult,
+            now_s,
+            task_id=task_id,
+            succeeded=True,
+            body=output,
+            length=len(output),
+            digest=messages.digest_of(output),
+        )
+
+
+@functools.singledispatch
+def _handle(message: Any, executor: Executor, now_s: float, unix_ms: int):
+    raise TypeError(f"no handler for {type(message).__name__}")
+
+
+@_handle.register
+def _(
+    message: messages.StartTask,
+    executor: Executor,
+    now_s: float,
+    unix_ms: int,
+) -> Any:
+    reason = _refusal(message, executor, now_s, unix_ms)
+    if reason is not None:
+        return executor.reply(
+            messages.TaskRefused, now_s, task_id=message.task_id, reason=reason
+        )
+    if message.task_id not in executor.tasks:
+        executor.tasks[message.task_id] = Task(
+            message.labels, message.body, now_s + executor.run_s
+        )
+        runs = executor.runs.get(message.task_id, 0)
+        executor.runs[message.task_id] = runs + 1
+    return executor.describe(message.task_id, now_s)
+
+
+def _refusal(
+    message: messages.StartTask,
+    executor: Executor,
+    now_s: float,
+    unix_ms: int,
+) -> kinds.TaskRefusal | None:
+    if message.incarnation not in ("", executor.incarnation):
+        return kinds.TaskRefusal.WRONG_INCARNATION
+    task = executor.tasks.get(message.task_id)
+    if task is not None:
+        return kinds.TaskRefusal.TOMBSTONED if task.tombstone else None
+    if executor.leaving:
+        return kinds.TaskRefusal.LEAVING
+    if unix_ms > message.start_deadline_ms:
+        return kinds.TaskRefusal.DEADLINE_PASSED
+    if executor.free_slots(now_s) <= 0:
+        return kinds.TaskRefusal.BUSY
+    return None
+
+
+@_handle.register
+def _(
+    message: messages.QueryTask,
+    executor: Executor,
+    now_s: float,
+    unix_ms: int,
+) -> Any:
+    return executor.describe(message.task_id, now_s)
+
+
+@_handle.register
+def _(
+    message: messages.CancelTask,
+    executor: Executor,
+    now_s: float,
+    unix_ms: int,
+) -> Any:
+    if message.task_id not in executor.tasks:
+        executor.tasks[message.task_id] = Task(None, b"", now_s, tombstone=True)
+    return executor.describe(message.task_id, now_s)
+
+
+@_handle.register
+def _(
+    message: messages.ListTasks,
+    executor: Executor,
+    now_s: float,
+    unix_ms: int,
+) -> messages.TaskList:
+    task_ids = [
+        task_id
+        for task_id, task in executor.tasks.items()
+        if task.labels is not None
+        and task.labels.organisation == message.organisation
+        and task.labels.key == message.key
+    ]
+    return messages.TaskList(task_ids, executor.incarnation)
--- /dev/null
+++ b/standins/serve.py
@@ -0,0 +1,169 @@
+"""Serves a stand-in over HTTP as a process of its own.
+
+Usage: python -m standins.serve ROLE JSON, where JSON holds the role's options.
+The process prints its address on its first line. A POST of a JSON object to
+/control changes a running stand-in.
+"""
+
+import asyncio
+import json
+import secrets
+import sys
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import uvicorn
+from starlette import applications
+from starlette import requests as http
+from starlette import responses
+from starlette import routing
+
+from dandelionpick import executor_messages
+from dandelionpick import list_messages
+from dandelionpick import server
+from dandelionpick import wire
+from standins import executor
+from standins import instance_list
+from standins import store
+
+POLL_S = 0.005
+
+Handle = Callable[[Any], Awaitable[Any]]
+Control = Callable[[dict[str, Any]], None]
+Parts = tuple[dict, Handle, Control]
+
+
+def route(endpoint: wire.Endpoint, handle: Handle) -> routing.Route:
+    """Builds the route of one message."""
+
+    async def serve(request: http.Request) -> responses.Response:
+        message = endpoint.message.decode(await request.body())
+        reply = await handle(message)
+        return responses.Response(
+            wire.encode(reply), media_type="application/json"
+        )
+
+    return routing.Route(endpoint.path, serve, methods=["POST"])
+
+
+def control_route(control: Control) -> routing.Route:
+    """Builds the route that changes a running stand-in."""
+
+    async def serve(request: http.Request) -> responses.Response:
+        control(json.loads(await request.body()))
+        return responses.Response(status_code=204)
+
+    return routing.Route("/control", serve, methods=["POST"])
+
+
+def ignore(changes: dict[str, Any]) -> None:
+    """Changes nothing: the stand-in has no options to change."""
+
+
+def build_store(options: dict[str, Any]) -> Parts:
+    """Builds the store; a watch polls the model."""
+    model = store.Store()
+    for key, value in options.get("values", {}).items():
+        model.entries[key] = store.Entry(1, value)
+        model.versions = 1
+
+    async def handle(message: Any) -> Any:
+        reply = model.handle(message)
+        wait_s = getattr(message, "wait_s", 0.0)
+        end_s = time.monotonic() + wait_s
+        while wait_s and reply.version == message.after_version:
+            if time.monotonic() >= end_s:
+                break
+            await asyncio.sleep(POLL_S)
+            reply = model.value(message.key)
+        return reply
+
+    return wire.STORE, handle, ignore
+
+
+def build_list(options: dict[str, Any]) -> Parts:
+    """Builds the instance list."""
+    model = instance_list.InstanceList(options.get("lag_s", 1.0))
+
+    def control(changes: dict[str, Any]) -> None:
+        entries = msgspec.convert(
+            changes["entries"], list[list_messages.InstanceEntry]
+        )
+        model.set_entries(entries, time.monotonic())
+
+    control(options)
+
+    async def handle(message: Any) -> Any:
+        return model.handle(message, time.monotonic())
+
+    return wire.LIST, handle, control
+
+
+def build_executor(options: dict[str, Any]) -> Parts:
+    """Builds an executor; a start is answered when the task has ended."""
+    model = executor.Executor(
+        options.get("slots", 8),
+        secrets.token_hex(8),
+        options.get("run_s", 0.02),
+    )
+
+    async def handle(message: Any) -> Any:
+        wait_s = getattr(message, "wait_s", 0.0)
+        if isinstance(message, executor_messages.StartTask):
+            wait_s = float("inf")
+        end_s = time.monotonic() + wait_s
+        while True:
+            reply = model.handle(
+                message, time.monotonic(), time.time_ns() // 1_000_000
+            )
+            running = isinstance(reply, executor_messages.TaskRunning)
+            if not running or time.monotonic() >= end_s:
+                return reply
+            task = model.tasks[message.task_id]
+            await asyncio.sleep(
+                min(task.end_s, end_s) - time.monotonic() + 0.001
+            )
+
+    def control(changes: dict[str, Any]) -> None:
+        model.leaving = changes.get("leaving", model.leaving)
+        model.run_s = changes.get("run_s", model.run_s)
+
+    return wire.EXECUTOR, handle, control
+
+
+def build_worker(options: dict[str, Any]) -> Parts:
+    """Builds a worker."""
+
+    async def handle(message: Any) -> Any:
+        raise NotImplementedError
+
+    return wire.WORKER, handle, ignore
+
+
+BUILDERS = {
+    "store": build_store,
+    "instance_list": build_list,
+    "executor": build_executor,
+    "worker": build_worker,
+}
+
+
+async def run(role: str, options: dict[str, Any]) -> None:
+    """Serves until SIGTERM."""
+    endpoints, handle, control = BUILDERS[role](options)
+    routes = [route(endpoint, handle) for endpoint in endpoints.values()]
+    app = applications.Starlette(routes=[*routes, control_route(control)])
+    listener = server.bind(options.get("listen", "127.0.0.1:0"))
+    host, port = listener.getsockname()
+    print(f"{role}: listening on {host}:{port}", flush=True)
+    config = uvicorn.Config(
+        app, log_config=None, access_log=False, lifespan="off", ws="none"
+    )
+    await uvicorn.Server(config).serve(sockets=[listener])
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1], json.loads(sys.argv[2])))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dandelionpick and of the stand-ins."""
