Skip the tracing library for exchanges that are not sampled

Cause: a profile of 2,000 requests showed the spans of unsampled exchanges among the largest items: the sampler decides after the span's context, links and propagation were built.

Ruled out: a cheaper sampler inside the library; the cost is in the span and propagation code around it.

Change: the tracer decides by the caller's sampled flag, or by chance, before it calls the library.

Figures: server span and client span of one unsampled request, 20,000 repetitions on an idle machine: 91.8 us before, 12.9 us after.

--- a/dandelionpick/tracing.py
+++ b/dandelionpick/tracing.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import random
 from collections.abc import Iterator
 
 from opentelemetry import propagate
@@ -15,6 +16,7 @@
 from dandelionpick import effects
 
 RECENT_SPANS = 1_000
+SAMPLED_FLAG = 1
 
 
 class RecentSpans(export.SpanExporter):
@@ -58,19 +60,32 @@
 
     def __init__(self, instance: str, sampled_share: float):
         self.recent = RecentSpans()
-        sampler = sampling.ParentBased(
-            sampling.TraceIdRatioBased(sampled_share)
-        )
+        self.sampled_share = sampled_share
+        self.random = random.Random()
         provider = sdk_trace.TracerProvider(
-            sampler=sampler,
+            sampler=sampling.ALWAYS_ON,
             resource=resources.Resource({"service.instance.id": instance}),
         )
         provider.add_span_processor(export.SimpleSpanProcessor(self.recent))
         self.tracer = provider.get_tracer("dandelionpick")
 
+    def is_sampled(self, traceparent: str) -> bool:
+        """Decides by the caller's flag, or by chance if there is no trace."""
+        if traceparent:
+            return _has_sampled_flag(traceparent)
+        return self.random.random() < self.sampled_share
+
     @contextlib.contextmanager
     def server_span(self, name: str, traceparent: str) -> Iterator[str]:
-        """Opens a span for an inbound exchange; yields its traceparent."""
+        """Opens a span for an inbound exchange; yields its traceparent.
+
+        An exchange that is not sampled skips the tracing library, whose calls
+        took about a fifth of the processor time of a small request, and
+        yields the caller's traceparent unchanged.
+        """
+        if not self.is_sampled(traceparent):
+            yield traceparent
+            return
         parent = propagate.extract({"traceparent": traceparent})
         with self.tracer.start_as_current_span(
             name, context=parent, kind=trace.SpanKind.SERVER
@@ -81,9 +96,9 @@
     def client_span(self, call: effects.Call) -> Iterator[effects.Call]:
         """Opens a span for a call; yields the call with its traceparent.
 
-        Calls without a trace, such as heartbeats, get no span.
+        Calls of an unsampled trace, or of none (heartbeats), get no span.
         """
-        if not call.trace:
+        if not _has_sampled_flag(call.trace):
             yield call
             return
         parent = propagate.extract({"traceparent": call.trace})
@@ -97,6 +112,14 @@
             yield dataclasses.replace(call, trace=_current_traceparent())
 
 
+def _has_sampled_flag(traceparent: str) -> bool:
+    """Reads the flags, the last two hexadecimal digits of a traceparent."""
+    try:
+        return bool(int(traceparent[-2:], 16) & SAMPLED_FLAG)
+    except ValueError:
+        return False
+
+
 def _current_traceparent() -> str:
     carrier: dict[str, str] = {}
     propagate.inject(carrier)
