Accept edits of the tree and distribute the document

Cause: every instance polled the store each second, nothing checked a tree before it was adopted, and edits, the tree and the status had no handlers.

Ruled out: one watch that returns the unchanged document every few seconds (at 1 MB it alone exceeds the limit on control traffic, so an unchanged watch now returns only the version), and announcements of every adopter to every peer (grow with the square of the fleet).

Change: checks of the tree with path and remedy; edits with comparison of revisions, compare-and-swap, search for the edit id after lost replies; watch by the preferred instance, relay by heartbeat and peer fetch, repair of a restored store; history and simulation of edits; leases and faults in the store stand-in. preferred_instance hashed a str, which xxhash refuses.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -198,6 +198,10 @@
         by_path(job_path, "DELETE", caller.CancelJob),
         by_path("/v1/tree", "GET", operator.ReadTree),
         post("/v1/edits", msgspec.json.Decoder(operator.EditTree)),
+        by_path("/v1/edits", "GET", operator.ReadEdits),
+        post(
+            "/v1/simulated-edits", msgspec.json.Decoder(operator.SimulateEdit)
+        ),
         by_path("/v1/status", "GET", operator.ReadStatus),
         routing.Route("/livez", live),
         routing.Route("/readyz", functools.partial(ready, runtime)),
--- a/dandelionpick/drain.py
+++ b/dandelionpick/drain.py
@@ -31,6 +31,8 @@
         return
     if any(r.answer is None for r in state.requests.by_name.values()):
         return
+    if state.edits.queue or state.edits.accepted:
+        return
     state.drain.exit_sent = True
     step.note(effects.Part.DRAIN, "no request in progress, exiting")
     step.emit(effects.Exit())
--- /dev/null
+++ b/dandelionpick/edits.py
@@ -0,0 +1,388 @@
+"""Accepts operators' edits of the configuration tree.
+
+An attempt reads the document from the store, compares revisions with all
+listed peers, applies the edit to the highest document and writes the result
+with the version that was read. The peers are compared after the read: a
+restore of the store from an older copy before the read is noticed because a
+peer has a higher revision, and one after the read makes the write conflict.
+"""
+
+import dataclasses
+
+from returns.result import Failure
+
+from dandelionpick import adoption
+from dandelionpick import configuration
+from dandelionpick import dispatch
+from dandelionpick import edit_problems
+from dandelionpick import edit_state
+from dandelionpick import errors
+from dandelionpick import ids
+from dandelionpick import in_force
+from dandelionpick import kinds
+from dandelionpick import membership
+from dandelionpick import operator_messages
+from dandelionpick import peer_messages
+from dandelionpick import proposals
+from dandelionpick import state as state_lib
+from dandelionpick import store_messages
+
+# With IN_FORCE_WAIT_S, leaves an answer within 10 s.
+EDIT_TIMEOUT_S = 7.0
+RETRY_S = 0.3
+COMPARE_TIMEOUT_S = 1.0
+
+Phase = edit_state.Phase
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentRead:
+    """Context of an attempt's read of the document from the store."""
+
+    edit: edit_state.PendingEdit
+    attempt: int
+    sent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerCompared:
+    """Context of an attempt's comparison of revisions with a peer."""
+
+    edit: edit_state.PendingEdit
+    attempt: int
+    peer: ids.InstanceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentWritten:
+    """Context of an attempt's write of the edited document.
+
+    Attributes:
+        maybe_before: the edit's maybe_version before this write.
+    """
+
+    edit: edit_state.PendingEdit
+    attempt: int
+    proposal: proposals.Proposal
+    maybe_before: int | None
+    sent_s: float
+
+
+AttemptCall = DocumentRead | PeerCompared | DocumentWritten
+
+
+@dispatch.receive.register
+def _(
+    message: operator_messages.EditTree,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    problem = edit_problems.at_once(state, message, step.moment.now_s)
+    if problem is not None:
+        _respond_refused(state, step, exchange_id, message, problem)
+        return
+    deadline_s = step.moment.now_s + EDIT_TIMEOUT_S
+    edit = edit_state.PendingEdit(exchange_id, message, deadline_s, step.trace)
+    state.edits.queue.append(edit)
+    _start_next(state, step)
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Ends edits that are overdue and answers accepted ones."""
+    now_s = step.moment.now_s
+    for edit in list(state.edits.queue):
+        if now_s >= edit.deadline_s:
+            _refuse(state, step, edit, edit_problems.overdue(state, edit))
+    _start_next(state, step)
+    in_force.answer_accepted(state, step)
+
+
+def _start_next(state: state_lib.State, step: dispatch.Step) -> None:
+    """Starts an attempt of the edit at the head of the queue."""
+    if not state.edits.queue:
+        return
+    edit = state.edits.queue[0]
+    if edit.phase is not Phase.WAITING or step.moment.now_s < edit.retry_s:
+        return
+    if state.members.list_read_s == float("-inf"):
+        return
+    edit.attempt += 1
+    edit.phase = Phase.READING
+    step.trace = edit.trace
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Read(configuration.DOCUMENT_KEY),
+        DocumentRead(edit, edit.attempt, step.moment.now_s),
+        state.limits.call_timeout_s,
+    )
+
+
+def _is_current(
+    state: state_lib.State, context: AttemptCall, phase: Phase
+) -> bool:
+    """Tells whether an attempt still waits for the reply to a call."""
+    edit = context.edit
+    queue = state.edits.queue
+    return (
+        bool(queue)
+        and queue[0] is edit
+        and edit.attempt == context.attempt
+        and edit.phase is phase
+    )
+
+
+def _retry(
+    step: dispatch.Step, edit: edit_state.PendingEdit, delay_s: float
+) -> None:
+    edit.phase = Phase.WAITING
+    edit.retry_s = step.moment.now_s + delay_s * (0.5 + step.moment.draw)
+
+
+@dispatch.returned.register
+def _(
+    context: DocumentRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: store_messages.Value,
+) -> None:
+    if _is_current(state, context, Phase.READING):
+        _compare(state, step, context.edit, reply, context.sent_s)
+
+
+@dispatch.failed.register
+def _(
+    context: DocumentRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    if _is_current(state, context, Phase.READING):
+        _retry(step, context.edit, RETRY_S)
+
+
+def _compare(
+    state: state_lib.State,
+    step: dispatch.Step,
+    edit: edit_state.PendingEdit,
+    value: store_messages.Value | store_messages.Conflict,
+    as_of_s: float,
+) -> None:
+    """Records what the store holds and asks the peers for their revision."""
+    configuration.record(state, step, value, as_of_s)
+    edit.read_version = value.version
+    edit.phase = Phase.COMPARING
+    edit.unanswered = set(state.members.peers)
+    message = peer_messages.ReadDocument(state.configuration.document.revision)
+    for peer_id, peer in state.members.peers.items():
+        dispatch.call(
+            state,
+            step,
+            membership.peer_destination(peer.entry),
+            message,
+            PeerCompared(edit, edit.attempt, peer_id),
+            COMPARE_TIMEOUT_S,
+        )
+    _write_when_compared(state, step, edit)
+
+
+@dispatch.returned.register
+def _(
+    context: PeerCompared,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: peer_messages.Document,
+) -> None:
+    if reply.text:
+        adoption.adopt(state, step, reply.text, context.peer)
+    if not _is_current(state, context, Phase.COMPARING):
+        return
+    edit = context.edit
+    if reply.revision > state.configuration.document.revision:
+        _refuse(
+            state,
+            step,
+            edit,
+            edit_problems.unreadable(context.peer, reply.revision),
+        )
+        _start_next(state, step)
+        return
+    edit.unanswered.discard(context.peer)
+    _write_when_compared(state, step, edit)
+
+
+@dispatch.failed.register
+def _(
+    context: PeerCompared,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    if _is_current(state, context, Phase.COMPARING):
+        context.edit.unanswered.discard(context.peer)
+        _write_when_compared(state, step, context.edit)
+
+
+def _write_when_compared(
+    state: state_lib.State, step: dispatch.Step, edit: edit_state.PendingEdit
+) -> None:
+    """Goes on when every peer has answered or failed to."""
+    if edit.unanswered:
+        return
+    known = state.configuration
+    if known.store_revision > known.document.revision:
+        problem = edit_problems.unreadable(adoption.STORE, known.store_revision)
+        _refuse(state, step, edit, problem)
+        _start_next(state, step)
+        return
+    done = proposals.find_edit(known.document, edit.message)
+    if done is not None:
+        _accept(state, step, edit, done.revision)
+        return
+    if edit.maybe_version != edit.read_version:
+        # The version moved on without the edit, so no write can take effect.
+        edit.maybe_version = None
+    entries = state.members.entries.values()
+    result = proposals.propose(known.document, edit.message, entries)
+    if isinstance(result, Failure):
+        problem = edit_problems.with_doubt(edit, result.failure())
+        _refuse(state, step, edit, problem)
+        _start_next(state, step)
+        return
+    _write(state, step, edit, result.unwrap())
+
+
+def _write(
+    state: state_lib.State,
+    step: dispatch.Step,
+    edit: edit_state.PendingEdit,
+    proposal: proposals.Proposal,
+) -> None:
+    edit.phase = Phase.WRITING
+    context = DocumentWritten(
+        edit, edit.attempt, proposal, edit.maybe_version, step.moment.now_s
+    )
+    edit.wrote = True
+    edit.maybe_version = edit.read_version
+    step.trace = edit.trace
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Write(
+            configuration.DOCUMENT_KEY,
+            edit.read_version,
+            proposal.text,
+            f"edit-{edit.message.edit_id}-{edit.attempt}",
+        ),
+        context,
+        state.limits.call_timeout_s,
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: DocumentWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: store_messages.Written | store_messages.Conflict,
+) -> None:
+    edit = context.edit
+    current = _is_current(state, context, Phase.WRITING)
+    late_s = step.moment.now_s - context.sent_s - state.limits.call_timeout_s
+    if late_s > 0:
+        # The reply waited in a paused process; the store may have been
+        # restored from an older copy since, so that it proves nothing.
+        if current:
+            _retry(step, edit, 0.0)
+        return
+    if isinstance(reply, store_messages.Written):
+        _put_written_in_force(state, step, context, reply.version)
+        if current:
+            _accept(state, step, edit, context.proposal.document.revision)
+    elif current:
+        edit.attempt += 1
+        _compare(state, step, edit, reply, context.sent_s)
+
+
+def _put_written_in_force(
+    state: state_lib.State,
+    step: dispatch.Step,
+    context: DocumentWritten,
+    version: int,
+) -> None:
+    proposal = context.proposal
+    revision = proposal.document.revision
+    if revision > state.configuration.document.revision:
+        adoption.put_in_force(
+            state,
+            step,
+            proposal.document,
+            proposal.text,
+            proposal.organisations,
+            adoption.STORE,
+        )
+    configuration.recorded_write(state, step, version, revision)
+
+
+@dispatch.failed.register
+def _(
+    context: DocumentWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    if not _is_current(state, context, Phase.WRITING):
+        return
+    if failure is kinds.CallFailure.NOT_SENT:
+        context.edit.maybe_version = context.maybe_before
+    _retry(step, context.edit, RETRY_S)
+
+
+def _accept(
+    state: state_lib.State,
+    step: dispatch.Step,
+    edit: edit_state.PendingEdit,
+    revision: int,
+) -> None:
+    state.edits.queue.remove(edit)
+    state.edits.accepted.append(
+        edit_state.AcceptedEdit(
+            exchange_id=edit.exchange_id,
+            edit_id=edit.message.edit_id,
+            revision=revision,
+            answer_s=step.moment.now_s + in_force.IN_FORCE_WAIT_S,
+            repeated=not edit.wrote,
+        )
+    )
+    in_force.answer_accepted(state, step)
+    _start_next(state, step)
+
+
+def _refuse(
+    state: state_lib.State,
+    step: dispatch.Step,
+    edit: edit_state.PendingEdit,
+    problem: errors.Problem,
+) -> None:
+    state.edits.queue.remove(edit)
+    _respond_refused(state, step, edit.exchange_id, edit.message, problem)
+
+
+def _respond_refused(
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+    message: operator_messages.EditTree,
+    problem: errors.Problem,
+) -> None:
+    step.respond(
+        exchange_id,
+        operator_messages.EditRefused(
+            edit_id=message.edit_id,
+            problem=problem,
+            revision=state.configuration.document.revision,
+        ),
+    )
--- /dev/null
+++ b/dandelionpick/in_force.py
@@ -0,0 +1,54 @@
+"""Tells in which failure domains a revision is in force."""
+
+import collections
+
+from dandelionpick import dispatch
+from dandelionpick import edit_state
+from dandelionpick import ids
+from dandelionpick import operator_messages
+from dandelionpick import state as state_lib
+
+# Heartbeats with the new revision arrive within a heartbeat period of its
+# adoption; an instance that can't be reached holds an answer up for this long.
+IN_FORCE_WAIT_S = 3.0
+
+
+def domains_in_force(
+    state: state_lib.State, revision: int
+) -> tuple[list[ids.FailureDomain], bool]:
+    """Finds the failure domains whose known instances all have a revision.
+
+    Returns:
+        The failure domains in order, and whether they are all there are.
+    """
+    has: dict[ids.FailureDomain, bool] = collections.defaultdict(lambda: True)
+    own = state.configuration.document.revision >= revision
+    has[state.identity.failure_domain] = own
+    for peer in state.members.peers.values():
+        heartbeat = peer.heartbeat
+        if heartbeat is None or heartbeat.revision < revision:
+            has[peer.entry.failure_domain] = False
+        else:
+            has[peer.entry.failure_domain] &= True
+    found = sorted(domain for domain, complete in has.items() if complete)
+    return found, len(found) == len(has)
+
+
+def answer_accepted(state: state_lib.State, step: dispatch.Step) -> None:
+    """Answers accepted edits that are in force everywhere or waited enough."""
+    waiting: list[edit_state.AcceptedEdit] = []
+    for edit in state.edits.accepted:
+        found, everywhere = domains_in_force(state, edit.revision)
+        if not everywhere and step.moment.now_s < edit.answer_s:
+            waiting.append(edit)
+            continue
+        step.respond(
+            edit.exchange_id,
+            operator_messages.EditAccepted(
+                edit_id=edit.edit_id,
+                revision=edit.revision,
+                in_force=found,
+                repeated=edit.repeated,
+            ),
+        )
+    state.edits.accepted = waiting
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -1,6 +1,7 @@
 """The live set: instance list, heartbeats, and the preferred instance."""
 
 import dataclasses
+import math
 from collections.abc import Iterator
 
 import xxhash
@@ -70,11 +71,22 @@
         failure_domain=state.identity.failure_domain,
         incarnation=state.incarnation,
         revision=state.configuration.document.revision,
+        configuration_age_s=configuration_age_s(state),
         leaving=state.drain.requested_s is not None,
         queued=len(state.requests.queue),
     )
 
 
+def configuration_age_s(state: state_lib.State) -> float:
+    """Returns the age of the configuration for a heartbeat; -1 if unknown.
+
+    The age is overstated by more than a tick and the network's latency, so
+    that instances that vouch for each other can't keep it from rising.
+    """
+    age_s = state.configuration.age_s
+    return round(age_s + 0.2, 1) if math.isfinite(age_s) else -1.0
+
+
 def peer_destination(entry: list_messages.InstanceEntry) -> effects.Destination:
     """Returns where calls to an entry instance go."""
     return effects.Destination(kinds.Service.PEER, entry.id, entry.address)
@@ -209,7 +221,10 @@
     live = list(live_instances(state, now_s)) or [state.identity.instance]
     return max(
         live,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{domain}/{name}"), name),
+        key=lambda name: (
+            xxhash.xxh64_intdigest(f"{domain}/{name}".encode()),
+            name,
+        ),
     )
 
 
--- a/dandelionpick/operator_messages.py
+++ b/dandelionpick/operator_messages.py
@@ -6,6 +6,7 @@
 
 from dandelionpick import errors
 from dandelionpick import ids
+from dandelionpick import tree_state
 
 
 class ReadTree(msgspec.Struct, frozen=True):
@@ -23,8 +24,10 @@
     """Sets or removes one setting.
 
     Attributes:
-        path: keys from the root, separated by "/".
-        value: any JSON value; ignored if remove is True.
+        path: keys from the root, separated by "/". A branch is created by
+            setting its path to an object.
+        value: any JSON value; ignored if remove is True. None drops what
+            would be inherited.
         remove: remove the setting so that it is inherited again.
     """
 
@@ -54,11 +57,13 @@
 
     Attributes:
         in_force: failure domains all of whose known instances have it.
+        repeated: whether an earlier submission of this edit id was accepted.
     """
 
     edit_id: ids.EditId
     revision: int
     in_force: list[ids.FailureDomain] = []
+    repeated: bool = False
 
 
 class EditRefused(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -69,6 +74,59 @@
     revision: int = 0
 
 
+class ReadEdits(msgspec.Struct, frozen=True):
+    """Reads the last edits as this instance has them in force."""
+
+
+class Edits(msgspec.Struct, frozen=True, tag=True):
+    """The last edits, oldest first, and the revision in force."""
+
+    revision: int
+    edits: list[tree_state.AppliedEdit]
+
+
+class SimulateEdit(msgspec.Struct, frozen=True):
+    """Tells what an edit would do to the tree in force, without accepting it.
+
+    The reply is an EditSimulated, or an EditRefused with the problem for which
+    this instance would refuse the edit.
+    """
+
+    edit: EditTree
+
+
+class EffectiveChange(msgspec.Struct, frozen=True):
+    """A setting of an organisation that differs after inheritance.
+
+    Attributes:
+        setting: keys within the organisation, separated by "/".
+        before: the value in force; None if the setting does not exist.
+        after: the value after the edit; None if it would not exist.
+    """
+
+    organisation: ids.OrganisationId
+    setting: str
+    before: Any
+    after: Any
+
+
+class EditSimulated(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What the edit would do.
+
+    Attributes:
+        revision: the revision that the edit was applied to.
+        changes: the first differences, by organisation and setting.
+        changes_total: number of differences, listed or not.
+        document_bytes: size of the document after the edit.
+    """
+
+    edit_id: ids.EditId
+    revision: int
+    changes: list[EffectiveChange]
+    changes_total: int
+    document_bytes: int
+
+
 class ReadStatus(msgspec.Struct, frozen=True):
     """Asks for this instance's view of the system."""
 
@@ -84,7 +142,12 @@
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """This instance's view of the system."""
+    """This instance's view of the system.
+
+    Attributes:
+        configuration_age_s: seconds since the revision was last known to be
+            the store's; None if it never was.
+    """
 
     instance: ids.InstanceId
     failure_domain: ids.FailureDomain
@@ -96,3 +159,4 @@
     requests_running: int = 0
     jobs_queued: int = 0
     jobs_running: int = 0
+    configuration_age_s: float | None = None
--- a/dandelionpick/peer_messages.py
+++ b/dandelionpick/peer_messages.py
@@ -11,12 +11,17 @@
     """Tells a peer that the sender lives, and what it has.
 
     The reply is the receiver's own Heartbeat.
+
+    Attributes:
+        configuration_age_s: seconds since the sender's revision was known to
+            be the store's; -1 if it never was.
     """
 
     instance: ids.InstanceId
     failure_domain: ids.FailureDomain
     incarnation: ids.Incarnation
     revision: int = 0
+    configuration_age_s: float = -1.0
     leaving: bool = False
     queued: int = 0
     free_slots: int = 0
--- /dev/null
+++ b/dandelionpick/proposals.py
@@ -0,0 +1,200 @@
+"""Builds and checks the document that an edit would result in."""
+
+import dataclasses
+from collections.abc import Iterable
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick import errors
+from dandelionpick import guarantee_fit
+from dandelionpick import list_messages
+from dandelionpick import operator_messages
+from dandelionpick import tree
+from dandelionpick import tree_state
+
+# The store accepts values up to 1 MB.
+MAX_DOCUMENT_BYTES = 950_000
+MAX_EDITS = 256
+# Leaves most of the document to the tree when edits touch many paths.
+MAX_EDITS_BYTES = 200_000
+MAX_RECORDED_PATHS = 16
+MAX_CHANGES = 256
+MAX_NAME_LENGTH = 128
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A checked document that is ready to be written."""
+
+    document: tree_state.Document
+    text: str
+    organisations: tree.Organisations
+
+
+def propose(
+    held: tree_state.Document,
+    message: operator_messages.EditTree,
+    entries: Iterable[list_messages.InstanceEntry],
+) -> Result[Proposal, errors.Problem]:
+    """Applies an edit to a document.
+
+    Args:
+        held: the newest document.
+        message: the edit.
+        entries: the instance list.
+
+    Returns:
+        The new document, or why the edit is refused.
+    """
+    problem = check_message(message) or base_conflict(held, message)
+    if problem is not None:
+        return Failure(problem)
+    applied = tree.apply(held.tree, message.changes)
+    if isinstance(applied, Failure):
+        return applied
+    checked = applied.bind(tree.read)
+    if isinstance(checked, Failure):
+        return checked
+    before = tree.read(held.tree).value_or({})
+    problem = guarantee_fit.check(before, checked.unwrap(), list(entries))
+    if problem is not None:
+        return Failure(problem)
+    document = _next_document(held, message, applied.unwrap())
+    return _encode(document, checked.unwrap())
+
+
+def check_message(
+    message: operator_messages.EditTree,
+) -> errors.Problem | None:
+    """Returns the problem of an edit that does not depend on the tree."""
+    names = {"edit_id": message.edit_id, "operator": message.operator}
+    for field, text in names.items():
+        if len(text) > MAX_NAME_LENGTH or not text.isprintable():
+            return _malformed(
+                f"The field {field} is longer than {MAX_NAME_LENGTH}"
+                " characters or has unprintable ones."
+            )
+    if not message.edit_id:
+        return _malformed("The edit has no edit_id.")
+    if not 1 <= len(message.changes) <= MAX_CHANGES:
+        return _malformed(
+            f"The edit has {len(message.changes)} changes; it needs 1 to"
+            f" {MAX_CHANGES}."
+        )
+    return None
+
+
+def _malformed(text: str) -> errors.Problem:
+    return errors.Problem(
+        errors.ProblemKind.EDIT_INVALID,
+        text,
+        "Correct the edit and send it again.",
+    )
+
+
+def find_edit(
+    document: tree_state.Document, message: operator_messages.EditTree
+) -> tree_state.AppliedEdit | None:
+    """Returns the record of an edit that the document contains."""
+    for edit in document.edits:
+        if edit.edit_id == message.edit_id:
+            return edit
+    return None
+
+
+def base_conflict(
+    held: tree_state.Document, message: operator_messages.EditTree
+) -> errors.Problem | None:
+    """Returns why an edit that is based on an older revision is refused."""
+    base = message.base_revision
+    if base is None or base == held.revision:
+        return None
+    later = [edit for edit in held.edits if edit.revision > base]
+    if base > held.revision or len(later) < held.revision - base:
+        return _conflict(
+            f"The edit is based on revision {base}, and the changes between"
+            f" it and revision {held.revision} are not known."
+        )
+    touched = [change.path for change in message.changes]
+    overlaps = [
+        f'"{path}" (revision {edit.revision}, edit {edit.edit_id}, by'
+        f" {edit.operator or 'unnamed operator'})"
+        for edit in later
+        for path in edit.paths
+        if any(tree.overlap(path, own) for own in touched)
+    ]
+    if not overlaps:
+        return None
+    return _conflict(
+        f"Since revision {base}, on which the edit is based, these settings"
+        f" were changed: {'; '.join(overlaps)}."
+    )
+
+
+def _conflict(text: str) -> errors.Problem:
+    return errors.Problem(
+        errors.ProblemKind.EDIT_CONFLICT,
+        text,
+        "Read the tree again, check the edit against it, and send it with a"
+        " new edit_id and the revision that was read as base_revision.",
+    )
+
+
+def recorded_paths(
+    changes: Iterable[operator_messages.Change],
+) -> list[str]:
+    """Returns the touched paths, shortened until they are few.
+
+    A shortened path covers the original one, so that a conflict is never
+    missed.
+    """
+    paths = sorted({change.path for change in changes})
+    while len(paths) > MAX_RECORDED_PATHS:
+        longest = max(path.count("/") for path in paths)
+        if longest == 0:
+            return [""]
+        paths = sorted(
+            {
+                path.rsplit("/", 1)[0] if path.count("/") == longest else path
+                for path in paths
+            }
+        )
+    return paths
+
+
+def _next_document(
+    held: tree_state.Document,
+    message: operator_messages.EditTree,
+    root: dict,
+) -> tree_state.Document:
+    revision = held.revision + 1
+    record = tree_state.AppliedEdit(
+        message.edit_id,
+        revision,
+        message.operator,
+        recorded_paths(message.changes),
+    )
+    edits = [*held.edits, record][-MAX_EDITS:]
+    while len(msgspec.json.encode(edits)) > MAX_EDITS_BYTES:
+        edits = edits[len(edits) // 8 + 1 :]
+    return tree_state.Document(revision=revision, tree=root, edits=edits)
+
+
+def _encode(
+    document: tree_state.Document, organisations: tree.Organisations
+) -> Result[Proposal, errors.Problem]:
+    encoded = msgspec.json.encode(document)
+    if len(encoded) <= MAX_DOCUMENT_BYTES:
+        return Success(Proposal(document, encoded.decode(), organisations))
+    return Failure(
+        errors.Problem(
+            errors.ProblemKind.EDIT_INVALID,
+            f"The document would have {len(encoded)} bytes, more than the"
+            f" {MAX_DOCUMENT_BYTES} that the store can hold.",
+            "Move settings that branches share to their parent branch, or"
+            " remove branches that are not used.",
+        )
+    )
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -5,9 +5,11 @@
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
+from dandelionpick import edits
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import membership
+from dandelionpick import operator_reads  # noqa: F401 registers handlers
 from dandelionpick import requests
 from dandelionpick import state as state_lib
 
@@ -15,6 +17,7 @@
 TICKS = (
     membership.tick,
     configuration.tick,
+    edits.tick,
     requests.tick,
     drain.tick,
 )
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Any
 
+from dandelionpick import edit_state
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import job_state
@@ -107,6 +108,9 @@
     configuration: tree_state.Configuration = dataclasses.field(
         default_factory=tree_state.Configuration
     )
+    edits: edit_state.Edits = dataclasses.field(
+        default_factory=edit_state.Edits
+    )
     requests: request_state.Requests = dataclasses.field(
         default_factory=request_state.Requests
     )
--- a/dandelionpick/store_messages.py
+++ b/dandelionpick/store_messages.py
@@ -14,7 +14,8 @@
 
     Attributes:
         after_version: the version that the watcher has.
-        wait_s: seconds after which the unchanged value is returned.
+        wait_s: seconds after which Unchanged is returned; 0 asks whether the
+            version differs now.
     """
 
     key: str
@@ -29,12 +30,26 @@
         expected_version: 0 for a key that must not exist.
         value: the new text, at most 1 MB, or None to delete the key.
         write_id: names this write in logs.
+        lease_id: the key is deleted when this lease ends; "" for no lease.
     """
 
     key: str
     expected_version: int
     value: str | None
     write_id: str
+    lease_id: str = ""
+
+
+class GrantLease(msgspec.Struct, frozen=True):
+    """Creates a lease that ends after ttl_s seconds unless it is renewed."""
+
+    ttl_s: float
+
+
+class RenewLease(msgspec.Struct, frozen=True):
+    """Restarts the time to live of a lease."""
+
+    lease_id: str
 
 
 class Value(msgspec.Struct, frozen=True, tag=True):
@@ -45,6 +60,17 @@
     value: str | None
 
 
+class Unchanged(msgspec.Struct, frozen=True, tag=True):
+    """The key's version is still the watcher's.
+
+    It carries no value, because a document of 1 MB returned every few seconds
+    to each failure domain would exceed the limit on control traffic.
+    """
+
+    key: str
+    version: int
+
+
 class Written(msgspec.Struct, frozen=True, tag=True):
     """The write took effect and the key has this version."""
 
@@ -58,3 +84,16 @@
     key: str
     version: int
     value: str | None
+
+
+class Lease(msgspec.Struct, frozen=True, tag=True):
+    """The lease was granted or renewed."""
+
+    lease_id: str
+    ttl_s: float
+
+
+class LeaseEnded(msgspec.Struct, frozen=True, tag=True):
+    """The lease is unknown or has ended; a write under it had no effect."""
+
+    lease_id: str
--- a/dandelionpick/tree_state.py
+++ b/dandelionpick/tree_state.py
@@ -1,12 +1,26 @@
 """The configuration document as an instance holds it."""
 
 import dataclasses
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import msgspec
 
 from dandelionpick import ids
 
+# The bounds also exclude NaN and infinity, which compare false with every
+# bound.
+Weight = Annotated[float, msgspec.Meta(gt=0, le=1e6)]
+Rank = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+RunSeconds = Annotated[float, msgspec.Meta(gt=0, le=1e8)]
+BodyBytes = Annotated[int, msgspec.Meta(gt=0, le=100_000_000)]
+TaskCount = Annotated[int, msgspec.Meta(gt=0, le=1_000)]
+AcceleratorCount = Annotated[int, msgspec.Meta(gt=0, le=1_000)]
+ShapeCount = Annotated[int, msgspec.Meta(gt=0, le=10_000)]
+DomainName = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class JobClass(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -24,10 +38,10 @@
 
     idempotent: bool = True
     checkpointable: bool = False
-    worth: float = 1.0
-    run_s: float = 1.0
+    worth: Rank = 1.0
+    run_s: RunSeconds = 1.0
     short: bool = False
-    max_body_bytes: int = 1_000_000
+    max_body_bytes: BodyBytes = 1_000_000
 
 
 class Guarantee(
@@ -41,10 +55,10 @@
         count: how many of the shape.
     """
 
-    failure_domain: ids.FailureDomain
-    tasks: int
-    accelerators: int
-    count: int = 1
+    failure_domain: DomainName
+    tasks: TaskCount
+    accelerators: AcceleratorCount
+    count: ShapeCount = 1
 
 
 class Organisation(
@@ -57,17 +71,21 @@
         accounting_unit: "job" or "accelerator_second".
     """
 
-    share: float = 1.0
-    accounting_unit: str = "job"
+    share: Weight = 1.0
+    accounting_unit: Literal["job", "accelerator_second"] = "job"
     classes: dict[ids.ClassName, JobClass] = {}
     guarantees: dict[str, Guarantee] = {}
 
 
 class AppliedEdit(msgspec.Struct, frozen=True):
-    """An edit that the document contains."""
+    """An edit that the document contains.
+
+    Attributes:
+        paths: paths that it touched; "" stands for the whole tree.
+    """
 
     edit_id: ids.EditId
-    revision: int
+    revision: Revision
     operator: str
     paths: list[str]
 
@@ -81,7 +99,7 @@
         edits: the last edits, oldest first.
     """
 
-    revision: int
+    revision: Revision
     tree: dict[str, Any]
     edits: list[AppliedEdit] = []
 
@@ -92,7 +110,21 @@
 
     Attributes:
         text: the document as JSON, as relayed to peers.
-        store_version: version of the store's key when it was last read.
+        store_version: version of the store's key when it was last read; -1
+            before the first read.
+        store_revision: revision that the store had at store_version; 0 if it
+            had no readable document.
+        confirmed_s: latest monotonic time at which this revision was known to
+            be the store's, first-hand or through a peer.
+        age_s: seconds since confirmed_s, at the last tick.
+        store_call_pending: whether a watch or poll of the store is under way.
+        next_store_call_s: earliest time of the next watch or poll.
+        repair_pending: whether a write of this document is under way.
+        fetching: peer that is being asked for its document.
+        fetch_failed: peer whose last fetch failed.
+        next_fetch_s: earliest time of the next fetch from a peer.
+        behind_since_s: when a higher revision was first heard of.
+        rejected: revisions that failed validation, by where they came from.
     """
 
     document: Document = Document(revision=0, tree={})
@@ -100,6 +132,15 @@
     organisations: dict[ids.OrganisationId, Organisation] = dataclasses.field(
         default_factory=dict
     )
-    store_version: int = 0
-    read_s: float = float("-inf")
-    read_pending: bool = False
+    store_version: int = -1
+    store_revision: int = 0
+    confirmed_s: float = float("-inf")
+    age_s: float = float("inf")
+    store_call_pending: bool = False
+    next_store_call_s: float = float("-inf")
+    repair_pending: bool = False
+    fetching: ids.InstanceId | None = None
+    fetch_failed: ids.InstanceId | None = None
+    next_fetch_s: float = float("-inf")
+    behind_since_s: float | None = None
+    rejected: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/dandelionpick/wire.py
+++ b/dandelionpick/wire.py
@@ -44,9 +44,19 @@
 
 STORE = {
     store.Read: _endpoint("/v1/read", store.Read, store.Value),
-    store.Watch: _endpoint("/v1/watch", store.Watch, store.Value),
+    store.Watch: _endpoint(
+        "/v1/watch", store.Watch, store.Value | store.Unchanged
+    ),
     store.Write: _endpoint(
-        "/v1/write", store.Write, store.Written | store.Conflict
+        "/v1/write",
+        store.Write,
+        store.Written | store.Conflict | store.LeaseEnded,
+    ),
+    store.GrantLease: _endpoint(
+        "/v1/grant-lease", store.GrantLease, store.Lease
+    ),
+    store.RenewLease: _endpoint(
+        "/v1/renew-lease", store.RenewLease, store.Lease | store.LeaseEnded
     ),
 }
 LIST = {
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -3,7 +3,10 @@
 import collections
 from typing import Any
 
+import msgspec
+
 from dandelionpick import list_messages
+from standins import faults
 
 
 class InstanceList:
@@ -11,10 +14,12 @@
 
     Attributes:
         lag_s: seconds by which answers lag behind `set_entries`.
+        faults: what the transport in front of the model injects.
     """
 
     def __init__(self, lag_s: float):
         self.lag_s = lag_s
+        self.faults = faults.Faults()
         self.history: collections.deque = collections.deque()
         self.history.append((float("-inf"), []))
 
@@ -24,6 +29,16 @@
         """Replaces the list; answers show it after the lag."""
         self.history.append((now_s, list(entries)))
 
+    def control(self, changes: dict[str, Any], now_s: float) -> None:
+        """Applies a control message: faults, "lag_s" and "entries"."""
+        self.faults.change(changes)
+        self.lag_s = changes.get("lag_s", self.lag_s)
+        if "entries" in changes:
+            entries = msgspec.convert(
+                changes["entries"], list[list_messages.InstanceEntry]
+            )
+            self.set_entries(entries, now_s)
+
     def handle(self, message: Any, now_s: float) -> list_messages.Instances:
         """Answers a read."""
         while len(self.history) > 1 and (
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 import uvicorn
 from starlette import applications
 from starlette import requests as http
@@ -22,26 +21,36 @@
 from starlette import routing
 
 from dandelionpick import executor_messages
-from dandelionpick import list_messages
 from dandelionpick import server
+from dandelionpick import store_messages
 from dandelionpick import wire
 from standins import executor
+from standins import faults
 from standins import instance_list
 from standins import store
 
 POLL_S = 0.005
+# Longer than the timeout of every call to a platform service.
+SILENCE_S = 30.0
 
 Handle = Callable[[Any], Awaitable[Any]]
 Control = Callable[[dict[str, Any]], None]
 Parts = tuple[dict, Handle, Control]
 
 
+class NoReplyError(Exception):
+    """A call whose reply an injected fault withholds."""
+
+
 def route(endpoint: wire.Endpoint, handle: Handle) -> routing.Route:
     """Builds the route of one message."""
 
     async def serve(request: http.Request) -> responses.Response:
         message = endpoint.message.decode(await request.body())
-        reply = await handle(message)
+        try:
+            reply = await handle(message)
+        except NoReplyError:
+            return responses.Response(status_code=503)
         return responses.Response(
             wire.encode(reply), media_type="application/json"
         )
@@ -63,6 +72,28 @@
     """Changes nothing: the stand-in has no options to change."""
 
 
+def with_faults(injected: faults.Faults, handle: Handle) -> Handle:
+    """Puts the faults of a service in front of its model.
+
+    Raises:
+        NoReplyError: the caller must not learn the reply.
+    """
+
+    async def faulty(message: Any) -> Any:
+        await asyncio.sleep(injected.delay_s)
+        fault = injected.draw()
+        if fault is faults.Fault.SILENT:
+            await asyncio.sleep(SILENCE_S)
+        if fault in (faults.Fault.SILENT, faults.Fault.REFUSES):
+            raise NoReplyError
+        reply = await handle(message)
+        if fault is faults.Fault.LOSES_REPLIES:
+            raise NoReplyError
+        return reply
+
+    return faulty
+
+
 def build_store(options: dict[str, Any]) -> Parts:
     """Builds the store; a watch polls the model."""
     model = store.Store()
@@ -71,17 +102,17 @@
         model.versions = 1
 
     async def handle(message: Any) -> Any:
-        reply = model.handle(message)
-        wait_s = getattr(message, "wait_s", 0.0)
-        end_s = time.monotonic() + wait_s
-        while wait_s and reply.version == message.after_version:
+        started_s = time.monotonic()
+        reply = model.handle(message, started_s)
+        end_s = started_s + getattr(message, "wait_s", 0.0)
+        while isinstance(reply, store_messages.Unchanged):
             if time.monotonic() >= end_s:
                 break
             await asyncio.sleep(POLL_S)
-            reply = model.value(message.key)
+            reply = model.answer(message, time.monotonic())
         return reply
 
-    return wire.STORE, handle, ignore
+    return wire.STORE, with_faults(model.faults, handle), model.control
 
 
 def build_list(options: dict[str, Any]) -> Parts:
@@ -89,17 +120,14 @@
     model = instance_list.InstanceList(options.get("lag_s", 1.0))
 
     def control(changes: dict[str, Any]) -> None:
-        entries = msgspec.convert(
-            changes["entries"], list[list_messages.InstanceEntry]
-        )
-        model.set_entries(entries, time.monotonic())
+        model.control(changes, time.monotonic())
 
     control(options)
 
     async def handle(message: Any) -> Any:
         return model.handle(message, time.monotonic())
 
-    return wire.LIST, handle, control
+    return wire.LIST, with_faults(model.faults, handle), control
 
 
 def build_executor(options: dict[str, Any]) -> Parts:
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -20,6 +20,7 @@
 from dandelionpick import list_messages
 from dandelionpick import reducer
 from dandelionpick import state as state_lib
+from dandelionpick import store_messages
 from standins import executor as executor_lib
 from standins import instance_list
 from standins import store as store_lib
@@ -375,9 +376,9 @@
     ) -> None:
         if self.store_fault is StoreFault.SILENT:
             return
-        message = self.store.handle(call.message)
+        message = self.store.handle(call.message, self.now_s)
         wait_s = getattr(call.message, "wait_s", 0.0)
-        if wait_s and message.version == call.message.after_version:
+        if wait_s and isinstance(message, store_messages.Unchanged):
             end_s = self.now_s + wait_s
             self.at(TICK_S, lambda: self._continue_watch(call, reply, end_s))
             return
@@ -387,8 +388,9 @@
     def _continue_watch(
         self, call: effects.Call, reply: Callable[[Any], None], end_s: float
     ) -> None:
-        value = self.store.value(call.message.key)
-        if value.version == call.message.after_version and self.now_s < end_s:
+        value = self.store.answer(call.message, self.now_s)
+        unchanged = isinstance(value, store_messages.Unchanged)
+        if unchanged and self.now_s < end_s:
             self.at(TICK_S, lambda: self._continue_watch(call, reply, end_s))
         elif self.store_fault is StoreFault.NONE:
             reply(value)
