--- a/dandelionpick/edits.py
+++ b/dandelionpick/edits.py
@@ -80,7 +80,12 @@
 ) -> None:
     problem = edit_problems.at_once(state, message, step.moment.now_s)
     if problem is not None:
-        _respond_refused(state, step, exchange_id, message, problem)
+        refused = operator_messages.EditRefused(
+            edit_id=message.edit_id,
+            problem=problem,
+            revision=state.configuration.document.revision,
+        )
+        step.respond(exchange_id, refused)
         return
     deadline_s = step.moment.now_s + EDIT_TIMEOUT_S
     edit = edit_state.PendingEdit(exchange_id, message, deadline_s, step.trace)
@@ -368,21 +373,10 @@
     problem: errors.Problem,
 ) -> None:
     state.edits.queue.remove(edit)
-    _respond_refused(state, step, edit.exchange_id, edit.message, problem)
-
-
-def _respond_refused(
-    state: state_lib.State,
-    step: dispatch.Step,
-    exchange_id: ids.ExchangeId,
-    message: operator_messages.EditTree,
-    problem: errors.Problem,
-) -> None:
-    step.respond(
-        exchange_id,
-        operator_messages.EditRefused(
-            edit_id=message.edit_id,
-            problem=problem,
-            revision=state.configuration.document.revision,
-        ),
+    refused = operator_messages.EditRefused(
+        edit_id=edit.message.edit_id,
+        problem=problem,
+        revision=state.configuration.document.revision,
+        unknown=edit.maybe_version is not None,
     )
+    step.respond(edit.exchange_id, refused)
--- a/dandelionpick/operator_messages.py
+++ b/dandelionpick/operator_messages.py
@@ -67,11 +67,18 @@
 
 
 class EditRefused(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """The edit had no effect, unless the problem's kind says unknown."""
+    """The edit had no effect, unless `unknown` is set.
+
+    Attributes:
+        revision: the revision in force at the instance.
+        unknown: whether the edit may have taken effect or may still do so;
+            sending it again with the same edit_id tells.
+    """
 
     edit_id: ids.EditId
     problem: errors.Problem
     revision: int = 0
+    unknown: bool = False
 
 
 class ReadEdits(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/test_configuration_fuzz.py
@@ -0,0 +1,242 @@
+"""Stateful fuzzing of edits and of the distribution of the document."""
+
+import unittest
+
+import hypothesis.stateful as stateful
+from hypothesis import strategies
+
+from dandelionpick import adoption
+from dandelionpick import operator_messages as messages
+from standins import store as store_lib
+from tests import builders
+from tests import fabric
+from tests import fuzzing
+
+CONVERGENCE_S = 12.0
+DOMAINS = ("a", "b", "c")
+NAMES = tuple(f"{domain}{number}" for domain in DOMAINS for number in (1, 2))
+PLACES = (*DOMAINS, fabric.PLATFORM)
+CUTS = [(x, y) for i, x in enumerate(PLACES) for y in PLACES[i + 1 :]]
+REGISTERS = ("worth", "run_s")
+
+names = strategies.sampled_from(NAMES)
+registers = strategies.sampled_from(REGISTERS)
+
+
+class WatchedFabric(fabric.Fabric):
+    """Checks after each event that no instance's revision went down."""
+
+    def deliver(self, name, event):
+        state = self.instances[name].state
+        before = state.configuration.document.revision if state else 0
+        super().deliver(name, event)
+        if state is not None:
+            assert state.configuration.document.revision >= before
+
+
+class Oracle:
+    """What every operator was told about each edit.
+
+    Attributes:
+        sent: register and value by edit id.
+        accepted: revision by edit id.
+        without_effect: edits whose last word was that they had no effect.
+    """
+
+    def __init__(self):
+        self.sent: dict[str, tuple[str, int]] = {}
+        self.exchanges: dict[str, str] = {}
+        self.accepted: dict[str, int] = {}
+        self.refused: set[str] = set()
+
+    def hear(self, built: fabric.Fabric) -> None:
+        """Takes in the responses that have come since the last call."""
+        for exchange_id, edit_id in list(self.exchanges.items()):
+            response = built.response(exchange_id)
+            if response is None:
+                continue
+            del self.exchanges[exchange_id]
+            if isinstance(response, messages.EditAccepted):
+                first = self.accepted.setdefault(edit_id, response.revision)
+                assert first == response.revision, "second effect"
+            elif not response.unknown:
+                self.refused.add(exchange_id)
+
+    def check(self, text: str, submissions: dict[str, list[str]]) -> None:
+        """Checks the document that all instances hold."""
+        document = adoption.parse(text)
+        applied = {edit.edit_id: edit.revision for edit in document.edits}
+        assert len(applied) == len(document.edits), "applied twice"
+        revisions = [edit.revision for edit in document.edits]
+        assert revisions == list(range(2, document.revision + 1))
+        for edit_id, revision in self.accepted.items():
+            assert applied.get(edit_id) == revision, f"{edit_id} was lost"
+        for edit_id, exchanges in submissions.items():
+            if self.refused.issuperset(exchanges):
+                assert edit_id not in applied, f"{edit_id} was refused"
+        expected = dict.fromkeys(REGISTERS)
+        for edit in document.edits:
+            register, value = self.sent[edit.edit_id]
+            expected[register] = value
+        found = document.tree["classes"].get("fuzzed", {})
+        assert {name: found.get(name) for name in REGISTERS} == expected
+
+
+@fuzzing.seeded
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
+    """Edits race while instances, networks and the store fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.built = WatchedFabric(seed=1)
+        store = self.built.store
+        store.entries["config/tree"] = store_lib.Entry(1, builders.document())
+        store.versions = 1
+        self.backup = store.copy_entries()
+        for name in NAMES:
+            self.built.add_instance(name, name[0])
+        self.oracle = Oracle()
+        self.submissions: dict[str, list[str]] = {}
+        self.built.run_for(3.0)
+
+    def submit(self, name: str, edit_id: str, base: int | None) -> None:
+        register, value = self.oracle.sent[edit_id]
+        change = messages.Change(f"classes/fuzzed/{register}", value)
+        edit = messages.EditTree(
+            edit_id=edit_id, changes=[change], base_revision=base
+        )
+        exchange_id = self.built.send(name, edit)
+        self.oracle.exchanges[exchange_id] = edit_id
+        self.submissions.setdefault(edit_id, []).append(exchange_id)
+
+    def submit_new(self, name: str, register: str, base: int | None) -> None:
+        number = len(self.oracle.sent) + 1
+        edit_id = f"edit-{number}"
+        self.oracle.sent[edit_id] = (register, number)
+        self.submit(name, edit_id, base)
+
+    def running(self) -> list[fabric.Instance]:
+        return [i for i in self.built.instances.values() if i.state]
+
+    def revision_of(self, instance: fabric.Instance) -> int:
+        return instance.state.configuration.document.revision
+
+    @stateful.rule(name=names, register=registers, based=strategies.booleans())
+    def edit(self, name, register, based):
+        state = self.built.instances[name].state
+        base = state.configuration.document.revision if state else 0
+        self.submit_new(name, register, base if based else None)
+
+    @stateful.rule(racers=strategies.lists(names, min_size=2, max_size=4))
+    def race_edits(self, racers):
+        for name in racers:
+            self.submit_new(name, "worth", None)
+
+    @stateful.rule(name=names, draw=strategies.integers(0, 100))
+    def repeat_edit(self, name, draw):
+        if self.oracle.sent:
+            sent = list(self.oracle.sent)
+            self.submit(name, sent[draw % len(sent)], None)
+
+    @stateful.rule(name=names)
+    def crash(self, name):
+        self.built.crash(name)
+
+    @stateful.rule(name=names)
+    def restart(self, name):
+        if self.built.instances[name].state is None:
+            self.built.start_instance(name)
+
+    @stateful.rule(name=names)
+    def pause(self, name):
+        instance = self.built.instances[name]
+        if instance.state is not None and not instance.paused:
+            self.built.pause(name)
+
+    @stateful.rule(name=names)
+    def resume(self, name):
+        if self.built.instances[name].paused:
+            self.built.resume(name)
+
+    @stateful.rule(pair=strategies.sampled_from(CUTS))
+    def cut(self, pair):
+        self.built.cut(*pair)
+
+    @stateful.rule()
+    def end_cuts(self):
+        self.built.cuts.clear()
+
+    @stateful.rule(fault=strategies.sampled_from(fabric.StoreFault))
+    def set_store_fault(self, fault):
+        self.built.store_fault = fault
+
+    @stateful.rule(reachable=strategies.booleans())
+    def set_list_reachable(self, reachable):
+        self.built.list_reachable = reachable
+
+    @stateful.rule()
+    def back_up_store(self):
+        self.backup = self.built.store.copy_entries()
+
+    # The limit stated in 2.6 of the design: a restore while every instance
+    # that saw the newer revision is unreachable starts a second history. So a
+    # restore happens without cuts and pauses, while an instance holds the
+    # newest revision, and no instance fails until the store is repaired.
+    @stateful.precondition(
+        lambda self: (
+            not self.built.cuts
+            and self.built.store_fault is fabric.StoreFault.NONE
+            and not any(i.paused for i in self.built.instances.values())
+        )
+    )
+    @stateful.rule(racers=strategies.lists(names, max_size=2))
+    def restore_store(self, racers):
+        text = self.built.store.value("config/tree").value
+        newest = adoption.revision_of(text)
+        held = max((self.revision_of(i) for i in self.running()), default=0)
+        if held < newest:
+            return
+        for name in racers:
+            self.submit_new(name, "worth", None)
+        self.built.store.restore(self.backup)
+        self.built.run_for(CONVERGENCE_S)
+        self.oracle.hear(self.built)
+        text = self.built.store.value("config/tree").value
+        assert adoption.revision_of(text) >= held, "the store was not repaired"
+
+    @stateful.rule(seconds=strategies.sampled_from((0.005, 0.1, 1.0, 4.0)))
+    def run(self, seconds):
+        self.built.run_for(seconds)
+
+    @stateful.rule()
+    def heal(self):
+        """Ends every fault and expects one tree within the stated time."""
+        self.built.heal()
+        for name, instance in self.built.instances.items():
+            if instance.state is None:
+                self.built.start_instance(name)
+            elif instance.paused:
+                self.built.resume(name)
+        self.built.run_for(CONVERGENCE_S)
+        self.oracle.hear(self.built)
+        text = self.built.store.value("config/tree").value
+        held = {i.state.configuration.text for i in self.running()}
+        assert held == {text}, sorted(map(self.revision_of, self.running()))
+        self.oracle.check(text, self.submissions)
+
+    @stateful.invariant()
+    def hear(self):
+        self.oracle.hear(self.built)
+
+    def teardown(self):
+        self.heal()
+
+
+class ConfigurationFuzz(ConfigurationMachine.TestCase):
+    """Guards P8: an accepted edit stays in force and reaches everyone."""
+
+    settings = fuzzing.profile("configuration", examples=40, steps=30)
+
+
+if __name__ == "__main__":
+    unittest.main()
