Add client commands, checked settings and inbound limits

Cause: the program could only run an instance, and a settings error did not say which section and key to correct. Inbound connections had no limits and an exception in a handler ended the exchange without a reply.

Change: commands for requests, jobs, the tree and status over a typed client; every limit of the reducer is a setting, derived from state.Limits; limits on connections, headers and bodies; pools of connections that are retired after a timeout; guarded handlers.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers, operators and peers."""
 
+import asyncio
 import functools
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -7,9 +8,13 @@
 
 import msgspec
 from starlette import applications
+from starlette import datastructures
+from starlette import exceptions
+from starlette import middleware
 from starlette import requests as http
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from dandelionpick import caller_messages
 from dandelionpick import errors
@@ -24,6 +29,8 @@
 
 STATUS_OF_PROBLEM = {
     errors.ProblemKind.MALFORMED: 400,
+    errors.ProblemKind.TOO_SLOW: 408,
+    errors.ProblemKind.INTERNAL: 500,
     errors.ProblemKind.KEY_INVALID: 400,
     errors.ProblemKind.EDIT_INVALID: 400,
     errors.ProblemKind.FORBIDDEN: 403,
@@ -63,14 +70,46 @@
     )
 
 
+def refuse(
+    kind: errors.ProblemKind,
+    message: str,
+    remedy: str,
+    status: int | None = None,
+) -> responses.Response:
+    """Builds the response to a message that does not reach the reducer."""
+    problem = errors.Problem(kind, message, remedy)
+    return respond(peer_messages.Refused(problem), status)
+
+
 def malformed(error: Exception) -> responses.Response:
     """Builds the response to a message that can't be decoded."""
-    problem = errors.Problem(
+    return refuse(
         errors.ProblemKind.MALFORMED,
         f"The message is not valid: {error}.",
         "Correct the field that is named and send the message again.",
     )
-    return respond(peer_messages.Refused(problem))
+
+
+def too_large(limit_bytes: int) -> responses.Response:
+    """Builds the response to an oversized body; the rest is not read."""
+    response = refuse(
+        errors.ProblemKind.BODY_TOO_LARGE,
+        f"The message is larger than {limit_bytes} bytes.",
+        "Send a smaller body.",
+    )
+    response.headers["connection"] = "close"
+    return response
+
+
+def too_slow(timeout_s: float) -> responses.Response:
+    """Builds the response to a body that did not come in time."""
+    response = refuse(
+        errors.ProblemKind.TOO_SLOW,
+        f"The message did not come within {timeout_s} s.",
+        "Send the message again on a new connection.",
+    )
+    response.headers["connection"] = "close"
+    return response
 
 
 async def read_body(request: http.Request, limit_bytes: int) -> bytes | None:
@@ -85,16 +124,6 @@
     return b"".join(chunks)
 
 
-def too_large(limit_bytes: int) -> responses.Response:
-    """Builds the response to an oversized body."""
-    problem = errors.Problem(
-        errors.ProblemKind.BODY_TOO_LARGE,
-        f"The message is larger than {limit_bytes} bytes.",
-        "Send a smaller body.",
-    )
-    return respond(peer_messages.Refused(problem))
-
-
 async def exchange(
     runtime: runtime_lib.Runtime, request: http.Request, message: Any
 ) -> responses.Response:
@@ -107,19 +136,26 @@
 
 
 def post_route(
-    runtime: runtime_lib.Runtime, path: str, decoder: msgspec.json.Decoder
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    path: str,
+    decoder: msgspec.json.Decoder,
 ) -> routing.Route:
     """Builds the route of a message that is posted as JSON."""
 
     async def handle(request: http.Request) -> responses.Response:
         # Base64 in JSON takes 4/3 of the body, plus room for the other fields.
         limit_bytes = runtime.state.limits.max_body_bytes * 4 // 3 + 65_536
-        body = await read_body(request, limit_bytes)
+        try:
+            async with asyncio.timeout(body_timeout_s):
+                body = await read_body(request, limit_bytes)
+        except TimeoutError:
+            return too_slow(body_timeout_s)
         if body is None:
             return too_large(limit_bytes)
         try:
             message = decoder.decode(body)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return malformed(error)
         return await exchange(runtime, request, message)
 
@@ -181,14 +217,71 @@
     return responses.JSONResponse(spans)
 
 
-def build(runtime: runtime_lib.Runtime) -> applications.Starlette:
-    """Builds the application of one instance."""
+async def on_http_error(
+    request: http.Request, error: exceptions.HTTPException
+) -> responses.Response:
+    """Answers an unknown path or method with a problem."""
+    response = refuse(
+        errors.ProblemKind.UNKNOWN_PATH,
+        f"{request.method} {request.url.path} is not a path of this interface.",
+        "Use one of the paths in docs/api.md.",
+        error.status_code,
+    )
+    response.headers.update(error.headers or {})
+    return response
+
+
+async def on_fault(
+    request: http.Request, error: Exception
+) -> responses.Response:
+    """Answers an exception that no handler expected."""
+    runtime_lib.report_fault("route", request.url.path, error)
+    return respond(runtime_lib.INTERNAL)
+
+
+class CloseWhileLeaving:
+    """Ends each connection after its response during a planned stop.
+
+    Clients then open their next connection to another instance, and no
+    connection is idle when the process exits.
+    """
+
+    def __init__(
+        self, app: types.ASGIApp, runtime: runtime_lib.Runtime
+    ) -> None:
+        self.app = app
+        self.runtime = runtime
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Adds the header to responses."""
+
+        async def send_closing(message: types.Message) -> None:
+            starts = message["type"] == "http.response.start"
+            if starts and self.runtime.state.drain.requested_s is not None:
+                headers = datastructures.MutableHeaders(scope=message)
+                headers["connection"] = "close"
+            await send(message)
+
+        await self.app(scope, receive, send_closing)
+
+
+def build(
+    runtime: runtime_lib.Runtime, body_timeout_s: float
+) -> applications.Starlette:
+    """Builds the application of one instance.
+
+    Args:
+        runtime: drives the instance's reducer.
+        body_timeout_s: seconds in which the body of a message must come.
+    """
     caller = caller_messages
     operator = operator_messages
-    post = functools.partial(post_route, runtime)
+    post = functools.partial(post_route, runtime, body_timeout_s)
     by_path = functools.partial(path_route, runtime)
-    request_path = "/v1/requests/{organisation}/{key}"
-    job_path = "/v1/jobs/{organisation}/{key}"
+    request_path = "/v1/requests/{organisation}/{key:path}"
+    job_path = "/v1/jobs/{organisation}/{key:path}"
     routes = [
         post("/v1/requests", msgspec.json.Decoder(caller.SubmitRequest)),
         by_path(request_path, "GET", caller.FetchAnswer),
@@ -208,4 +301,11 @@
     ]
     for endpoint in wire.PEER.values():
         routes.append(post(endpoint.path, endpoint.message))
-    return applications.Starlette(routes=routes)
+    return applications.Starlette(
+        routes=routes,
+        middleware=[middleware.Middleware(CloseWhileLeaving, runtime=runtime)],
+        exception_handlers={
+            exceptions.HTTPException: on_http_error,
+            Exception: on_fault,
+        },
+    )
--- a/dandelionpick/caller_messages.py
+++ b/dandelionpick/caller_messages.py
@@ -7,7 +7,9 @@
 from dandelionpick import kinds
 
 
-class SubmitRequest(msgspec.Struct, frozen=True, kw_only=True):
+class SubmitRequest(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Submits a request and waits for its answer.
 
     Attributes:
@@ -27,7 +29,9 @@
     wait: bool = True
 
 
-class FetchAnswer(msgspec.Struct, frozen=True, kw_only=True):
+class FetchAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Fetches the answer of a request, waiting up to wait_s seconds."""
 
     organisation: ids.OrganisationId
@@ -35,7 +39,9 @@
     wait_s: float = 0.0
 
 
-class CancelRequest(msgspec.Struct, frozen=True, kw_only=True):
+class CancelRequest(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Cancels a request; the answer tells whether it ran."""
 
     organisation: ids.OrganisationId
@@ -61,7 +67,9 @@
     problem: errors.Problem | None = None
 
 
-class SubmitJob(msgspec.Struct, frozen=True, kw_only=True):
+class SubmitJob(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Submits a gang of equal tasks; answered when the job is accepted.
 
     Attributes:
@@ -87,14 +95,18 @@
     attempt: int = 1
 
 
-class FetchJob(msgspec.Struct, frozen=True, kw_only=True):
+class FetchJob(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Asks for the state of a job."""
 
     organisation: ids.OrganisationId
     key: ids.RequestKey
 
 
-class CancelJob(msgspec.Struct, frozen=True, kw_only=True):
+class CancelJob(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Cancels a job; a running gang is stopped whole."""
 
     organisation: ids.OrganisationId
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -1,71 +1,108 @@
-"""The command line: commands and options as data."""
+"""The command line: its commands and how they are put together."""
 
 import asyncio
 from collections.abc import Mapping
 
 from absl import logging
 from cleo import application
-from cleo import helpers
 from cleo.commands import command
 from returns import pipeline
 
 import dandelionpick
+from dandelionpick import cli_client
+from dandelionpick import cli_jobs
+from dandelionpick import cli_options
+from dandelionpick import cli_requests
+from dandelionpick import cli_status
+from dandelionpick import cli_tree
 from dandelionpick import settings as settings_lib
 from dandelionpick import wiring
 from dandelionpick.status import ExitStatus
 
 LOG_LEVELS = {
-    "debug": logging.DEBUG,
-    "info": logging.INFO,
-    "warning": logging.WARNING,
-    "error": logging.ERROR,
+    settings_lib.LogLevel.DEBUG: logging.DEBUG,
+    settings_lib.LogLevel.INFO: logging.INFO,
+    settings_lib.LogLevel.WARNING: logging.WARNING,
+    settings_lib.LogLevel.ERROR: logging.ERROR,
 }
-SETTINGS_ARGUMENT = helpers.argument("settings", "Path of the settings file.")
 
 
-class RunCommand(command.Command):
+class SettingsCommand(command.Command):
+    """A command that reads a settings file."""
+
+    arguments = [cli_options.SETTINGS]
+
+    def load(self) -> settings_lib.Settings | None:
+        """Returns the settings, or None after it printed what is wrong."""
+        loaded = settings_lib.load(self.argument("settings"))
+        if pipeline.is_successful(loaded):
+            return loaded.unwrap()
+        for error in loaded.failure():
+            self.io.error_output.write_line(str(error), type=cli_client.RAW)
+        return None
+
+
+class RunCommand(SettingsCommand):
     """Runs an entry instance."""
 
     name = "run"
     description = "Runs an entry instance until it is stopped."
-    arguments = [SETTINGS_ARGUMENT]
 
     def handle(self) -> int:
         """Loads the settings and serves."""
-        loaded = settings_lib.load(self.argument("settings"))
-        if not pipeline.is_successful(loaded):
-            self.line_error(loaded.failure())
+        settings = self.load()
+        if settings is None:
             return ExitStatus.INVALID_SETTINGS
-        settings = loaded.unwrap()
         logging.set_verbosity(LOG_LEVELS[settings.log.level])
-        asyncio.run(wiring.run_instance(settings))
-        return ExitStatus.OK
+        try:
+            return asyncio.run(wiring.run_instance(settings))
+        except OSError as error:
+            self.line_error(
+                f"{settings.instance.listen}: cannot listen"
+                f" ({error.strerror}); choose a free port in [instance] listen"
+            )
+            return ExitStatus.FAILURE
 
 
-class CheckSettingsCommand(command.Command):
+class CheckSettingsCommand(SettingsCommand):
     """Checks a settings file."""
 
     name = "check-settings"
     description = "Checks a settings file without starting an instance."
-    arguments = [SETTINGS_ARGUMENT]
 
     def handle(self) -> int:
         """Loads the settings and reports what is wrong."""
-        loaded = settings_lib.load(self.argument("settings"))
-        if not pipeline.is_successful(loaded):
-            self.line_error(loaded.failure())
+        if self.load() is None:
             return ExitStatus.INVALID_SETTINGS
         self.line("The settings are valid.")
         return ExitStatus.OK
 
 
 COMMANDS = (RunCommand, CheckSettingsCommand)
+CLIENT_COMMANDS = (
+    cli_requests.SubmitCommand,
+    cli_requests.FetchCommand,
+    cli_requests.CancelCommand,
+    cli_jobs.SubmitCommand,
+    cli_jobs.FollowCommand,
+    cli_jobs.CancelCommand,
+    cli_tree.ShowCommand,
+    cli_tree.GetCommand,
+    cli_tree.SetCommand,
+    cli_tree.EditCommand,
+    cli_tree.DiffCommand,
+    cli_status.StatusCommand,
+)
 
 
 def build(env: Mapping[str, str]) -> application.Application:
     """Builds the command line application."""
     app = application.Application("dandelionpick", dandelionpick.__version__)
     app.auto_exits(False)
+    # core turns errors into exit statuses.
+    app.catch_exceptions(False)
     for command_type in COMMANDS:
         app.add(command_type())
+    for command_type in CLIENT_COMMANDS:
+        app.add(command_type(env))
     return app
--- /dev/null
+++ b/dandelionpick/client.py
@@ -0,0 +1,220 @@
+"""Client of an entry instance, for the command line and the demo."""
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import types
+from collections.abc import AsyncIterator
+from typing import Any
+from urllib import parse
+
+import aiohttp
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick import caller_messages as caller
+from dandelionpick import operator_messages as operator
+from dandelionpick import peer_messages as peer
+from dandelionpick import wire
+
+CONNECT_TIMEOUT_S = 3.0
+REPLY_TIMEOUT_S = 15.0
+# An instance answers at the deadline itself; this covers the way back.
+ANSWER_MARGIN_S = 5.0
+JSON_HEADERS = types.MappingProxyType({"content-type": "application/json"})
+
+
+class ClientFailureKind(enum.Enum):
+    """Whether the instance can have received the message."""
+
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientFailure:
+    """Why there is no reply.
+
+    Attributes:
+        message: what happened and what to do about it.
+    """
+
+    kind: ClientFailureKind
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """How a message is sent and what can come back.
+
+    Attributes:
+        path: path with the message's fields in braces.
+        posted: the message is the JSON body; otherwise the fields that are
+            not in the path go into the query.
+    """
+
+    method: str
+    path: str
+    reply: msgspec.json.Decoder
+    posted: bool
+
+
+def _post(path: str, reply: Any) -> Operation:
+    return Operation("POST", path, msgspec.json.Decoder(reply), posted=True)
+
+
+def _by_path(method: str, path: str, reply: Any) -> Operation:
+    return Operation(method, path, msgspec.json.Decoder(reply), posted=False)
+
+
+REQUEST_PATH = "/v1/requests/{organisation}/{key}"
+JOB_PATH = "/v1/jobs/{organisation}/{key}"
+ANSWER = caller.Answer | peer.Refused
+JOB = caller.JobStatus | peer.Refused
+EDIT = operator.EditAccepted | operator.EditRefused | peer.Refused
+
+OPERATIONS = {
+    caller.SubmitRequest: _post("/v1/requests", ANSWER),
+    caller.FetchAnswer: _by_path("GET", REQUEST_PATH, ANSWER),
+    caller.CancelRequest: _by_path("DELETE", REQUEST_PATH, ANSWER),
+    caller.SubmitJob: _post("/v1/jobs", JOB),
+    caller.FetchJob: _by_path("GET", JOB_PATH, JOB),
+    caller.CancelJob: _by_path("DELETE", JOB_PATH, JOB),
+    operator.ReadTree: _by_path(
+        "GET", "/v1/tree", operator.Tree | peer.Refused
+    ),
+    operator.EditTree: _post("/v1/edits", EDIT),
+    operator.ReadStatus: _by_path(
+        "GET", "/v1/status", operator.Status | peer.Refused
+    ),
+}
+
+
+class Client:
+    """Sends typed messages to one entry instance.
+
+    Attributes:
+        server: host and port of the instance or of the load balancer.
+    """
+
+    def __init__(self, server: str, session: aiohttp.ClientSession):
+        self.server = server
+        self.session = session
+
+    async def send(
+        self, message: Any, trace: str = ""
+    ) -> Result[Any, ClientFailure]:
+        """Sends a message.
+
+        Args:
+            message: a message that callers or operators send.
+            trace: W3C traceparent of the caller, or "".
+
+        Returns:
+            The reply, or why there is none.
+        """
+        operation = OPERATIONS[type(message)]
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s_of(message), sock_connect=CONNECT_TIMEOUT_S
+        )
+        headers = {"traceparent": trace} if trace else {}
+        try:
+            async with self.session.request(
+                operation.method,
+                f"http://{self.server}{target_of(operation, message)}",
+                data=wire.encode(message) if operation.posted else None,
+                headers={**JSON_HEADERS, **headers},
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+        ) as error:
+            return Failure(_unreachable(self.server, error))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Failure(_lost(self.server, error))
+        return _decode(self.server, operation, body)
+
+
+@contextlib.asynccontextmanager
+async def connect(server: str) -> AsyncIterator[Client]:
+    """Opens a client; its connections are closed on exit."""
+    async with aiohttp.ClientSession() as session:
+        yield Client(server, session)
+
+
+def send_once(server: str, message: Any) -> Result[Any, ClientFailure]:
+    """Sends one message from code that has no event loop."""
+
+    async def run() -> Result[Any, ClientFailure]:
+        async with connect(server) as client:
+            return await client.send(message)
+
+    return asyncio.run(run())
+
+
+def target_of(operation: Operation, message: Any) -> str:
+    """Returns the path and query of a message."""
+    fields = msgspec.structs.asdict(message)
+    quoted = {
+        name: parse.quote(str(value), safe="") for name, value in fields.items()
+    }
+    path = operation.path.format(**quoted)
+    if operation.posted:
+        return path
+    query = {
+        name: value
+        for name, value in fields.items()
+        if "{" + name + "}" not in operation.path
+    }
+    return f"{path}?{parse.urlencode(query)}" if query else path
+
+
+def timeout_s_of(message: Any) -> float:
+    """Returns the seconds after which a reply is no longer expected."""
+    wait_s = getattr(message, "wait_s", None)
+    if isinstance(message, caller.SubmitRequest) and message.wait:
+        wait_s = message.deadline_s
+    if wait_s is None:
+        return REPLY_TIMEOUT_S
+    return wait_s + ANSWER_MARGIN_S
+
+
+def _unreachable(server: str, error: Exception) -> ClientFailure:
+    return ClientFailure(
+        ClientFailureKind.UNREACHABLE,
+        f"{server}: no connection ({error}). Nothing was sent. Check the"
+        " address in --server or DANDELIONPICK_SERVER, or use another"
+        " instance.",
+    )
+
+
+def _lost(server: str, error: Exception) -> ClientFailure:
+    reason = str(error) or type(error).__name__
+    return ClientFailure(
+        ClientFailureKind.LOST,
+        f"{server}: no reply ({reason}). The message may have taken effect."
+        " Send it again with the same key or edit id.",
+    )
+
+
+def _decode(
+    server: str, operation: Operation, body: bytes
+) -> Result[Any, ClientFailure]:
+    try:
+        return Success(operation.reply.decode(body))
+    except msgspec.DecodeError as error:
+        return Failure(
+            ClientFailure(
+                ClientFailureKind.LOST,
+                f"{server}: the reply is not one of dandelionpick ({error})."
+                " Check that the address is that of an entry instance of the"
+                " same version.",
+            )
+        )
--- a/dandelionpick/errors.py
+++ b/dandelionpick/errors.py
@@ -32,6 +32,9 @@
     GUARANTEES_DO_NOT_FIT = "guarantees_do_not_fit"
     FORBIDDEN = "forbidden"
     PEER_UNAVAILABLE = "peer_unavailable"
+    INTERNAL = "internal"
+    UNKNOWN_PATH = "unknown_path"
+    TOO_SLOW = "too_slow"
 
 
 class Problem(msgspec.Struct, frozen=True):
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -8,6 +8,30 @@
         "Requests answered, by outcome.",
         ["outcome"],
     ),
+    "responses_total": prometheus_client.Counter(
+        "dandelionpick_responses_total",
+        "Responses to callers, operators and peers, by message and outcome.",
+        ["message", "outcome"],
+    ),
+    "calls_total": prometheus_client.Counter(
+        "dandelionpick_calls_total",
+        "Outgoing calls, by service and result.",
+        ["service", "result"],
+    ),
+    "connections_refused_total": prometheus_client.Counter(
+        "dandelionpick_connections_refused_total",
+        "Inbound connections ended because of a limit, by problem.",
+        ["problem"],
+    ),
+    "faults_total": prometheus_client.Counter(
+        "dandelionpick_faults_total",
+        "Unexpected exceptions in event handlers, effects and calls.",
+        ["place"],
+    ),
+    "stalls_total": prometheus_client.Counter(
+        "dandelionpick_stalls_total",
+        "Stalls of the event loop that are long enough to void leases.",
+    ),
 }
 HISTOGRAMS = {
     "request_seconds": prometheus_client.Histogram(
@@ -15,6 +39,35 @@
         "Seconds from receipt of a request to its answer, by class.",
         ["job_class"],
     ),
+    "response_seconds": prometheus_client.Histogram(
+        "dandelionpick_response_seconds",
+        "Seconds from receipt of work to its response, by message and class.",
+        ["message", "job_class"],
+    ),
+    "call_seconds": prometheus_client.Histogram(
+        "dandelionpick_call_seconds",
+        "Seconds of an outgoing call, by service.",
+        ["service"],
+    ),
+    "loop_lag_seconds": prometheus_client.Histogram(
+        "dandelionpick_loop_lag_seconds",
+        "Seconds by which the event loop ran a tick too late.",
+        buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60),
+    ),
+}
+GAUGES = {
+    "revision": prometheus_client.Gauge(
+        "dandelionpick_revision", "Configuration revision in force."
+    ),
+    "leaving": prometheus_client.Gauge(
+        "dandelionpick_leaving", "1 during a planned stop."
+    ),
+    "open_exchanges": prometheus_client.Gauge(
+        "dandelionpick_open_exchanges", "Inbound messages without a response."
+    ),
+    "open_calls": prometheus_client.Gauge(
+        "dandelionpick_open_calls", "Outgoing calls without a reply."
+    ),
 }
 
 
@@ -30,6 +83,11 @@
     (histogram.labels(*labels) if labels else histogram).observe(value)
 
 
+def put(metric: str, value: float) -> None:
+    """Sets a gauge."""
+    GAUGES[metric].set(value)
+
+
 def render() -> tuple[bytes, str]:
     """Returns the exposition text and its content type."""
     return (
--- a/dandelionpick/operator_messages.py
+++ b/dandelionpick/operator_messages.py
@@ -8,7 +8,7 @@
 from dandelionpick import ids
 
 
-class ReadTree(msgspec.Struct, frozen=True):
+class ReadTree(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Reads the tree of settings as this instance has it in force."""
 
 
@@ -19,7 +19,7 @@
     tree: dict[str, Any]
 
 
-class Change(msgspec.Struct, frozen=True):
+class Change(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Sets or removes one setting.
 
     Attributes:
@@ -33,7 +33,9 @@
     remove: bool = False
 
 
-class EditTree(msgspec.Struct, frozen=True, kw_only=True):
+class EditTree(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Applies all changes or none.
 
     Attributes:
@@ -69,7 +71,7 @@
     revision: int = 0
 
 
-class ReadStatus(msgspec.Struct, frozen=True):
+class ReadStatus(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Asks for this instance's view of the system."""
 
 
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -1,6 +1,9 @@
 """The one reducer over all events."""
 
+import dataclasses
 import functools
+from collections.abc import Callable
+from collections.abc import Sequence
 
 from dandelionpick import configuration
 from dandelionpick import dispatch
@@ -11,6 +14,8 @@
 from dandelionpick import requests
 from dandelionpick import state as state_lib
 
+Handler = Callable[[state_lib.State, dispatch.Step], None]
+
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
     membership.tick,
@@ -20,6 +25,18 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reduction:
+    """Effects of an event, and the handlers that failed.
+
+    Attributes:
+        faults: exceptions, in order.
+    """
+
+    effects: list[effects.Effect]
+    faults: list[Exception]
+
+
 def reduce(state: state_lib.State, event: events.Event) -> list[effects.Effect]:
     """Applies an event to the state, in place.
 
@@ -31,10 +48,34 @@
         The effects to perform, in order.
     """
     step = dispatch.Step(event.moment)
-    _apply(event, state, step)
+    for handler in _handlers(event):
+        handler(state, step)
     return step.emitted
 
 
+def reduce_guarded(state: state_lib.State, event: events.Event) -> Reduction:
+    """Applies an event and contains the exceptions of its handlers.
+
+    The state stays as a failed handler left it, and the effects that it had
+    emitted are returned: the state already counts on them, as in the case of
+    a pending call. The other handlers of a tick run.
+    """
+    step = dispatch.Step(event.moment)
+    faults = []
+    for handler in _handlers(event):
+        try:
+            handler(state, step)
+        except Exception as error:
+            faults.append(error)
+    return Reduction(step.emitted, faults)
+
+
+def _handlers(event: events.Event) -> Sequence[Handler]:
+    if isinstance(event, events.Tick):
+        return TICKS
+    return (functools.partial(_apply, event),)
+
+
 @functools.singledispatch
 def _apply(
     event: events.Event, state: state_lib.State, step: dispatch.Step
@@ -72,12 +113,6 @@
     dispatch.failed(pending.context, state, step, event.failure)
 
 
-@_apply.register
-def _(event: events.Tick, state: state_lib.State, step: dispatch.Step) -> None:
-    for tick in TICKS:
-        tick(state, step)
-
-
 @_apply.register
 def _(
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -10,13 +10,16 @@
 from typing import Any
 
 from absl import logging
+from returns.result import Failure
 from returns.result import Result
 
 from dandelionpick import effects
+from dandelionpick import errors
 from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import metrics
+from dandelionpick import peer_messages
 from dandelionpick import reducer
 from dandelionpick import state as state_lib
 from dandelionpick import tracing
@@ -24,6 +27,15 @@
 TICK_S = 0.1
 STALL_S = 1.0
 
+INTERNAL = peer_messages.Refused(
+    errors.Problem(
+        errors.ProblemKind.INTERNAL,
+        "This instance failed while it handled the message.",
+        "Send the message again with the same key or edit id and a higher"
+        " attempt; it may have taken effect.",
+    )
+)
+
 Sender = Callable[[effects.Call], Awaitable[Result[Any, kinds.CallFailure]]]
 
 
@@ -33,6 +45,7 @@
     Attributes:
         state: the reducer's state.
         exited: set when the reducer asks the process to exit.
+        ticked_s: monotonic seconds of the last tick, or of its stall.
     """
 
     def __init__(
@@ -49,6 +62,7 @@
         self.calls: set[asyncio.Task] = set()
         self.random = random.Random()
         self.numbers = itertools.count(1)
+        self.ticked_s = time.monotonic()
 
     def moment(self) -> events.Moment:
         """Reads the clocks and draws a random number."""
@@ -59,39 +73,85 @@
         )
 
     def deliver(self, event: events.Event) -> None:
-        """Applies an event and performs its effects."""
-        for effect in reducer.reduce(self.state, event):
-            _perform(effect, self)
+        """Applies an event and performs its effects.
+
+        A stall is applied first, so that no effect rests on a lease that
+        expired while the process did not run.
+        """
+        self._notice_stall(event.moment.now_s)
+        self._apply(event)
+
+    def _notice_stall(self, now_s: float) -> None:
+        stall_s = now_s - self.ticked_s - TICK_S
+        if stall_s <= STALL_S:
+            return
+        self.ticked_s = now_s
+        metrics.add("stalls_total", (), 1.0)
+        metrics.observe("loop_lag_seconds", (), stall_s)
+        self._apply(events.Stalled(self.moment(), stall_s))
+
+    def _apply(self, event: events.Event) -> None:
+        reduction = reducer.reduce_guarded(self.state, event)
+        for effect in reduction.effects:
+            try:
+                _perform(effect, self)
+            except Exception as error:
+                report_fault("effect", type(effect).__name__, error)
+        for error in reduction.faults:
+            report_fault("event", _name_of(event), error)
+        if reduction.faults and isinstance(event, events.Received):
+            _perform(effects.Respond(event.exchange_id, INTERNAL), self)
 
     async def exchange(self, message: Any, trace: str = "") -> Any:
         """Hands an inbound message to the reducer and awaits its response."""
         exchange_id = ids.ExchangeId(f"x{next(self.numbers)}")
         future = asyncio.get_running_loop().create_future()
         self.exchanges[exchange_id] = future
+        started_s = time.monotonic()
         try:
             self.deliver(
                 events.Received(self.moment(), exchange_id, message, trace)
             )
-            return await future
+            reply = await future
         finally:
             self.exchanges.pop(exchange_id, None)
+        _measure_response(message, reply, time.monotonic() - started_s)
+        return reply
 
     async def run_ticks(self) -> None:
-        """Delivers ticks, and a stall event when the loop did not run."""
-        last_s = time.monotonic()
+        """Delivers ticks and measures how late each one is."""
+        self.ticked_s = time.monotonic()
         while not self.exited.is_set():
             await asyncio.sleep(TICK_S)
-            now_s = time.monotonic()
-            stall_s = now_s - last_s - TICK_S
-            last_s = now_s
-            if stall_s > STALL_S:
-                self.deliver(events.Stalled(self.moment(), stall_s))
-            self.deliver(events.Tick(self.moment()))
+            moment = self.moment()
+            lag_s = max(0.0, moment.now_s - self.ticked_s - TICK_S)
+            if lag_s <= STALL_S:
+                metrics.observe("loop_lag_seconds", (), lag_s)
+            self.deliver(events.Tick(moment))
+            self.ticked_s = moment.now_s
+            self._measure_state()
+
+    def _measure_state(self) -> None:
+        state = self.state
+        metrics.put("revision", state.configuration.document.revision)
+        metrics.put("leaving", float(state.drain.requested_s is not None))
+        metrics.put("open_exchanges", len(self.exchanges))
+        metrics.put("open_calls", len(self.calls))
 
     async def perform_call(self, call: effects.Call) -> None:
         """Sends a call and delivers its reply or failure."""
-        with self.tracer.client_span(call) as traced:
-            result = await self.send(traced)
+        started_s = time.monotonic()
+        service = call.destination.service.value
+        try:
+            with self.tracer.client_span(call) as traced:
+                result = await self.send(traced)
+        except Exception as error:
+            # The call may have been sent before the exception.
+            report_fault("call", type(call.message).__name__, error)
+            result = Failure(kinds.CallFailure.LOST)
+        seconds = time.monotonic() - started_s
+        metrics.observe("call_seconds", (service,), seconds)
+        metrics.add("calls_total", (service, _name_of_result(result)), 1.0)
         moment = self.moment()
         event = result.map(
             lambda reply: events.Returned(moment, call.call_id, reply)
@@ -102,6 +162,49 @@
         )
         self.deliver(event.unwrap())
 
+    async def cancel_calls(self) -> None:
+        """Ends the calls that are in progress when the process exits."""
+        calls = list(self.calls)
+        for task in calls:
+            task.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+
+def report_fault(place: str, name: str, error: Exception) -> None:
+    """Logs and counts an exception that the code did not expect."""
+    metrics.add("faults_total", (place,), 1.0)
+    logging.error(
+        "runtime: %s %s failed: %r",
+        place,
+        name,
+        error,
+        exc_info=(type(error), error, error.__traceback__),
+    )
+
+
+def _name_of(event: events.Event) -> str:
+    message = getattr(event, "message", event)
+    return type(message).__name__
+
+
+def _name_of_result(result: Result[Any, kinds.CallFailure]) -> str:
+    return result.swap().map(lambda failure: failure.value).value_or("replied")
+
+
+def _measure_response(message: Any, reply: Any, seconds: float) -> None:
+    name = type(message).__name__
+    outcome = getattr(reply, "outcome", None)
+    problem = getattr(reply, "problem", None)
+    if outcome is not None:
+        label = outcome.value
+    else:
+        label = "ok" if problem is None else problem.kind.value
+    metrics.add("responses_total", (name, label), 1.0)
+    # Only classes of the tree become labels; a refused name could be any.
+    if outcome is kinds.Outcome.COMPLETED and hasattr(message, "job_class"):
+        labels = (name, message.job_class)
+        metrics.observe("response_seconds", labels, seconds)
+
 
 def _as_success(event: events.Failed) -> Result[events.Failed, Any]:
     return Result.from_value(event)
--- a/dandelionpick/server.py
+++ b/dandelionpick/server.py
@@ -3,13 +3,17 @@
 import asyncio
 import signal
 import socket
+from collections.abc import Callable
 
 import uvicorn
 from absl import logging
 from starlette import applications
 
-KEEP_ALIVE_S = 60
+from dandelionpick import http_protocol
+
 BACKLOG = 512
+# Requests in progress have ended before; this covers their last responses.
+GRACEFUL_SHUTDOWN_S = 5
 
 
 class Server(uvicorn.Server):
@@ -50,8 +54,9 @@
     app: applications.Starlette,
     listener: socket.socket,
     exited: asyncio.Event,
-    request_stop,
-) -> None:
+    request_stop: Callable[[], None],
+    limits: http_protocol.InboundLimits,
+) -> bool:
     """Serves until `exited` is set, then closes idle connections.
 
     Args:
@@ -60,16 +65,21 @@
         exited: set when the process should end.
         request_stop: called on the first SIGTERM or SIGINT; the second one
             ends the process at once.
+        limits: limits on inbound connections.
+
+    Returns:
+        False if a second signal cut the planned stop short.
     """
     config = uvicorn.Config(
         app,
         log_config=None,
         access_log=False,
+        server_header=False,
         lifespan="off",
-        http="httptools",
+        http=http_protocol.protocol_with(limits),
         ws="none",
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=5,
+        timeout_keep_alive=limits.keep_alive_s,
+        timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_S,
     )
     server = Server(config)
     signals = 0
@@ -91,3 +101,4 @@
     await exited.wait()
     server.should_exit = True
     await serving
+    return not server.force_exit
--- a/dandelionpick/settings.py
+++ b/dandelionpick/settings.py
@@ -1,7 +1,10 @@
 """Settings of an entry instance, read from an INI file and checked."""
 
 import configparser
+import dataclasses
+import enum
 import pathlib
+from collections.abc import Iterator
 from typing import Annotated
 from typing import Any
 
@@ -12,14 +15,54 @@
 
 from dandelionpick import state as state_lib
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
-Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
-Positive = Annotated[int, msgspec.Meta(gt=0)]
+MAX_SECONDS = 365 * 86_400.0
 
+Address = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^\d+\.\d+\.\d+\.\d+:\d{1,5}$",
+        description="give an IPv4 address and a port, as in 10.0.0.1:8080",
+    ),
+]
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
+        description="use 1 to 63 lower-case letters, digits and hyphens",
+    ),
+]
+Share = Annotated[
+    float, msgspec.Meta(ge=0, le=1, description="give a number from 0 to 1")
+]
+Seconds = Annotated[
+    float,
+    msgspec.Meta(
+        gt=0,
+        le=MAX_SECONDS,
+        description="give a number of seconds above 0, at most a year",
+    ),
+]
+Positive = Annotated[
+    int, msgspec.Meta(gt=0, description="give a whole number above 0")
+]
+Flag = Annotated[bool, msgspec.Meta(description="give true or false")]
 
-class InstanceSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+SHARE_SUFFIXES = ("_share", "_ratio")
+# configparser copies the keys of its default section into every other one;
+# no section can have this name, so that [DEFAULT] is refused as unknown.
+NO_DEFAULT_SECTION = "]"
+
+
+class LogLevel(enum.Enum):
+    """Least severe log lines that are written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class InstanceSection(msgspec.Struct, frozen=True):
     """Who this instance is and where it listens."""
 
     name: Name
@@ -28,74 +71,225 @@
     listen: Address
 
 
-class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class PlatformSection(msgspec.Struct, frozen=True):
     """Where the platform's services are."""
 
     store: Address
     instance_list: Address
 
 
-class LimitsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits and timeouts; each has a default."""
+def _type_of_limit(field: dataclasses.Field) -> Any:
+    if field.type in (bool, "bool"):
+        return Flag
+    if field.type in (int, "int"):
+        return Positive
+    return Share if field.name.endswith(SHARE_SUFFIXES) else Seconds
+
+
+# Built from state.Limits, so that every limit of the reducer is a setting.
+LimitsSection = msgspec.defstruct(
+    "LimitsSection",
+    [
+        (field.name, _type_of_limit(field), field.default)
+        for field in dataclasses.fields(state_lib.Limits)
+    ],
+    frozen=True,
+)
+
+
+class ServerSection(msgspec.Struct, frozen=True):
+    """Limits on inbound connections.
+
+    Attributes:
+        max_connections: connections above this get `overloaded`.
+        max_header_bytes: request line and headers of one request.
+        header_timeout_s: from a connection's start, or from the first byte of
+            a request, to the end of its headers.
+        body_timeout_s: from the headers to the end of the body.
+        keep_alive_s: how long an idle connection stays open.
+    """
+
+    max_connections: Positive = 2_000
+    max_header_bytes: Positive = 16_384
+    header_timeout_s: Seconds = 10.0
+    body_timeout_s: Seconds = 10.0
+    keep_alive_s: Seconds = 60.0
 
-    max_body_bytes: Positive = 1_000_000
-    max_queued_requests: Positive = 2_000
-    answer_retention_s: Seconds = 120.0
-    max_answer_bytes: Positive = 16_000_000
-    list_period_s: Seconds = 1.0
-    heartbeat_period_s: Seconds = 1.0
-    suspect_after_s: Seconds = 3.0
-    call_timeout_s: Seconds = 2.0
-    drain_notice_s: Seconds = 3.0
 
+class ClientSection(msgspec.Struct, frozen=True):
+    """Limits on outbound connections.
+
+    Attributes:
+        connections_per_host: an executor allows 64, shared by all instances.
+        idle_connection_s: how long an idle connection is kept for reuse.
+        connect_timeout_s: how long a new connection may take.
+    """
 
-class TracingSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    connections_per_host: Positive = 7
+    idle_connection_s: Seconds = 15.0
+    connect_timeout_s: Seconds = 1.0
+
+
+class TracingSection(msgspec.Struct, frozen=True):
     """How many traces are kept."""
 
     sampled_share: Share = 0.01
 
 
-class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class LogSection(msgspec.Struct, frozen=True):
     """What is logged."""
 
-    level: str = "info"
+    level: Annotated[
+        LogLevel,
+        msgspec.Meta(description="use debug, info, warning or error"),
+    ] = LogLevel.INFO
 
 
-class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Settings(msgspec.Struct, frozen=True):
     """All sections of the settings file."""
 
     instance: InstanceSection
     platform: PlatformSection
     limits: LimitsSection = LimitsSection()
+    server: ServerSection = ServerSection()
+    client: ClientSection = ClientSection()
     tracing: TracingSection = TracingSection()
     log: LogSection = LogSection()
 
 
-def load(path: str) -> Result[Settings, str]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsError:
+    """What is wrong with a settings file.
+
+    Attributes:
+        section: "" if the file as a whole is wrong.
+        key: "" if the section as a whole is wrong.
+    """
+
+    path: str
+    section: str
+    key: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}] {self.key}".rstrip() if self.section else ""
+        parts = [self.path, place, f"{self.message}; {self.remedy}"]
+        return ": ".join(filter(None, parts))
+
+
+SECTION_TYPES: dict[str, type] = {
+    field.name: field.type for field in msgspec.structs.fields(Settings)
+}
+
+
+def load(path: str) -> Result[Settings, list[SettingsError]]:
     """Reads and checks a settings file.
 
     Returns:
-        The settings, or a message with file, section, key and remedy.
+        The settings, or every error that was found.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section=NO_DEFAULT_SECTION
+    )
     try:
         parser.read_string(pathlib.Path(path).read_text(), source=path)
     except OSError as error:
-        return Failure(
-            f"{path}: cannot be read ({error.strerror}); give the path of a"
-            " readable settings file"
-        )
+        message = f"the file cannot be read ({error.strerror})"
+        remedy = "give the path of a readable settings file"
+        return Failure([SettingsError(path, "", "", message, remedy)])
+    except UnicodeDecodeError:
+        message = "the file is not UTF-8 text"
+        remedy = "save it as UTF-8"
+        return Failure([SettingsError(path, "", "", message, remedy)])
     except configparser.Error as error:
-        return Failure(f"{path}: {error}; correct the INI syntax")
+        return Failure([_syntax_error(path, error)])
     sections = {name: dict(parser[name]) for name in parser.sections()}
-    return _convert(sections, path)
+    found = list(_check(sections, path))
+    if found:
+        return Failure(found)
+    settings = msgspec.convert(sections, Settings, strict=False)
+    found = list(_check_together(settings, path))
+    return Failure(found) if found else Success(settings)
+
+
+def _syntax_error(path: str, error: configparser.Error) -> SettingsError:
+    return SettingsError(
+        path,
+        getattr(error, "section", ""),
+        getattr(error, "option", ""),
+        " ".join(error.message.split()),
+        "correct the INI syntax",
+    )
 
 
-def _convert(sections: dict[str, Any], path: str) -> Result[Settings, str]:
+def _check(
+    sections: dict[str, dict[str, str]], path: str
+) -> Iterator[SettingsError]:
+    for name in sections:
+        if name not in SECTION_TYPES:
+            known = ", ".join(SECTION_TYPES)
+            yield SettingsError(
+                path, name, "", "unknown section", f"use one of {known}"
+            )
+    for name, section_type in SECTION_TYPES.items():
+        yield from _check_section(name, section_type, sections, path)
+
+
+def _check_section(
+    name: str,
+    section_type: type,
+    sections: dict[str, dict[str, str]],
+    path: str,
+) -> Iterator[SettingsError]:
+    values = sections.get(name, {})
+    fields = {
+        field.name: field for field in msgspec.structs.fields(section_type)
+    }
+    for key in values:
+        if key not in fields:
+            known = ", ".join(fields)
+            yield SettingsError(
+                path, name, key, "unknown key", f"use one of {known}"
+            )
+    for key, field in fields.items():
+        remedy = remedy_of(field.type)
+        if key in values:
+            problem = _problem_of(values[key], field.type)
+            if problem:
+                yield SettingsError(path, name, key, problem, remedy)
+        elif field.required:
+            yield SettingsError(path, name, key, "the key is missing", remedy)
+
+
+def _problem_of(text: str, field_type: Any) -> str:
+    """Returns what is wrong with a value, or ""."""
     try:
-        return Success(msgspec.convert(sections, Settings, strict=False))
-    except msgspec.ValidationError as error:
-        return Failure(f"{path}: {error}; correct this setting")
+        msgspec.convert(text, field_type, strict=False)
+    except msgspec.ValidationError:
+        return f'the value "{text}" is not valid'
+    return ""
+
+
+def remedy_of(field_type: Any) -> str:
+    """Returns what the values of a setting look like."""
+    return next(
+        item.description
+        for item in field_type.__metadata__
+        if isinstance(item, msgspec.Meta)
+    )
+
+
+def _check_together(settings: Settings, path: str) -> Iterator[SettingsError]:
+    limits = settings.limits
+    if limits.suspect_after_s <= limits.heartbeat_period_s:
+        yield SettingsError(
+            path,
+            "limits",
+            "suspect_after_s",
+            "every peer would be suspected between two heartbeats",
+            "give more seconds than heartbeat_period_s",
+        )
 
 
 def limits_of(settings: Settings) -> state_lib.Limits:
--- a/dandelionpick/status.py
+++ b/dandelionpick/status.py
@@ -13,3 +13,4 @@
     UNREACHABLE = 4
     REFUSED = 5
     OUTCOME_UNKNOWN = 6
+    INTERRUPTED = 7
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -4,20 +4,20 @@
 import functools
 import secrets
 
+import msgspec
 from absl import logging
 
 from dandelionpick import api
 from dandelionpick import events
 from dandelionpick import http_client
+from dandelionpick import http_protocol
 from dandelionpick import ids
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import settings as settings_lib
 from dandelionpick import state as state_lib
 from dandelionpick import tracing
-
-# An executor allows 64 connections; nine instances share them.
-CONNECTIONS_PER_HOST = 7
+from dandelionpick.status import ExitStatus
 
 
 def build_state(settings: settings_lib.Settings) -> state_lib.State:
@@ -36,25 +36,32 @@
     )
 
 
-async def run_instance(settings: settings_lib.Settings) -> None:
+async def run_instance(settings: settings_lib.Settings) -> ExitStatus:
     """Runs an entry instance until a planned stop or a second signal."""
     listener = server.bind(settings.instance.listen)
     tracer = tracing.Tracer(
         settings.instance.name, settings.tracing.sampled_share
     )
-    async with http_client.open_session(CONNECTIONS_PER_HOST) as session:
+    inbound = http_protocol.InboundLimits(
+        **msgspec.structs.asdict(settings.server)
+    )
+    outbound = http_client.PoolLimits(**msgspec.structs.asdict(settings.client))
+    async with http_client.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings),
-            functools.partial(http_client.send, session),
+            functools.partial(http_client.send, pools),
             tracer,
         )
         ticks = asyncio.ensure_future(runtime.run_ticks())
         host, port = listener.getsockname()
         logging.info("server: listening on %s:%d", host, port)
-        await server.serve_until(
-            api.build(runtime),
+        finished = await server.serve_until(
+            api.build(runtime, inbound.body_timeout_s),
             listener,
             runtime.exited,
             lambda: runtime.deliver(events.StopRequested(runtime.moment())),
+            inbound,
         )
         ticks.cancel()
+        await runtime.cancel_calls()
+    return ExitStatus.OK if finished else ExitStatus.INTERRUPTED
