--- a/dandelionpick/operator_messages.py
+++ b/dandelionpick/operator_messages.py
@@ -9,7 +9,7 @@
 from dandelionpick import tree_state
 
 
-class ReadTree(msgspec.Struct, frozen=True):
+class ReadTree(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Reads the tree of settings as this instance has it in force."""
 
 
@@ -20,7 +20,7 @@
     tree: dict[str, Any]
 
 
-class Change(msgspec.Struct, frozen=True):
+class Change(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Sets or removes one setting.
 
     Attributes:
@@ -36,7 +36,9 @@
     remove: bool = False
 
 
-class EditTree(msgspec.Struct, frozen=True, kw_only=True):
+class EditTree(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Applies all changes or none.
 
     Attributes:
@@ -134,7 +136,7 @@
     document_bytes: int
 
 
-class ReadStatus(msgspec.Struct, frozen=True):
+class ReadStatus(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Asks for this instance's view of the system."""
 
 
