--- /dev/null
+++ b/dandelionpick/gang_adoption.py
@@ -0,0 +1,287 @@
+"""Finds gangs by listing the workers, after a crash or a change of scheduler.
+
+A gang whose parts are all there goes on. One that has lost a part is stopped
+whole. One that is only half held or started is left for as long as another
+scheduler may still be at work on it, and then released whole.
+"""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import gang_parts
+from dandelionpick import gang_stops
+from dandelionpick import gangs
+from dandelionpick import ids
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from dandelionpick import worker_messages
+from dandelionpick import worker_views
+
+# The scheduler that started a gang writes to the store before; a document that
+# was read this long after the gang was seen contains what was written.
+DOCUMENT_LAG_S = 3.0
+# A placement that is in the store and whose gang is on no worker for this long
+# is not being started by another scheduler any more.
+LOST_PLACEMENT_S = gang_parts.HOLD_S + gang_parts.CONFIRM_S
+
+PartState = kinds.PartState
+Found = dict[ids.InstanceId, worker_messages.PartStatus]
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Takes over gangs that run on the workers and are not known here."""
+    foreign: dict[ids.GangId, Found] = {}
+    for worker, view in state.jobs.workers.items():
+        if view.report is None or not worker_views.is_fresh(state, view):
+            continue
+        for status in view.report.parts:
+            if status.gang_id not in state.jobs.gangs:
+                foreign.setdefault(status.gang_id, {})[worker] = status
+    for gang_id in sorted(foreign):
+        _consider(state, step, gang_id, foreign[gang_id])
+    placements = _lost_placements(state, step)
+    known = foreign.keys() | placements
+    for gang_id in list(state.jobs.first_seen_s):
+        if gang_id not in known:
+            del state.jobs.first_seen_s[gang_id]
+
+
+def _consider(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang_id: ids.GangId,
+    found: Found,
+) -> None:
+    now_s = step.moment.now_s
+    labels = next(iter(found.values())).labels
+    states = {status.state for status in found.values()}
+    seen_s = state.jobs.first_seen_s.setdefault(gang_id, now_s)
+    if not states.intersection(job_state.OCCUPYING):
+        whole = len(found) == len(labels.workers)
+        if whole and states == {PartState.FINISHED}:
+            _take_results(state, step, gang_id, found)
+        return
+    record = job_status.record_of(state, (labels.organisation, labels.key))
+    missing = _missing(state, labels, found, seen_s)
+    ended = states.intersection((PartState.STOPPED, PartState.FAILED))
+    running = PartState.RUNNING in states
+    if missing is None and not running:
+        return
+    if not missing and not ended or running and (missing or ended):
+        _adopt(state, step, gang_id, found, record)
+    elif now_s - seen_s > gang_parts.HOLD_S:
+        gang = _adopt(state, step, gang_id, found, record)
+        gang_stops.stop(state, step, gang, job_state.StopCause.REFUSED)
+
+
+def _missing(
+    state: state_lib.State,
+    labels: worker_messages.PartLabels,
+    found: Found,
+    seen_s: float,
+) -> list[ids.InstanceId] | None:
+    """Returns the workers that do not know their part.
+
+    None if a worker has not reported since the gang was first seen, so that
+    its part may only be newer than its last report.
+    """
+    missing = []
+    for worker in labels.workers:
+        if worker in found:
+            continue
+        view = worker_views.view_of(state, worker)
+        if view.report_sent_s <= max(seen_s, state.jobs.trusted_s):
+            return None
+        missing.append(worker)
+    return missing
+
+
+def _take_results(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang_id: ids.GangId,
+    found: Found,
+) -> None:
+    """Takes over a gang that finished while nobody was looking."""
+    labels = next(iter(found.values())).labels
+    name = (labels.organisation, labels.key)
+    record = job_status.record_of(state, name)
+    if record is None or record.state in job_state.FINAL:
+        return
+    placed = record.placement and record.placement.gang_id == gang_id
+    if (record.idempotent or placed) and name not in state.jobs.outcomes:
+        _adopt(state, step, gang_id, found, record)
+
+
+def _adopt(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang_id: ids.GangId,
+    found: Found,
+    record: job_state.JobRecord | None,
+) -> job_state.Gang:
+    """Makes a gang from what its workers say, and drives it."""
+    now_s = step.moment.now_s
+    labels = next(iter(found.values())).labels
+    parts = {
+        worker: _part(state, worker, found.get(worker), now_s)
+        for worker in labels.workers
+    }
+    gang = job_state.Gang(gang_id, labels, parts, now_s, adopted=True)
+    if record is not None and record.placement is not None:
+        gang.placed = record.placement.gang_id == gang_id
+    _register(state, gang)
+    step.note(
+        effects.Part.JOBS,
+        f"found run {labels.run} of job {labels.key} on"
+        f" {len(found)} of {len(parts)} workers",
+    )
+    gangs.drive(state, step, gang)
+    return gang
+
+
+def _register(state: state_lib.State, gang: job_state.Gang) -> None:
+    state.jobs.gangs[gang.gang_id] = gang
+    for worker in gang.parts:
+        worker_views.view_of(state, worker).gangs.add(gang.gang_id)
+
+
+def _part(
+    state: state_lib.State,
+    worker: ids.InstanceId,
+    status: worker_messages.PartStatus | None,
+    now_s: float,
+) -> job_state.Part:
+    """Makes a part; one whose worker does not report may be running."""
+    view = worker_views.view_of(state, worker)
+    part = job_state.Part(worker, [], seen_s=now_s)
+    part.lease_end_s = now_s + gang_parts.LEASE_S
+    part.over_s = part.lease_end_s + gang_parts.LATE_S
+    if view.report is not None and worker_views.is_fresh(state, view):
+        part.incarnation = view.report.incarnation
+        part.known_s = view.report_sent_s
+    if status is not None:
+        part.state = status.state
+        part.accelerators = status.accelerators
+        part.checkpoint = status.checkpoint
+        part.result = status.result
+        part.ran = status.ran
+    elif part.incarnation:
+        part.state = PartState.STOPPED
+    else:
+        part.state = PartState.RUNNING
+        part.ran = True
+    return part
+
+
+def _lost_placements(
+    state: state_lib.State, step: dispatch.Step
+) -> set[ids.GangId]:
+    """Stops placements whose gangs were never found on the workers.
+
+    The stops leave tombstones; what the workers answer proves whether the job
+    ran.
+    """
+    now_s = step.moment.now_s
+    document = job_status.own_document(state)
+    lost = set()
+    for record in list(document.records.values()):
+        placement = record.placement
+        if placement is None or record.state in job_state.FINAL:
+            continue
+        if placement.gang_id in state.jobs.gangs:
+            continue
+        if (record.job.organisation, record.job.key) in state.jobs.outcomes:
+            continue
+        lost.add(placement.gang_id)
+        seen_s = state.jobs.first_seen_s.setdefault(placement.gang_id, now_s)
+        confirmed = document.confirmed_s - seen_s > DOCUMENT_LAG_S
+        if confirmed and now_s - seen_s > LOST_PLACEMENT_S:
+            _stop_placement(state, step, record, placement)
+    return lost
+
+
+def _stop_placement(
+    state: state_lib.State,
+    step: dispatch.Step,
+    record: job_state.JobRecord,
+    placement: job_state.Placement,
+) -> None:
+    now_s = step.moment.now_s
+    job = record.job
+    labels = worker_messages.PartLabels(
+        job.organisation,
+        job.job_class,
+        job.key,
+        record.run + 1,
+        placement.workers,
+    )
+    parts = {}
+    for worker, incarnation in zip(
+        placement.workers, placement.incarnations, strict=True
+    ):
+        parts[worker] = job_state.Part(worker, [], incarnation=incarnation)
+        parts[worker].over_s = now_s + gang_parts.LEASE_S + gang_parts.LATE_S
+    gang = job_state.Gang(
+        placement.gang_id, labels, parts, now_s, placed=True, adopted=True
+    )
+    _register(state, gang)
+    gang_stops.stop(state, step, gang, job_state.StopCause.LOST)
+
+
+def stop_obsolete(state: state_lib.State, step: dispatch.Step) -> None:
+    """Stops gangs that their jobs no longer need, and all but one duplicate."""
+    document = job_status.own_document(state)
+    whole: dict[job_state.JobName, job_state.Gang] = {}
+    for gang in sorted(
+        state.jobs.gangs.values(),
+        key=lambda gang: (gang.labels.run, gang.gang_id),
+    ):
+        if gang.stop is not None:
+            continue
+        record = job_status.record_of(state, gang.name)
+        if record is None:
+            age_s = document.confirmed_s - gang.created_s
+            if age_s > DOCUMENT_LAG_S:
+                _end(state, step, gang, job_state.StopCause.OBSOLETE)
+        elif record.state in job_state.FINAL:
+            _end(state, step, gang, job_state.StopCause.OBSOLETE)
+        elif record.cancel:
+            gang_stops.stop(state, step, gang, job_state.StopCause.CANCELLED)
+        elif _is_unplaced(document, gang, record) or (
+            _is_whole(gang) and whole.setdefault(gang.name, gang) is not gang
+        ):
+            gang_stops.stop(state, step, gang, job_state.StopCause.OBSOLETE)
+
+
+def _is_whole(gang: job_state.Gang) -> bool:
+    return all(part.state in gangs.CONFIRMED for part in gang.parts.values())
+
+
+def _is_unplaced(
+    document: job_state.Document,
+    gang: job_state.Gang,
+    record: job_state.JobRecord,
+) -> bool:
+    """Tells whether a found gang is not the one that the store allows."""
+    if record.idempotent or not gang.adopted:
+        return False
+    if document.confirmed_s - gang.created_s <= DOCUMENT_LAG_S:
+        return False
+    placement = record.placement
+    return placement is None or placement.gang_id != gang.gang_id
+
+
+def _end(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    cause: job_state.StopCause,
+) -> None:
+    """Forgets a finished gang, and stops any other."""
+    states = {part.state for part in gang.parts.values()}
+    if states == {PartState.FINISHED}:
+        gang_stops.remove(state, gang)
+    else:
+        gang_stops.stop(state, step, gang, cause)
--- /dev/null
+++ b/dandelionpick/gang_parts.py
@@ -0,0 +1,106 @@
+"""What a worker says about a part, and what that proves."""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import job_state
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from dandelionpick import worker_messages
+
+HOLD_S = 5.0
+CONFIRM_S = 5.0
+LEASE_S = 60.0
+# A message that is still on its way may arrive this late.
+LATE_S = 2.0
+
+PartState = kinds.PartState
+RANK = {
+    None: 0,
+    PartState.HELD: 1,
+    PartState.STARTING: 2,
+    PartState.RUNNING: 3,
+    PartState.FINISHED: 4,
+    PartState.FAILED: 4,
+    PartState.STOPPED: 4,
+}
+
+# Length of the hold or lease with which a part enters a state.
+FIRST_LEASE_S = {
+    PartState.HELD: HOLD_S,
+    PartState.STARTING: CONFIRM_S,
+    PartState.RUNNING: CONFIRM_S,
+}
+
+
+def destination_of(
+    state: state_lib.State, worker: ids.InstanceId
+) -> effects.Destination | None:
+    """Returns where calls to a worker go; None if it is not listed."""
+    entry = state.members.entries.get(worker)
+    if entry is None:
+        return None
+    return effects.Destination(kinds.Service.WORKER, entry.id, entry.address)
+
+
+def learn(
+    step: dispatch.Step,
+    part: job_state.Part,
+    status: worker_messages.PartStatus | None,
+    incarnation: ids.Incarnation,
+    sent_s: float,
+) -> None:
+    """Takes over what a worker said about a part.
+
+    States only advance, so that a reply that was overtaken changes nothing.
+
+    Args:
+        step: the current step.
+        part: the part as known so far.
+        status: what the worker said; None if it said nothing and has another
+            incarnation.
+        incarnation: of the worker that said it.
+        sent_s: when the call was sent that it answered.
+    """
+    if part.state is PartState.FINISHED:
+        return
+    if not part.incarnation:
+        part.incarnation = incarnation
+    if status is None or incarnation != part.incarnation:
+        part.gone = True
+        return
+    part.ran = part.ran or status.ran
+    if part.stopped or RANK[status.state] < RANK[part.state]:
+        return
+    if status.state is not part.state:
+        part.seen_s = step.moment.now_s
+        if status.state in FIRST_LEASE_S:
+            lease_s = FIRST_LEASE_S[status.state]
+            part.lease_end_s = step.moment.now_s + lease_s
+    part.state = status.state
+    part.known_s = max(part.known_s, sent_s)
+    part.checkpoint = status.checkpoint or part.checkpoint
+    part.result = status.result or part.result
+
+
+def is_proved_not_run(gang: job_state.Gang) -> bool:
+    """Tells whether no part of a stopped gang ever ran, or ever will.
+
+    Each worker holds a tombstone and says that its part was not confirmed.
+    """
+    return all(
+        part.stopped and not part.gone and not part.ran
+        for part in gang.parts.values()
+    )
+
+
+def is_open(part: job_state.Part) -> bool:
+    """Tells whether a part of a stopped gang may still occupy its worker."""
+    return not (part.stopped or part.gone)
+
+
+def occupies(part: job_state.Part) -> bool:
+    """Tells whether a part has accelerators, as far as known."""
+    if part.stopped or part.gone:
+        return False
+    return part.state is None or part.state in job_state.OCCUPYING
--- /dev/null
+++ b/dandelionpick/gang_stops.py
@@ -0,0 +1,159 @@
+"""Stops gangs whole and decides what follows for their jobs."""
+
+import dataclasses
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import gang_parts
+from dandelionpick import ids
+from dandelionpick import job_outcomes
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from dandelionpick import worker_messages
+
+RETRY_S = 1.0
+# An idempotent job runs again when the workers that still have not replied
+# have been sent this many stops; their parts end with their leases.
+ENOUGH_STOPS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopSent:
+    """Context of a stop of one part."""
+
+    gang_id: ids.GangId
+    worker: ids.InstanceId
+    sent_s: float
+
+
+def stop(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    cause: job_state.StopCause,
+) -> None:
+    """Starts to stop all parts of a gang, if that was not done before."""
+    if gang.stop is not None:
+        return
+    gang.stop = cause
+    for part in gang.parts.values():
+        part.retry_s = float("-inf")
+    step.note(
+        effects.Part.JOBS,
+        f"stopping run {gang.labels.run} of job {gang.labels.key}:"
+        f" {cause.value}",
+        warning=cause is job_state.StopCause.LOST,
+    )
+    drive(state, step, gang)
+
+
+def drive(
+    state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
+) -> None:
+    """Sends the stops that are missing; settles the gang when all ended."""
+    now_s = step.moment.now_s
+    for part in gang.parts.values():
+        if not gang_parts.is_open(part):
+            continue
+        if now_s > part.over_s:
+            part.gone = True
+        elif now_s >= part.retry_s:
+            _send(state, step, gang, part)
+    open_parts = [p for p in gang.parts.values() if gang_parts.is_open(p)]
+    if not gang.settled and _may_settle(state, gang, open_parts):
+        gang.settled = True
+        job_outcomes.settle(state, step, gang)
+    if not open_parts:
+        remove(state, gang)
+
+
+def _may_settle(
+    state: state_lib.State,
+    gang: job_state.Gang,
+    open_parts: list[job_state.Part],
+) -> bool:
+    if not open_parts:
+        return True
+    record = job_status.record_of(state, gang.name)
+    return (
+        record is not None
+        and record.idempotent
+        and all(part.stop_tries >= ENOUGH_STOPS for part in open_parts)
+    )
+
+
+def remove(state: state_lib.State, gang: job_state.Gang) -> None:
+    """Forgets a gang that has ended."""
+    del state.jobs.gangs[gang.gang_id]
+    for worker in gang.parts:
+        view = state.jobs.workers.get(worker)
+        if view is not None:
+            view.gangs.discard(gang.gang_id)
+
+
+def _send(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    part: job_state.Part,
+) -> None:
+    part.retry_s = step.moment.now_s + RETRY_S
+    destination = gang_parts.destination_of(state, part.worker)
+    if destination is None:
+        part.stop_tries += 1
+        return
+    dispatch.call(
+        state,
+        step,
+        destination,
+        worker_messages.StopPart(
+            gang.gang_id, checkpoint=_takes_checkpoint(state, gang)
+        ),
+        StopSent(gang.gang_id, part.worker, step.moment.now_s),
+        state.limits.call_timeout_s,
+    )
+
+
+def _takes_checkpoint(state: state_lib.State, gang: job_state.Gang) -> bool:
+    record = job_status.record_of(state, gang.name)
+    return record is not None and record.checkpointable and not record.cancel
+
+
+@dispatch.returned.register
+def _(
+    context: StopSent,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: worker_messages.PartReply | worker_messages.PartRefused,
+) -> None:
+    gang = state.jobs.gangs.get(context.gang_id)
+    if gang is None:
+        return
+    part = gang.parts[context.worker]
+    if reply.incarnation != part.incarnation:
+        part.gone = True
+    elif isinstance(reply, worker_messages.PartReply):
+        gang_parts.learn(
+            step, part, reply.part, reply.incarnation, context.sent_s
+        )
+        part.stopped = True
+    else:
+        part.stopped = reply.reason in (
+            kinds.PartRefusal.UNKNOWN_PART,
+            kinds.PartRefusal.TOMBSTONED,
+        )
+    drive(state, step, gang)
+
+
+@dispatch.failed.register
+def _(
+    context: StopSent,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    gang = state.jobs.gangs.get(context.gang_id)
+    if gang is not None:
+        gang.parts[context.worker].stop_tries += 1
--- /dev/null
+++ b/dandelionpick/gangs.py
@@ -0,0 +1,359 @@
+"""The gang protocol: hold, start, confirm, renew.
+
+The state of a gang is the state of its parts on the workers. `drive` looks at
+what the workers last said and sends whatever is missing, so that a gang found
+by listing the workers goes on exactly like one that this instance created. The
+workers enforce what matters: holds, leases, tombstones. A second scheduler
+that drives the same gang can only repeat messages that have no second effect.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import gang_parts
+from dandelionpick import gang_stops
+from dandelionpick import ids
+from dandelionpick import job_claims
+from dandelionpick import job_documents
+from dandelionpick import job_outcomes
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from dandelionpick import worker_messages
+
+RETRY_S = 0.5
+
+PartState = kinds.PartState
+CONFIRMED = (PartState.RUNNING, PartState.FINISHED)
+
+
+class Action(enum.Enum):
+    """What a call asked of a worker."""
+
+    HOLD = "hold"
+    START = "start"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCalled:
+    """Context of a hold or start of one part."""
+
+    gang_id: ids.GangId
+    worker: ids.InstanceId
+    action: Action
+    sent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementWritten:
+    """Context of the placement of a non-idempotent job."""
+
+    gang_id: ids.GangId
+
+
+def new_gang_id(
+    state: state_lib.State, name: job_state.JobName, run: int
+) -> ids.GangId:
+    """Returns an id that no other instance and no earlier run uses."""
+    state.jobs.gangs_made += 1
+    key_digest = hashlib.sha256(
+        job_claims.record_name(name).encode()
+    ).hexdigest()
+    number = state.jobs.gangs_made
+    return ids.GangId(f"{key_digest[:32]}-{run}-{state.incarnation}-{number}")
+
+
+def create(
+    state: state_lib.State,
+    step: dispatch.Step,
+    record: job_state.JobRecord,
+    parts: dict[ids.InstanceId, tuple[list[int], int]],
+) -> job_state.Gang:
+    """Holds accelerators on all workers of a new run.
+
+    Args:
+        state: the reducer's state.
+        step: the current step.
+        record: the job.
+        parts: accelerators and number of tasks by worker.
+
+    Returns:
+        The new gang.
+    """
+    job = record.job
+    name = (job.organisation, job.key)
+    last_run, _ = state.jobs.checkpoints.get(name, (0, ""))
+    run = max(record.run, last_run) + 1
+    gang_id = new_gang_id(state, name, run)
+    labels = worker_messages.PartLabels(
+        job.organisation, job.job_class, job.key, run, sorted(parts)
+    )
+    gang = job_state.Gang(gang_id, labels, {}, step.moment.now_s)
+    state.jobs.gangs[gang_id] = gang
+    step.note(effects.Part.JOBS, f"placing run {run} of job {job.key}")
+    for worker in labels.workers:
+        accelerators, tasks = parts[worker]
+        part = job_state.Part(worker, accelerators, tasks)
+        gang.parts[worker] = part
+        view = state.jobs.workers[worker]
+        view.gangs.add(gang_id)
+        part.incarnation = view.report.incarnation
+        hold = worker_messages.HoldPart(
+            gang_id=gang_id,
+            labels=labels,
+            accelerators=accelerators,
+            tasks=tasks,
+            cores=job.cores * tasks,
+            memory_gb=job.memory_gb * tasks,
+            hold_s=gang_parts.HOLD_S,
+            incarnation=part.incarnation,
+        )
+        part.over_s = step.moment.now_s + gang_parts.HOLD_S + gang_parts.LATE_S
+        call_part(state, step, gang, part, hold, Action.HOLD)
+    return gang
+
+
+def call_part(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    part: job_state.Part,
+    message: worker_messages.HoldPart | worker_messages.StartPart,
+    action: Action,
+) -> None:
+    """Sends a hold or start to the worker of a part."""
+    destination = gang_parts.destination_of(state, part.worker)
+    if destination is None:
+        return
+    part.pending = True
+    context = PartCalled(gang.gang_id, part.worker, action, step.moment.now_s)
+    dispatch.call(
+        state,
+        step,
+        destination,
+        message,
+        context,
+        state.limits.call_timeout_s,
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: PartCalled,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: worker_messages.PartReply | worker_messages.PartRefused,
+) -> None:
+    gang = state.jobs.gangs.get(context.gang_id)
+    if gang is None:
+        return
+    part = gang.parts[context.worker]
+    part.pending = False
+    if isinstance(reply, worker_messages.PartReply):
+        gang_parts.learn(
+            step, part, reply.part, reply.incarnation, context.sent_s
+        )
+    elif gang.stop is None:
+        step.note(
+            effects.Part.JOBS,
+            f"{part.worker} refused to {context.action.value} a part of"
+            f" {gang.labels.key}: {reply.reason.value}",
+        )
+        gang_stops.stop(state, step, gang, job_state.StopCause.REFUSED)
+        return
+    drive(state, step, gang)
+
+
+@dispatch.failed.register
+def _(
+    context: PartCalled,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    gang = state.jobs.gangs.get(context.gang_id)
+    if gang is None:
+        return
+    part = gang.parts[context.worker]
+    part.pending = False
+    part.retry_s = step.moment.now_s + RETRY_S
+    if gang.stop is None and context.action is Action.HOLD:
+        gang_stops.stop(state, step, gang, job_state.StopCause.REFUSED)
+
+
+def drive(
+    state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
+) -> None:
+    """Sends whatever the gang needs next."""
+    if gang.stop is not None:
+        gang_stops.drive(state, step, gang)
+        return
+    parts = gang.parts.values()
+    states = {part.state for part in parts}
+    if PartState.FAILED in states:
+        gang_stops.stop(state, step, gang, job_state.StopCause.FAILED)
+    elif PartState.STOPPED in states or any(part.gone for part in parts):
+        gang_stops.stop(state, step, gang, job_state.StopCause.LOST)
+    elif states == {PartState.FINISHED}:
+        job_outcomes.finish(state, step, gang)
+    elif None in states:
+        return
+    elif PartState.HELD in states:
+        start(state, step, gang)
+    elif is_known(state, step, gang):
+        confirm(state, step, gang)
+
+
+def is_known(
+    state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
+) -> bool:
+    """Tells whether all that is known of a gang is recent enough to act on.
+
+    What was known before a stall of the event loop is not: leases may have
+    lapsed and another instance may have stopped the gang meanwhile.
+    """
+    for part in gang.parts.values():
+        if part.state is PartState.FINISHED:
+            continue
+        waiting = part.state is not PartState.RUNNING
+        limit_s = gang_parts.CONFIRM_S if waiting else gang_parts.LEASE_S
+        if part.known_s < state.jobs.trusted_s:
+            return False
+        if step.moment.now_s - part.known_s >= limit_s:
+            return False
+    return True
+
+
+def start(
+    state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
+) -> None:
+    """Starts the held parts; a non-idempotent job is placed first."""
+    record = job_status.record_of(state, gang.name)
+    if record is None or not is_known(state, step, gang):
+        return
+    if not record.idempotent and not _is_placed(state, step, gang, record):
+        return
+    _, checkpoint = state.jobs.checkpoints.get(gang.name, (0, ""))
+    message = worker_messages.StartPart(
+        gang_id=gang.gang_id,
+        lease_s=gang_parts.CONFIRM_S,
+        payload=record.job.payload,
+        checkpoint=checkpoint or record.checkpoint,
+    )
+    now_s = step.moment.now_s
+    for part in gang.parts.values():
+        if part.state is not PartState.HELD or part.pending:
+            continue
+        if now_s >= part.retry_s:
+            part.over_s = now_s + gang_parts.CONFIRM_S + gang_parts.LATE_S
+            call_part(state, step, gang, part, message, Action.START)
+
+
+def _is_placed(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    record: job_state.JobRecord,
+) -> bool:
+    """Tells whether the store names this gang; writes that if nothing is."""
+    if gang.placed or gang.placing:
+        return gang.placed
+    if record.placement is not None:
+        gang.placed = record.placement.gang_id == gang.gang_id
+        if not gang.placed:
+            gang_stops.stop(state, step, gang, job_state.StopCause.OBSOLETE)
+        return gang.placed
+    if gang.adopted or record.state in job_state.FINAL or record.cancel:
+        gang_stops.stop(state, step, gang, job_state.StopCause.OBSOLETE)
+        return False
+    gang.placing = True
+    placement = job_state.Placement(
+        gang.gang_id,
+        gang.labels.workers,
+        [gang.parts[worker].incarnation for worker in gang.labels.workers],
+    )
+    job_outcomes.change(
+        state,
+        step,
+        record,
+        {"placement": placement},
+        PlacementWritten(gang.gang_id),
+    )
+    return False
+
+
+@job_documents.committed.register
+def _(
+    context: PlacementWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    result: job_documents.Committed
+    | job_documents.Superseded
+    | job_documents.Unavailable,
+) -> None:
+    gang = state.jobs.gangs.get(context.gang_id)
+    if gang is None or gang.stop is not None:
+        return
+    gang.placing = False
+    if isinstance(result, job_documents.Committed):
+        gang.placed = True
+        drive(state, step, gang)
+    else:
+        gang_stops.stop(state, step, gang, job_state.StopCause.REFUSED)
+
+
+def confirm(
+    state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
+) -> None:
+    """Confirms started parts, and lengthens leases when all are confirmed."""
+    parts = gang.parts.values()
+    whole = all(part.state in CONFIRMED for part in parts)
+    for part in parts:
+        if part.pending or step.moment.now_s < part.retry_s:
+            continue
+        if part.state is PartState.STARTING:
+            renew(
+                state, step, part.worker, [gang.gang_id], gang_parts.CONFIRM_S
+            )
+        elif whole and not part.long_lease and part.state is PartState.RUNNING:
+            renew(state, step, part.worker, [gang.gang_id], gang_parts.LEASE_S)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewed:
+    """Context of confirms and renewals on one worker."""
+
+    worker: ids.InstanceId
+    gang_ids: tuple[ids.GangId, ...]
+    lease_s: float
+    sent_s: float
+
+
+def renew(
+    state: state_lib.State,
+    step: dispatch.Step,
+    worker: ids.InstanceId,
+    gang_ids: list[ids.GangId],
+    lease_s: float,
+) -> None:
+    """Confirms or renews the parts of gangs on one worker."""
+    destination = gang_parts.destination_of(state, worker)
+    if destination is None:
+        return
+    now_s = step.moment.now_s
+    for gang_id in gang_ids:
+        part = state.jobs.gangs[gang_id].parts[worker]
+        part.pending = True
+        part.over_s = max(part.over_s, now_s + lease_s + gang_parts.LATE_S)
+    dispatch.call(
+        state,
+        step,
+        destination,
+        worker_messages.RenewLeases(gang_ids, lease_s),
+        Renewed(worker, tuple(gang_ids), lease_s, now_s),
+        state.limits.call_timeout_s,
+    )
--- /dev/null
+++ b/dandelionpick/jobs.py
@@ -0,0 +1,386 @@
+"""Accepts jobs: claim first, then the entry in the failure domain's document.
+
+Any instance accepts a job. It prefers to forward it to the preferred instance
+of the chosen failure domain, so that one writer's group commits serve the
+document; if that fails, it writes claim and entry itself.
+"""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from dandelionpick import caller_messages
+from dandelionpick import dispatch
+from dandelionpick import drain
+from dandelionpick import effects
+from dandelionpick import errors
+from dandelionpick import ids
+from dandelionpick import job_claims
+from dandelionpick import job_documents
+from dandelionpick import job_shapes
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import membership
+from dandelionpick import peer_messages
+from dandelionpick import state as state_lib
+
+MAX_KEY_FUTURE_MS = 60_000
+KEY_RETENTION_MS = 24 * 3_600_000
+# Payloads are kept in the document of unfinished jobs, which holds up to 1 MB.
+MAX_PAYLOAD_BYTES = 16_384
+# A forwarded job takes two writes at the receiver.
+FORWARD_TIMEOUT_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A job on its way into the store.
+
+    Attributes:
+        doubtful: another submission of the key, or another instance, may have
+            got it accepted.
+    """
+
+    job: caller_messages.SubmitJob
+    exchange_id: ids.ExchangeId
+    digest: str
+    failure_domain: ids.FailureDomain
+    doubtful: bool = False
+
+    @property
+    def name(self) -> job_state.JobName:
+        """Returns the name of the job."""
+        return (self.job.organisation, self.job.key)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """Context of a job that was forwarded to the preferred instance."""
+
+    submission: Submission
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimMade:
+    """Context of the claim of a job."""
+
+    submission: Submission
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OldClaimRead:
+    """Context of the search for the claim of an expired key."""
+
+    submission: Submission
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryMade:
+    """Context of the entry of a job in its failure domain's document."""
+
+    submission: Submission
+
+
+@dispatch.receive.register
+def _(
+    message: caller_messages.SubmitJob,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    submission = admit(state, step, message, exchange_id)
+    if submission is None:
+        return
+    peer = job_status.scheduler_of(
+        state, submission.failure_domain, step.moment.now_s
+    )
+    if peer is None:
+        accept(state, step, submission)
+        return
+    dispatch.call(
+        state,
+        step,
+        membership.peer_destination(peer),
+        peer_messages.ForwardJob(job=message),
+        Forwarded(submission),
+        FORWARD_TIMEOUT_S,
+    )
+
+
+@dispatch.receive.register
+def _(
+    message: peer_messages.ForwardJob,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    submission = admit(state, step, message.job, exchange_id)
+    if submission is not None:
+        accept(state, step, submission)
+
+
+@dispatch.returned.register
+def _(
+    context: Forwarded,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: caller_messages.JobStatus | peer_messages.Refused,
+) -> None:
+    if isinstance(reply, caller_messages.JobStatus):
+        step.respond(context.submission.exchange_id, reply)
+    else:
+        accept(state, step, context.submission)
+
+
+@dispatch.failed.register
+def _(
+    context: Forwarded,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    submission = context.submission
+    if failure is kinds.CallFailure.LOST:
+        submission = dataclasses.replace(submission, doubtful=True)
+    accept(state, step, submission)
+
+
+def admit(
+    state: state_lib.State,
+    step: dispatch.Step,
+    job: caller_messages.SubmitJob,
+    exchange_id: ids.ExchangeId,
+) -> Submission | None:
+    """Checks a job and chooses its failure domain, or refuses it."""
+    problem = check(state, step, job)
+    if problem is None:
+        chosen = job_shapes.choose_domain(state, job)
+        if not isinstance(chosen, errors.Problem):
+            return Submission(job, exchange_id, digest_of(job), chosen)
+        problem = chosen
+    step.respond(exchange_id, job_status.refusal(job, problem))
+    return None
+
+
+def digest_of(job: caller_messages.SubmitJob) -> str:
+    """Returns the SHA-256 of a job's specification, without `attempt`."""
+    first = msgspec.structs.replace(job, attempt=1)
+    return hashlib.sha256(msgspec.json.encode(first)).hexdigest()
+
+
+def check(
+    state: state_lib.State,
+    step: dispatch.Step,
+    job: caller_messages.SubmitJob,
+) -> errors.Problem | None:
+    """Returns why a job can't be taken, or None."""
+    if drain.refuses_new_work(state, step.moment.now_s):
+        return errors.Problem(
+            errors.ProblemKind.LEAVING,
+            "This instance is about to stop.",
+            "Send the job again; the balancer will use another instance.",
+        )
+    if state.configuration.document.revision == 0:
+        return errors.Problem(
+            errors.ProblemKind.NO_CONFIGURATION,
+            "This instance has no configuration yet.",
+            "Send the job again later or to another instance.",
+        )
+    organisation = state.configuration.organisations.get(job.organisation)
+    if organisation is None:
+        return errors.Problem(
+            errors.ProblemKind.UNKNOWN_ORGANISATION,
+            f'Organisation "{job.organisation}" does not exist.',
+            "Check the name, or ask the operators to create it in the tree.",
+        )
+    if job.job_class not in organisation.classes:
+        return errors.Problem(
+            errors.ProblemKind.UNKNOWN_CLASS,
+            f'Organisation "{job.organisation}" has no job class'
+            f' "{job.job_class}".',
+            "Use one of: " + ", ".join(sorted(organisation.classes)) + ".",
+        )
+    return check_key(step, job) or check_shape(job)
+
+
+def check_key(
+    step: dispatch.Step, job: caller_messages.SubmitJob
+) -> errors.Problem | None:
+    """Returns what is wrong with a job's key, or None."""
+    key_ms = ids.key_time_ms(job.key)
+    if key_ms is None:
+        return errors.Problem(
+            errors.ProblemKind.KEY_INVALID,
+            f'The key "{job.key[:64]}" is not a UUIDv7 in its text form.',
+            "Use a UUIDv7 (RFC 9562) in lower case as the key of a job.",
+        )
+    if key_ms - step.moment.unix_ms > MAX_KEY_FUTURE_MS:
+        return errors.Problem(
+            errors.ProblemKind.KEY_INVALID,
+            "The key's timestamp is more than 60 seconds in the future.",
+            "Correct the clock that the key was made with.",
+        )
+    return None
+
+
+def check_shape(job: caller_messages.SubmitJob) -> errors.Problem | None:
+    """Returns which field of a job's shape has a bad value, or None."""
+    bounds = {"tasks": 1, "accelerators": 1, "cores": 0, "memory_gb": 0}
+    for field, least in {**bounds, "attempt": 1}.items():
+        if getattr(job, field) < least:
+            return errors.Problem(
+                errors.ProblemKind.MALFORMED,
+                f'The field "{field}" is below {least}.',
+                f"Set it to {least} or more.",
+            )
+    if len(job.payload.encode()) > MAX_PAYLOAD_BYTES:
+        return errors.Problem(
+            errors.ProblemKind.BODY_TOO_LARGE,
+            f"The payload is larger than {MAX_PAYLOAD_BYTES} bytes.",
+            "Pass the address of the input in place of the input.",
+        )
+    return None
+
+
+def accept(
+    state: state_lib.State, step: dispatch.Step, submission: Submission
+) -> None:
+    """Writes the claim and then the entry of a job."""
+    key_ms = ids.key_time_ms(submission.job.key) or 0
+    if step.moment.unix_ms - key_ms > KEY_RETENTION_MS:
+        bucket = job_claims.bucket_of(state, submission.name)
+        job_documents.read(state, step, bucket, OldClaimRead(submission))
+        return
+    job_claims.claim(
+        state,
+        step,
+        submission.name,
+        submission.digest,
+        submission.failure_domain,
+        ClaimMade(submission),
+    )
+
+
+def refuse(
+    step: dispatch.Step, submission: Submission, problem: errors.Problem
+) -> None:
+    """Answers a submission of which nothing entered a job document."""
+    status = job_status.refusal(submission.job, problem, submission.doubtful)
+    step.respond(submission.exchange_id, status)
+
+
+@job_documents.committed.register
+def _(
+    context: OldClaimRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    result: job_documents.Fresh | job_documents.Unavailable,
+) -> None:
+    submission = dataclasses.replace(context.submission, doubtful=True)
+    if isinstance(result, job_documents.Unavailable):
+        refuse(step, submission, job_status.STORE_UNAVAILABLE)
+        return
+    bucket = job_claims.bucket_of(state, submission.name)
+    claim = bucket.records.get(job_claims.record_name(submission.name))
+    if claim is None:
+        problem = errors.Problem(
+            errors.ProblemKind.KEY_EXPIRED,
+            "The key is older than 24 hours and no job is recorded under it.",
+            "Find out by other means whether the job ran; use a new key for"
+            " a new job.",
+        )
+        refuse(step, submission, problem)
+        return
+    enter(state, step, submission, claim)
+
+
+@job_documents.committed.register
+def _(
+    context: ClaimMade,
+    state: state_lib.State,
+    step: dispatch.Step,
+    result: job_documents.Committed
+    | job_documents.Superseded
+    | job_documents.Unavailable
+    | job_documents.TooLarge,
+) -> None:
+    submission = context.submission
+    if isinstance(result, job_documents.Committed):
+        enter(state, step, submission, result.record)
+    elif isinstance(result, job_documents.Superseded):
+        submission = dataclasses.replace(submission, doubtful=True)
+        enter(state, step, submission, result.record)
+    elif isinstance(result, job_documents.TooLarge):
+        refuse(step, submission, job_status.TOO_MANY_JOBS)
+    else:
+        # A claim without an entry never leads to a start, so that even a claim
+        # that takes effect later leaves the refusal true.
+        refuse(step, submission, job_status.STORE_UNAVAILABLE)
+
+
+def enter(
+    state: state_lib.State,
+    step: dispatch.Step,
+    submission: Submission,
+    claim: job_state.JobClaim,
+) -> None:
+    """Writes the entry of a claimed job, or repairs a missing one."""
+    if claim.digest != submission.digest:
+        refuse(step, submission, job_status.KEY_REUSED)
+        return
+    submission = dataclasses.replace(
+        submission, failure_domain=claim.failure_domain
+    )
+    if claim.outcome is not kinds.Outcome.PENDING:
+        document = job_status.document_of(state, claim.failure_domain)
+        known = document.records.get(job_claims.record_name(submission.name))
+        status = job_status.of_claim(submission.name, claim)
+        if known is not None and known.state in job_state.FINAL:
+            status = job_status.of_record(state, known, claim.failure_domain)
+        step.respond(submission.exchange_id, status)
+        return
+    job_class = job_status.class_of(state, submission.job)
+    record = job_state.JobRecord(
+        job=msgspec.structs.replace(submission.job, attempt=1),
+        digest=submission.digest,
+        accepted_ms=step.moment.unix_ms,
+        idempotent=job_class.idempotent,
+        checkpointable=job_class.checkpointable,
+    )
+    job_documents.commit(
+        state,
+        step,
+        job_status.document_of(state, claim.failure_domain),
+        job_claims.record_name(submission.name),
+        0,
+        record,
+        EntryMade(submission),
+    )
+
+
+@job_documents.committed.register
+def _(
+    context: EntryMade,
+    state: state_lib.State,
+    step: dispatch.Step,
+    result: job_documents.Committed
+    | job_documents.Superseded
+    | job_documents.Unavailable
+    | job_documents.TooLarge,
+) -> None:
+    submission = context.submission
+    if isinstance(result, job_documents.Unavailable):
+        doubtful = submission.doubtful or not result.certain
+        submission = dataclasses.replace(submission, doubtful=doubtful)
+        refuse(step, submission, job_status.STORE_UNAVAILABLE)
+    elif isinstance(result, job_documents.TooLarge):
+        refuse(step, submission, job_status.TOO_MANY_JOBS)
+    else:
+        if isinstance(result, job_documents.Committed):
+            step.note(effects.Part.JOBS, f"accepted job {submission.job.key}")
+        status = job_status.of_record(
+            state, result.record, submission.failure_domain
+        )
+        step.respond(submission.exchange_id, status)
--- a/dandelionpick/plan.py
+++ b/dandelionpick/plan.py
@@ -1,15 +1,25 @@
 """Maps guaranteed shapes onto the workers of a failure domain.
 
 The plan depends only on its arguments, so that every instance that holds the
-same configuration and worker list computes the same plan.
+same configuration and worker list computes the same plan. Equally good workers
+are ordered by a hash of shape and worker, so that a worker that comes or goes
+moves few shapes: those that were planned on it, and those that they displace.
+
+When workers are lost and the guarantees no longer fit, the largest shapes are
+planned first and what does not fit is listed as unplaced. A shape that is
+unplaced can't be claimed until workers return; its organisation's jobs then
+borrow or wait like any others. Every shape that is planned stays reclaimable.
 """
 
 import dataclasses
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import xxhash
+
 from dandelionpick import ids
 from dandelionpick import list_messages
+from dandelionpick import packing
 from dandelionpick import tree_state
 
 
@@ -73,15 +83,17 @@
         The plan, equal for equal arguments whatever their order.
     """
     wanted = _wanted(organisations, failure_domain)
-    free = {
-        entry.id: list(range(entry.accelerators))
-        for entry in sorted(workers, key=lambda entry: entry.id)
+    listed = {
+        entry.id: entry
+        for entry in workers
         if entry.failure_domain == failure_domain
     }
+    racks = {worker: listed[worker].rack for worker in sorted(listed)}
+    free = {worker: set(range(listed[worker].accelerators)) for worker in racks}
     shapes = []
     unplaced = []
     for name, guarantee in wanted:
-        parts = _place(guarantee, free)
+        parts = _place(name, guarantee, free, racks)
         if parts is None:
             unplaced.append(name)
         else:
@@ -112,19 +124,33 @@
 
 
 def _place(
-    guarantee: tree_state.Guarantee, free: dict[ids.InstanceId, list[int]]
+    name: ShapeName,
+    guarantee: tree_state.Guarantee,
+    free: dict[ids.InstanceId, set[int]],
+    racks: dict[ids.InstanceId, str],
 ) -> tuple[PlannedPart, ...] | None:
     """Takes accelerators from `free` for a whole shape, or takes none."""
-    parts = []
-    missing = guarantee.tasks
-    for worker, accelerators in free.items():
-        tasks = min(missing, len(accelerators) // guarantee.accelerators)
-        if tasks:
-            taken = accelerators[: tasks * guarantee.accelerators]
-            parts.append(PlannedPart(worker, tuple(taken), tasks))
-            missing -= tasks
-    if missing:
+    seed = f"{name.organisation}/{name.guarantee}/{name.number}"
+    bins = [
+        packing.Bin(
+            worker,
+            racks[worker],
+            len(accelerators) // guarantee.accelerators,
+            len(accelerators),
+        )
+        for worker, accelerators in free.items()
+    ]
+    spread = packing.pack(
+        guarantee.tasks,
+        bins,
+        lambda item: (xxhash.xxh64_intdigest(f"{seed}/{item}".encode()), item),
+    )
+    if spread is None:
         return None
-    for part in parts:
-        del free[part.worker][: len(part.accelerators)]
+    parts = []
+    for worker in sorted(spread):
+        count = spread[worker] * guarantee.accelerators
+        taken = packing.adjacent(free[worker], count)
+        free[worker].difference_update(taken)
+        parts.append(PlannedPart(worker, tuple(taken), spread[worker]))
     return tuple(parts)
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -1,21 +1,29 @@
 """The one reducer over all events."""
 
 import functools
+from types import ModuleType
 
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import job_lookup
+from dandelionpick import jobs
 from dandelionpick import membership
 from dandelionpick import requests
+from dandelionpick import schedule
 from dandelionpick import state as state_lib
 
+# These only register handlers of messages.
+HANDLERS: tuple[ModuleType, ...] = (job_lookup, jobs)
+
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
     membership.tick,
     configuration.tick,
     requests.tick,
+    schedule.tick,
     drain.tick,
 )
 
@@ -83,6 +91,7 @@
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
     membership.stalled(state, step, event.stall_s)
+    schedule.stalled(state, step, event.stall_s)
 
 
 @_apply.register
--- /dev/null
+++ b/dandelionpick/reservations.py
@@ -0,0 +1,144 @@
+"""Keeps accelerators for a wide job that has waited long.
+
+Work that can be stopped may use them until the rest of the reservation is
+free; it is then stopped.
+"""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import gang_stops
+from dandelionpick import gangs
+from dandelionpick import job_state
+from dandelionpick import placement
+from dandelionpick import sites
+from dandelionpick import state as state_lib
+
+AGE_S = 60.0
+
+
+def drop_stale(state: state_lib.State, names: set[job_state.JobName]) -> None:
+    """Drops the reservation of a job that is not queued any more."""
+    reservation = state.jobs.reservation
+    if reservation is not None and reservation.name not in names:
+        state.jobs.reservation = None
+
+
+def kept_from(
+    state: state_lib.State, record: job_state.JobRecord
+) -> tuple[placement.Accelerators, bool]:
+    """Returns what a job may not use, and whether it would be backfill."""
+    reservation = state.jobs.reservation
+    if reservation is None:
+        return {}, False
+    # A reservation that only waits for backfill to end takes no more of it.
+    rerunnable = record.idempotent or record.checkpointable
+    if sites.name_of(record) == reservation.name:
+        return {}, False
+    if rerunnable and not reservation.closing:
+        return {}, True
+    return reservation.accelerators, False
+
+
+def overlaps(state: state_lib.State, gang: job_state.Gang) -> bool:
+    """Tells whether a gang is on reserved accelerators."""
+    reservation = state.jobs.reservation
+    return reservation is not None and any(
+        reservation.accelerators.get(worker, frozenset()).intersection(
+            part.accelerators
+        )
+        for worker, part in gang.parts.items()
+    )
+
+
+def tick(
+    state: state_lib.State,
+    step: dispatch.Step,
+    site: placement.Site,
+    queue: list[job_state.JobRecord],
+) -> None:
+    """Makes a reservation, or places its job when only backfill is left."""
+    now_s = step.moment.now_s
+    reservation = state.jobs.reservation
+    if reservation is None:
+        for record in queue:
+            name = sites.name_of(record)
+            waited_s = now_s - state.jobs.queued_since_s.get(name, now_s)
+            placed = any(g.name == name for g in state.jobs.gangs.values())
+            if waited_s > AGE_S and not placed:
+                _reserve(state, step, site, record)
+                return
+        return
+    if not reservation.accelerators.keys() <= site.entries.keys():
+        state.jobs.reservation = None
+        return
+    records = {sites.name_of(record): record for record in queue}
+    record = records.get(reservation.name)
+    if record is not None:
+        _use(state, step, site, record, reservation)
+
+
+def _reserve(
+    state: state_lib.State,
+    step: dispatch.Step,
+    site: placement.Site,
+    record: job_state.JobRecord,
+) -> None:
+    """Reserves the accelerators with the fewest occupied among them.
+
+    Borrowed accelerators may be reclaimed from the job later, like any.
+    """
+    kept = sites.reclaimed(state, sites.name_of(record))
+    for pool in placement.pools(site, record):
+        room = {
+            worker: indices - kept.get(worker, frozenset())
+            for worker, indices in pool.items()
+        }
+        parts = placement.place(site, record.job, room)
+        if parts is not None:
+            accelerators = {
+                worker: frozenset(indices)
+                for worker, (indices, _) in parts.items()
+            }
+            state.jobs.reservation = job_state.Reservation(
+                sites.name_of(record), accelerators, step.moment.now_s
+            )
+            step.note(
+                effects.Part.JOBS,
+                f"reserved accelerators for job {record.job.key}",
+            )
+            return
+
+
+def _use(
+    state: state_lib.State,
+    step: dispatch.Step,
+    site: placement.Site,
+    record: job_state.JobRecord,
+    reservation: job_state.Reservation,
+) -> None:
+    occupants = {
+        gang.gang_id if gang else None: gang
+        for worker, indices in reservation.accelerators.items()
+        for index, gang in site.occupants[worker].items()
+        if index in indices
+    }
+    if any(
+        gang is None or not (gang.backfill or gang.stop is not None)
+        for gang in occupants.values()
+    ):
+        return
+    reservation.closing = True
+    if occupants:
+        for gang in occupants.values():
+            cause = job_state.StopCause.RECLAIMED
+            gang_stops.stop(state, step, gang, cause)
+        return
+    room = {
+        worker: set(indices)
+        for worker, indices in reservation.accelerators.items()
+    }
+    parts = placement.place(site, record.job, room)
+    state.jobs.reservation = None
+    if parts is not None:
+        gang = gangs.create(state, step, record, parts)
+        sites.occupy(site, gang, record)
--- /dev/null
+++ b/dandelionpick/schedule.py
@@ -0,0 +1,234 @@
+"""Places queued jobs on the workers of this failure domain.
+
+Only the preferred instance does this. If two believe that they are preferred,
+the workers' admission decides between their holds.
+"""
+
+from dandelionpick import dispatch
+from dandelionpick import drain
+from dandelionpick import effects
+from dandelionpick import gang_adoption
+from dandelionpick import gang_stops
+from dandelionpick import gangs
+from dandelionpick import ids
+from dandelionpick import job_documents
+from dandelionpick import job_outcomes
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import membership
+from dandelionpick import placement
+from dandelionpick import reservations
+from dandelionpick import sites
+from dandelionpick import state as state_lib
+from dandelionpick import worker_views
+
+READ_PERIOD_S = 1.0
+# Jobs that are tried in one tick; bounds the time of a tick.
+MAX_TRIED_JOBS = 50
+# After a refused hold or a failed run the job waits this long.
+RETRY_S = 0.5
+USAGE_HALF_LIFE_S = 3_600.0
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Schedules if this instance is the preferred one."""
+    job_documents.tick(state, step)
+    now_s = step.moment.now_s
+    if state.configuration.document.revision == 0:
+        return
+    own = state.identity.instance
+    if membership.preferred_instance(state, now_s) != own or (
+        state.drain.requested_s is not None
+    ):
+        _let_go(state, step)
+        return
+    if state.jobs.preferred_s is None:
+        state.jobs.preferred_s = now_s
+        worker_views.distrust(state, now_s)
+        step.note(effects.Part.JOBS, "scheduling this failure domain")
+    document = job_status.own_document(state)
+    if now_s - document.read_s >= READ_PERIOD_S:
+        job_documents.read(state, step, document)
+    worker_views.tick(state, step)
+    worker_views.check_leases(state, step)
+    gang_adoption.tick(state, step)
+    gang_adoption.stop_obsolete(state, step)
+    job_outcomes.tick(state, step)
+    if _may_place(state, now_s):
+        _place_queued(state, step)
+
+
+def stalled(
+    state: state_lib.State, step: dispatch.Step, stall_s: float
+) -> None:
+    """Acts on nothing that was known before a stall of the event loop."""
+    worker_views.distrust(state, step.moment.now_s)
+
+
+def _let_go(state: state_lib.State, step: dispatch.Step) -> None:
+    """Forgets all gangs; the preferred instance finds them on the workers."""
+    jobs = state.jobs
+    if jobs.preferred_s is None:
+        return
+    step.note(effects.Part.JOBS, "another instance schedules")
+    jobs.preferred_s = None
+    jobs.gangs.clear()
+    for view in jobs.workers.values():
+        view.gangs.clear()
+    jobs.first_seen_s.clear()
+    jobs.outcomes.clear()
+    jobs.reclaims.clear()
+    jobs.queued_since_s.clear()
+    jobs.reservation = None
+
+
+def _may_place(state: state_lib.State, now_s: float) -> bool:
+    """Tells whether enough is known to place jobs.
+
+    The peers must have had time to be heard, and every worker that can be
+    reached must have reported, or gangs that run would be started again.
+    """
+    settled_s = now_s - state.jobs.preferred_s
+    return (
+        settled_s >= state.limits.suspect_after_s
+        and worker_views.all_tried(state)
+        and not drain.refuses_new_work(state, now_s)
+    )
+
+
+def _place_queued(state: state_lib.State, step: dispatch.Step) -> None:
+    queue = queued(state, step)
+    names = {sites.name_of(record) for record in queue}
+    jobs = state.jobs
+    for name in list(jobs.reclaims):
+        if name not in names:
+            del jobs.reclaims[name]
+    reservations.drop_stale(state, names)
+    if not queue:
+        return
+    if step.moment.now_s - jobs.used_halved_s > USAGE_HALF_LIFE_S:
+        jobs.used_halved_s = step.moment.now_s
+        jobs.used = {name: used / 2 for name, used in jobs.used.items()}
+    site = sites.build(state, step.moment.now_s)
+    for record in queue[:MAX_TRIED_JOBS]:
+        _try(state, step, site, record)
+    reservations.tick(state, step, site, queue)
+
+
+def queued(
+    state: state_lib.State, step: dispatch.Step
+) -> list[job_state.JobRecord]:
+    """Returns the jobs that may be placed now, the first in line first."""
+    now_s = step.moment.now_s
+    busy = {
+        gang.name
+        for gang in state.jobs.gangs.values()
+        if gang.stop is None or not gang.settled
+    }
+    for gang_id in state.jobs.first_seen_s:
+        busy |= _names_of_found(state, gang_id)
+    ready = []
+    for record in job_status.own_document(state).records.values():
+        name = sites.name_of(record)
+        if record.state is not kinds.JobState.QUEUED:
+            state.jobs.queued_since_s.pop(name, None)
+            state.jobs.checkpoints.pop(name, None)
+            state.jobs.retry_s.pop(name, None)
+            continue
+        if name in busy or _waits_for_store(state, record):
+            continue
+        state.jobs.queued_since_s.setdefault(name, now_s)
+        if _was_just_tried(state, name, now_s):
+            continue
+        if record.cancel:
+            state.jobs.retry_s[name] = now_s + RETRY_S
+            job_outcomes.cancel_queued(state, step, record)
+            continue
+        ready.append(record)
+    return sorted(ready, key=lambda record: _rank(state, record))
+
+
+def _names_of_found(
+    state: state_lib.State, gang_id: ids.GangId
+) -> set[job_state.JobName]:
+    """Returns the job of a gang that was found but not taken over yet."""
+    return {
+        (status.labels.organisation, status.labels.key)
+        for view in state.jobs.workers.values()
+        if view.report is not None
+        for status in view.report.parts
+        if status.gang_id == gang_id and status.state in job_state.OCCUPYING
+    }
+
+
+def _waits_for_store(
+    state: state_lib.State, record: job_state.JobRecord
+) -> bool:
+    """Tells whether a write decides whether the job may run again."""
+    if record.placement is not None:
+        return True
+    outcome = state.jobs.outcomes.get(sites.name_of(record))
+    if outcome is None:
+        return False
+    return outcome.final or not record.idempotent
+
+
+def _was_just_tried(
+    state: state_lib.State, name: job_state.JobName, now_s: float
+) -> bool:
+    return now_s < state.jobs.retry_s.get(name, float("-inf"))
+
+
+def _rank(state: state_lib.State, record: job_state.JobRecord) -> tuple:
+    """Orders the queue: worth, then what the organisation used of its share."""
+    job = record.job
+    organisation = state.configuration.organisations.get(job.organisation)
+    share = organisation.share if organisation else 1.0
+    used = state.jobs.used.get(job.organisation, 0.0)
+    worth = job_status.class_of(state, job).worth
+    return (-worth, used / max(share, 1e-9), record.accepted_ms, job.key)
+
+
+def _try(
+    state: state_lib.State,
+    step: dispatch.Step,
+    site: placement.Site,
+    record: job_state.JobRecord,
+) -> None:
+    """Places a job if there is room, or makes room for a guaranteed shape."""
+    name = sites.name_of(record)
+    reserved, backfills = reservations.kept_from(state, record)
+    kept = sites.merge(sites.reclaimed(state, name), reserved)
+    usable = sites.for_job(site, record, state, step.moment.now_s)
+    choice = placement.choose(
+        usable, record, kept, state.jobs.reclaims.get(name, {})
+    )
+    if choice is None:
+        state.jobs.reclaims.pop(name, None)
+        return
+    if choice.parts is None:
+        state.jobs.reclaims[name] = choice.claims
+        for gang in choice.victims:
+            cause = job_state.StopCause.RECLAIMED
+            gang_stops.stop(state, step, gang, cause)
+        return
+    state.jobs.reclaims.pop(name, None)
+    gang = gangs.create(state, step, record, choice.parts)
+    gang.backfill = backfills and reservations.overlaps(state, gang)
+    state.jobs.retry_s[name] = step.moment.now_s + RETRY_S
+    sites.occupy(site, gang, record)
+    _charge(state, record)
+
+
+def _charge(state: state_lib.State, record: job_state.JobRecord) -> None:
+    """Counts a start against the organisation's share."""
+    job = record.job
+    organisation = state.configuration.organisations.get(job.organisation)
+    unit = organisation.accounting_unit if organisation else "job"
+    cost = 1.0
+    if unit == "accelerator_second":
+        run_s = job.run_s or job_status.class_of(state, job).run_s
+        cost = job.tasks * job.accelerators * run_s
+    used = state.jobs.used.get(job.organisation, 0.0)
+    state.jobs.used[job.organisation] = used + cost
--- /dev/null
+++ b/dandelionpick/sites.py
@@ -0,0 +1,156 @@
+"""Builds the view of the workers that placement works on."""
+
+import dataclasses
+
+from dandelionpick import gang_parts
+from dandelionpick import job_state
+from dandelionpick import job_status
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import placement
+from dandelionpick import plan as plan_lib
+from dandelionpick import state as state_lib
+from dandelionpick import worker_views
+
+
+def name_of(record: job_state.JobRecord) -> job_state.JobName:
+    """Returns the name of a job."""
+    return (record.job.organisation, record.job.key)
+
+
+def plan_of(state: state_lib.State) -> plan_lib.Plan:
+    """Returns the plan for the configuration and the listed workers."""
+    entries = [
+        entry
+        for entry in worker_views.entries(state)
+        if entry.state is kinds.Liveness.LIVE
+    ]
+    sizes = tuple(
+        sorted((entry.id, entry.rack, entry.accelerators) for entry in entries)
+    )
+    made_from = (state.configuration.document.revision, sizes)
+    if state.jobs.planned_from != made_from:
+        state.jobs.planned_from = made_from
+        state.jobs.plan = plan_lib.make_plan(
+            state.configuration.organisations,
+            entries,
+            state.identity.failure_domain,
+        )
+    return state.jobs.plan
+
+
+def build(state: state_lib.State, now_s: float) -> placement.Site:
+    """Builds the view of all workers that report and stay."""
+    plan = plan_of(state)
+    entries = {
+        entry.id: entry
+        for entry in worker_views.entries(state)
+        if is_usable(state, entry, now_s)
+    }
+    site = placement.Site(
+        entries=entries,
+        free={
+            worker: set(range(entry.accelerators))
+            for worker, entry in entries.items()
+        },
+        cores={worker: entry.cores for worker, entry in entries.items()},
+        memory_gb={
+            worker: entry.memory_gb for worker, entry in entries.items()
+        },
+        occupants={worker: {} for worker in entries},
+        planned={},
+        shapes=plan.shapes,
+        rerunnable=set(),
+    )
+    for shape in plan.shapes:
+        for part in shape.parts:
+            indices = site.planned.setdefault(part.worker, {})
+            indices.update(dict.fromkeys(part.accelerators, shape))
+    _occupy_found(state, site)
+    for gang in state.jobs.gangs.values():
+        occupy(site, gang, job_status.record_of(state, gang.name))
+    return site
+
+
+def is_usable(
+    state: state_lib.State, entry: list_messages.InstanceEntry, now_s: float
+) -> bool:
+    """Tells whether a worker may take new parts."""
+    view = worker_views.view_of(state, entry.id)
+    return (
+        entry.state is kinds.Liveness.LIVE
+        and view.report is not None
+        and not view.report.leaving
+        and worker_views.is_fresh(state, view)
+        and not worker_views.is_silent(view, now_s)
+        and now_s >= view.quarantined_s
+    )
+
+
+def for_job(
+    site: placement.Site,
+    record: job_state.JobRecord,
+    state: state_lib.State,
+    now_s: float,
+) -> placement.Site:
+    """Returns the view without workers that only probe with idempotent work."""
+    if record.idempotent:
+        return site
+    entries = {
+        worker: entry
+        for worker, entry in site.entries.items()
+        if not worker_views.view_of(state, worker).failing
+    }
+    return dataclasses.replace(site, entries=entries)
+
+
+def _occupy_found(state: state_lib.State, site: placement.Site) -> None:
+    """Marks the accelerators of parts that no gang here knows."""
+    for worker in site.entries:
+        for status in state.jobs.workers[worker].report.parts:
+            if status.gang_id in state.jobs.gangs:
+                continue
+            if status.state in job_state.OCCUPYING:
+                site.free[worker].difference_update(status.accelerators)
+                unknown = dict.fromkeys(status.accelerators)
+                site.occupants[worker].update(unknown)
+
+
+def occupy(
+    site: placement.Site,
+    gang: job_state.Gang,
+    record: job_state.JobRecord | None,
+) -> None:
+    """Marks the accelerators of a gang."""
+    if record is not None and (record.idempotent or record.checkpointable):
+        site.rerunnable.add(gang.gang_id)
+    for worker, part in gang.parts.items():
+        if worker not in site.entries or not gang_parts.occupies(part):
+            continue
+        site.free[worker].difference_update(part.accelerators)
+        site.occupants[worker].update(dict.fromkeys(part.accelerators, gang))
+        if record is not None:
+            tasks = len(part.accelerators) // record.job.accelerators
+            site.cores[worker] -= tasks * record.job.cores
+            site.memory_gb[worker] -= tasks * record.job.memory_gb
+
+
+def merge(
+    one: placement.Accelerators, other: placement.Accelerators
+) -> placement.Accelerators:
+    """Returns the accelerators in either."""
+    return {
+        worker: one.get(worker, frozenset()) | other.get(worker, frozenset())
+        for worker in one.keys() | other.keys()
+    }
+
+
+def reclaimed(
+    state: state_lib.State, name: job_state.JobName
+) -> placement.Accelerators:
+    """Returns what other jobs have claimed and wait for."""
+    found: placement.Accelerators = {}
+    for other, accelerators in state.jobs.reclaims.items():
+        if other != name:
+            found = merge(found, accelerators)
+    return found
--- a/dandelionpick/worker_messages.py
+++ b/dandelionpick/worker_messages.py
@@ -76,6 +76,10 @@
 class StopPart(msgspec.Struct, frozen=True):
     """Releases a hold, or stops a part, and leaves a tombstone for the gang.
 
+    The reply tells the state of a part that had ended before. The refusal
+    UNKNOWN_PART means that this incarnation never started the part; the
+    tombstone is left all the same.
+
     Attributes:
         checkpoint: take a checkpoint of a running part first.
     """
@@ -90,6 +94,7 @@
     Attributes:
         checkpoint: the last checkpoint, or "".
         result: output of a finished part.
+        ran: whether the part was ever in state running.
     """
 
     gang_id: ids.GangId
@@ -98,6 +103,7 @@
     accelerators: list[int]
     checkpoint: str = ""
     result: str = ""
+    ran: bool = False
 
 
 class PartReply(msgspec.Struct, frozen=True, tag=True):
@@ -120,7 +126,8 @@
 class WorkerReport(msgspec.Struct, frozen=True, tag=True):
     """Reply to RenewLeases: every part the worker knows.
 
-    Parts that ended stay in the report for 60 seconds.
+    Parts that ended stay in the report for 60 seconds after they ended or
+    were last named in a RenewLeases, whichever is later.
 
     Attributes:
         usage: share of busy accelerators in [0, 1], with the platform's lag.
--- /dev/null
+++ b/dandelionpick/worker_views.py
@@ -0,0 +1,276 @@
+"""Lists workers, renews leases, and finds gangs that run on them.
+
+All knowledge of workers comes from their reports. When this instance becomes
+preferred, or after a stall of the event loop, what was reported to calls sent
+before is not trusted any more, and every worker is listed again.
+"""
+
+import dataclasses
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import gang_parts
+from dandelionpick import gang_stops
+from dandelionpick import gangs
+from dandelionpick import ids
+from dandelionpick import job_state
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import membership
+from dandelionpick import state as state_lib
+from dandelionpick import worker_messages
+
+LIST_PERIOD_S = 2.0
+RENEW_PERIOD_S = gang_parts.LEASE_S / 4
+# After a failed renewal the next is due this soon.
+RENEW_RETRY_S = 2.0
+# A worker that has not reported for this long gets no new parts.
+SILENT_S = 6.0
+# A worker on which parts of this many jobs failed in a row is quarantined.
+FAILING_JOBS = 3
+QUARANTINE_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """Context of a listing of a worker."""
+
+    worker: ids.InstanceId
+    sent_s: float
+
+
+def entries(state: state_lib.State) -> list[list_messages.InstanceEntry]:
+    """Returns the listed workers of this failure domain."""
+    return list(membership.targets(state, kinds.Role.WORKER))
+
+
+def view_of(
+    state: state_lib.State, worker: ids.InstanceId
+) -> job_state.WorkerView:
+    """Returns what is known of a worker, new if it was not known."""
+    view = state.jobs.workers.get(worker)
+    if view is None:
+        view = job_state.WorkerView()
+        state.jobs.workers[worker] = view
+    return view
+
+
+def distrust(state: state_lib.State, now_s: float) -> None:
+    """Drops what is known of the workers until they are listed again."""
+    state.jobs.trusted_s = now_s
+    for view in state.jobs.workers.values():
+        view.tried = False
+        view.list_sent_s = float("-inf")
+        view.list_pending = False
+
+
+def is_fresh(state: state_lib.State, view: job_state.WorkerView) -> bool:
+    """Tells whether a worker has reported since it was last distrusted."""
+    return view.report_sent_s >= state.jobs.trusted_s
+
+
+def is_silent(view: job_state.WorkerView, now_s: float) -> bool:
+    """Tells whether a worker's last report is too old to place parts."""
+    return now_s - view.report_sent_s > SILENT_S
+
+
+def all_tried(state: state_lib.State) -> bool:
+    """Tells whether every worker has reported, or could not be reached."""
+    return all(view_of(state, entry.id).tried for entry in entries(state))
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Lists workers and renews leases when they are due."""
+    now_s = step.moment.now_s
+    listed = entries(state)
+    for entry in listed:
+        view = view_of(state, entry.id)
+        due = now_s - view.list_sent_s >= LIST_PERIOD_S
+        if due and not view.list_pending:
+            view.list_pending = True
+            view.list_sent_s = now_s
+            dispatch.call(
+                state,
+                step,
+                gang_parts.destination_of(state, entry.id),
+                worker_messages.RenewLeases([], gang_parts.LEASE_S),
+                Listed(entry.id, now_s),
+                state.limits.call_timeout_s,
+            )
+        if view.gangs and now_s - view.renew_sent_s >= RENEW_PERIOD_S:
+            _renew(state, step, entry.id, view)
+
+
+def _renew(
+    state: state_lib.State,
+    step: dispatch.Step,
+    worker: ids.InstanceId,
+    view: job_state.WorkerView,
+) -> None:
+    due = [
+        gang_id
+        for gang_id in sorted(view.gangs)
+        if _may_renew(state, step, state.jobs.gangs[gang_id], worker)
+    ]
+    if due:
+        view.renew_sent_s = step.moment.now_s
+        gangs.renew(state, step, worker, due, gang_parts.LEASE_S)
+
+
+def _may_renew(
+    state: state_lib.State,
+    step: dispatch.Step,
+    gang: job_state.Gang,
+    worker: ids.InstanceId,
+) -> bool:
+    """Tells whether a part's full lease may be renewed.
+
+    A finished part is named as well, so that its worker keeps reporting it.
+    """
+    part = gang.parts[worker]
+    if gang.stop is not None or not gangs.is_known(state, step, gang):
+        return False
+    if part.state is kinds.PartState.FINISHED:
+        return True
+    return part.long_lease and part.state is kinds.PartState.RUNNING
+
+
+@dispatch.returned.register
+def _(
+    context: Listed,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: worker_messages.WorkerReport,
+) -> None:
+    view = view_of(state, context.worker)
+    if context.sent_s == view.list_sent_s:
+        view.list_pending = False
+    take_report(state, step, context.worker, reply, context.sent_s)
+
+
+@dispatch.failed.register
+def _(
+    context: Listed,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    view = view_of(state, context.worker)
+    if context.sent_s == view.list_sent_s:
+        view.list_pending = False
+        view.tried = True
+
+
+@dispatch.returned.register
+def _(
+    context: gangs.Renewed,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: worker_messages.WorkerReport,
+) -> None:
+    for gang_id in context.gang_ids:
+        gang = state.jobs.gangs.get(gang_id)
+        if gang is None:
+            continue
+        part = gang.parts[context.worker]
+        part.pending = False
+        part.lease_end_s = step.moment.now_s + context.lease_s
+        if context.lease_s == gang_parts.LEASE_S:
+            part.long_lease = True
+    take_report(state, step, context.worker, reply, context.sent_s)
+
+
+@dispatch.failed.register
+def _(
+    context: gangs.Renewed,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    view = view_of(state, context.worker)
+    view.renew_sent_s = min(
+        view.renew_sent_s,
+        step.moment.now_s - RENEW_PERIOD_S + RENEW_RETRY_S,
+    )
+    for gang_id in context.gang_ids:
+        gang = state.jobs.gangs.get(gang_id)
+        if gang is not None:
+            part = gang.parts[context.worker]
+            part.pending = False
+            part.retry_s = step.moment.now_s + gangs.RETRY_S
+
+
+def take_report(
+    state: state_lib.State,
+    step: dispatch.Step,
+    worker: ids.InstanceId,
+    report: worker_messages.WorkerReport,
+    sent_s: float,
+) -> None:
+    """Takes over a worker's report and drives the gangs that it concerns."""
+    view = view_of(state, worker)
+    if sent_s < view.report_sent_s:
+        return
+    if view.report and view.report.incarnation != report.incarnation:
+        step.note(effects.Part.JOBS, f"worker {worker} was restarted")
+    view.report = report
+    view.report_sent_s = sent_s
+    if is_fresh(state, view):
+        view.tried = True
+    statuses = {status.gang_id: status for status in report.parts}
+    changed = []
+    for gang_id in sorted(view.gangs):
+        gang = state.jobs.gangs[gang_id]
+        part = gang.parts[worker]
+        before = part.state
+        status = statuses.get(gang_id)
+        if status is not None or report.incarnation != part.incarnation:
+            gang_parts.learn(step, part, status, report.incarnation, sent_s)
+        elif part.state in job_state.OCCUPYING and part.seen_s <= sent_s:
+            part.state = kinds.PartState.STOPPED
+        if part.state is not before:
+            judge(state, step, worker, gang, part)
+        changed.append(gang)
+    for gang in changed:
+        if gang.gang_id in state.jobs.gangs:
+            gangs.drive(state, step, gang)
+
+
+def judge(
+    state: state_lib.State,
+    step: dispatch.Step,
+    worker: ids.InstanceId,
+    gang: job_state.Gang,
+    part: job_state.Part,
+) -> None:
+    """Quarantines a worker on which the parts of several jobs fail."""
+    view = view_of(state, worker)
+    if part.state is kinds.PartState.FINISHED:
+        view.failing.clear()
+        view.quarantined_s = float("-inf")
+    elif part.state is kinds.PartState.FAILED:
+        view.failing.add(gang.name)
+        if len(view.failing) >= FAILING_JOBS:
+            view.quarantined_s = step.moment.now_s + QUARANTINE_S
+            step.note(
+                effects.Part.JOBS,
+                f"worker {worker} is quarantined: parts of"
+                f" {len(view.failing)} jobs failed in a row",
+                warning=True,
+            )
+
+
+def check_leases(state: state_lib.State, step: dispatch.Step) -> None:
+    """Stops gangs with a part whose lease lapsed without a report."""
+    now_s = step.moment.now_s
+    for gang in list(state.jobs.gangs.values()):
+        lapsed = gang.stop is None and any(
+            part.state in job_state.OCCUPYING
+            and now_s > part.lease_end_s
+            and now_s - part.known_s > SILENT_S
+            for part in gang.parts.values()
+        )
+        if lapsed:
+            gang_stops.stop(state, step, gang, job_state.StopCause.LOST)
+        elif gang.gang_id in state.jobs.gangs:
+            gangs.drive(state, step, gang)
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -28,8 +28,11 @@
 from standins import executor
 from standins import instance_list
 from standins import store
+from standins import worker
 
 POLL_S = 0.005
+# Longer than any timeout of a caller, so that the reply counts as lost.
+LOST_REPLY_S = 30.0
 
 Handle = Callable[[Any], Awaitable[Any]]
 Control = Callable[[dict[str, Any]], None]
@@ -136,11 +139,34 @@
 
 def build_worker(options: dict[str, Any]) -> Parts:
     """Builds a worker."""
+    model = worker.Worker(
+        options.get("accelerators", 8),
+        secrets.token_hex(8),
+        options.get("cores", 64),
+        options.get("memory_gb", 128),
+    )
+    lost_replies = options.get("lost_replies", 0)
 
     async def handle(message: Any) -> Any:
-        raise NotImplementedError
+        nonlocal lost_replies
+        reply = model.handle(
+            message, time.monotonic(), time.time_ns() // 1_000_000
+        )
+        if lost_replies:
+            lost_replies -= 1
+            await asyncio.sleep(LOST_REPLY_S)
+        return reply
+
+    def control(changes: dict[str, Any]) -> None:
+        nonlocal lost_replies
+        model.leaving = changes.get("leaving", model.leaving)
+        model.fails = changes.get("fails", model.fails)
+        model.speed = changes.get("speed", model.speed)
+        lost_replies = changes.get("lost_replies", lost_replies)
+        if changes.get("restart"):
+            model.restart(secrets.token_hex(8), time.monotonic())
 
-    return wire.WORKER, handle, ignore
+    return wire.WORKER, handle, control
 
 
 BUILDERS = {
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -92,6 +92,22 @@
     )
 
 
+def job(
+    key: str, job_class: str = "assessment", **fields: Any
+) -> caller_messages.SubmitJob:
+    """Builds a submission of a gang of two tasks of four accelerators."""
+    defaults = {
+        "organisation": ids.OrganisationId("ward"),
+        "tasks": 2,
+        "accelerators": 4,
+    }
+    return caller_messages.SubmitJob(
+        job_class=ids.ClassName(job_class),
+        key=ids.RequestKey(key),
+        **{**defaults, **fields},
+    )
+
+
 def uuid7(number: int, unix_ms: int) -> ids.RequestKey:
     """Builds a UUIDv7 key from a number."""
     return ids.new_key(unix_ms, number)
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -23,6 +23,7 @@
 from standins import executor as executor_lib
 from standins import instance_list
 from standins import store as store_lib
+from standins import worker as worker_lib
 from tests import builders
 
 TICK_S = 0.1
@@ -102,6 +103,13 @@
         entry = builders.executor_entry(name, domain, slots)
         return self.add_target(entry, model)
 
+    def add_worker(
+        self, name: str, domain: str, rack: str = "rack-1"
+    ) -> worker_lib.Worker:
+        """Adds a worker of 8 accelerators and lists it."""
+        model = worker_lib.Worker(8, self.new_incarnation())
+        return self.add_target(builders.worker_entry(name, domain, rack), model)
+
     def add_target(self, entry: list_messages.InstanceEntry, model: Any) -> Any:
         """Adds a target's model and lists it."""
         self.targets[entry.id] = model
