--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -4,6 +4,7 @@
 import functools
 from collections.abc import Callable
 from collections.abc import Sequence
+from types import ModuleType
 
 from dandelionpick import configuration
 from dandelionpick import dispatch
@@ -11,19 +12,26 @@
 from dandelionpick import edits
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import job_lookup
+from dandelionpick import jobs
 from dandelionpick import membership
-from dandelionpick import operator_reads  # noqa: F401 registers handlers
+from dandelionpick import operator_reads
 from dandelionpick import requests
+from dandelionpick import schedule
 from dandelionpick import state as state_lib
 
 Handler = Callable[[state_lib.State, dispatch.Step], None]
 
+# These only register handlers of messages.
+HANDLERS: tuple[ModuleType, ...] = (job_lookup, jobs, operator_reads)
+
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
     membership.tick,
     configuration.tick,
     edits.tick,
     requests.tick,
+    schedule.tick,
     drain.tick,
 )
 
@@ -121,6 +129,7 @@
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
     membership.stalled(state, step, event.stall_s)
+    schedule.stalled(state, step, event.stall_s)
 
 
 @_apply.register
