Claim non-idempotent requests and prove outcomes before answering

Cause: non-idempotent requests were started without a claim, a lost reply sent them to another executor, and not_run was told although a start could still be in flight.

Ruled out: taking a refusal as final proof for non-idempotent work (a second copy of the start may still arrive; a tombstone is left first), and one read before each write of a bucket (a conflict returns the current value anyway).

--- /dev/null
+++ b/dandelionpick/claim_state.py
@@ -0,0 +1,133 @@
+"""Records of claims in the store and the buckets that hold them."""
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgspec
+
+from dandelionpick import ids
+
+ClaimName = tuple[ids.OrganisationId, ids.RequestKey]
+
+
+class ClaimState(enum.Enum):
+    """What a claim says about its key; COMPLETED and NOT_RUN are final."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+
+
+class ClaimRecord(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
+    """The store's record that a key is being run, and where.
+
+    Attributes:
+        body_digest: SHA-256 of the submitted body or job.
+        claim_id: names the submission that wrote the claim.
+        task_id: the task of a request; "" for a job.
+        target: the executor of a request; "" for a job.
+        incarnation: the executor's incarnation; "" for a job.
+        failure_domain: the failure domain of a job; "" for a request.
+        start_deadline_ms: Unix milliseconds after which the target must not
+            start the task.
+        final_ms: Unix milliseconds when the state became final.
+        succeeded: False if the task itself failed.
+        length: bytes in the response.
+        digest: SHA-256 of the response in hexadecimal.
+        body: the response, or None if it is too large for the record.
+    """
+
+    organisation: ids.OrganisationId
+    key: ids.RequestKey
+    body_digest: str
+    claim_id: str
+    state: ClaimState = ClaimState.CLAIMED
+    task_id: ids.TaskId = ids.TaskId("")
+    target: ids.InstanceId = ids.InstanceId("")
+    incarnation: ids.Incarnation = ids.Incarnation("")
+    failure_domain: ids.FailureDomain = ids.FailureDomain("")
+    start_deadline_ms: int = 0
+    final_ms: int = 0
+    succeeded: bool = True
+    length: int = 0
+    digest: str = ""
+    body: bytes | None = None
+
+    def name(self) -> ClaimName:
+        """Returns organisation and key."""
+        return (self.organisation, self.key)
+
+
+def with_fields(record: ClaimRecord, **fields: Any) -> ClaimRecord:
+    """Returns a copy of a record with other values in some fields."""
+    return msgspec.structs.replace(record, **fields)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Change:
+    """A wish to write or read one claim.
+
+    Attributes:
+        record: the claim to write, or None to read.
+        expected: the record that the write replaces; None if there is none.
+        context: selects the continuation.
+        give_up_s: monotonic seconds of the verdict UNAVAILABLE.
+    """
+
+    name: ClaimName
+    record: ClaimRecord | None
+    expected: ClaimRecord | None
+    context: Any
+    give_up_s: float
+    trace: str
+
+
+@dataclasses.dataclass(slots=True)
+class Bucket:
+    """A value in the store as this instance last saw it.
+
+    Attributes:
+        must_read: the state in the store is uncertain since a lost reply.
+        waiting: changes for the next write.
+        in_flight: changes that the current write contains.
+        next_records: the value that the current write establishes.
+        calling: whether a store call is under way.
+        retry_s: monotonic seconds before which no call is made.
+        used_s: monotonic seconds of the last change.
+    """
+
+    version: int = 0
+    records: dict[ClaimName, ClaimRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    must_read: bool = False
+    waiting: list[Change] = dataclasses.field(default_factory=list)
+    in_flight: list[Change] = dataclasses.field(default_factory=list)
+    next_records: dict[ClaimName, ClaimRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    calling: bool = False
+    retry_s: float = float("-inf")
+    used_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Claims:
+    """Claims that this instance writes or reads.
+
+    Attributes:
+        buckets: by key in the store.
+        claims_made: number of the last claim id.
+        sweep_minute: Unix minute of the last sweep.
+        sweep_keys: buckets that the current sweep has yet to read.
+        sweeping: whether a call of the sweep is under way.
+    """
+
+    buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    claims_made: int = 0
+    sweep_minute: int = 0
+    sweep_keys: list[str] = dataclasses.field(default_factory=list)
+    sweeping: bool = False
--- /dev/null
+++ b/dandelionpick/claimed_requests.py
@@ -0,0 +1,399 @@
+"""Non-idempotent requests: claim first, then start, or join a claim."""
+
+import dataclasses
+
+from dandelionpick import caller_messages
+from dandelionpick import claim_state
+from dandelionpick import claims
+from dandelionpick import dispatch
+from dandelionpick import errors
+from dandelionpick import executor_messages
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import outcomes
+from dandelionpick import request_state
+from dandelionpick import routing
+from dandelionpick import runs
+from dandelionpick import state as state_lib
+
+# A claim allows its start for this long. A retry must wait for its end, plus
+# the clock margin, before it may claim for another executor.
+START_WINDOW_S = 4.0
+# An incarnation heard longer ago is asked for again before the claim: a claim
+# that names a dead incarnation can only end as unknown.
+INCARNATION_AGE_S = 1.0
+REACH_BACKOFF_S = 0.25
+COMPLETION_TIMEOUT_S = 60.0
+RETENTION_MS = 24 * 3600 * 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncarnationAsked:
+    """Context of the question which incarnation an executor has."""
+
+    request: request_state.Request
+    entry: list_messages.InstanceEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimLooked:
+    """Context of the read that precedes a retry's claim."""
+
+    request: request_state.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWritten:
+    """Context of the claim that precedes a start."""
+
+    request: request_state.Request
+    entry: list_messages.InstanceEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionWritten:
+    """Context of the record of a response."""
+
+
+def is_expired(key: ids.RequestKey, unix_ms: int) -> bool:
+    """Tells whether a UUIDv7 key is older than the retention of claims."""
+    time_ms = ids.key_time_ms(key)
+    return time_ms is not None and unix_ms - time_ms > RETENTION_MS
+
+
+def must_look_first(
+    request: request_state.Request, step: dispatch.Step
+) -> bool:
+    """Tells whether a claim of the key is likely, or the key has expired."""
+    if request.job_class.idempotent:
+        return False
+    submission = request.submission
+    return submission.attempt > 1 or is_expired(
+        submission.key, step.moment.unix_ms
+    )
+
+
+def look(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+) -> None:
+    """Reads the claim before the request needs an executor."""
+    request.phase = request_state.Phase.CLAIMING
+    claims.read(
+        state,
+        step,
+        request.name(),
+        ClaimLooked(request),
+        timeout_s=_claim_timeout_s(request, step),
+    )
+
+
+def _claim_timeout_s(
+    request: request_state.Request, step: dispatch.Step
+) -> float:
+    return min(START_WINDOW_S / 2, request.deadline_s - step.moment.now_s)
+
+
+@claims.decided.register
+def _(
+    context: ClaimLooked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    verdict: claims.Verdict,
+) -> None:
+    request = context.request
+    if request.answer is not None:
+        return
+    if verdict.status is claims.ClaimStatus.UNAVAILABLE:
+        problem = outcomes.store_unavailable()
+        outcomes.end_without_result(state, step, request, problem)
+    elif verdict.record is not None:
+        join(state, step, request, verdict.record)
+    elif is_expired(request.submission.key, step.moment.unix_ms):
+        request.foreign = True
+        outcomes.end_without_result(state, step, request, key_expired())
+    else:
+        requeue(state, request)
+
+
+def key_expired() -> errors.Problem:
+    """Builds the problem of a key without a claim that is too old."""
+    return errors.Problem(
+        errors.ProblemKind.KEY_EXPIRED,
+        "The key is older than 24 hours and its claim is gone.",
+        "Use a new key for a new request.",
+    )
+
+
+def requeue(state: state_lib.State, request: request_state.Request) -> None:
+    """Puts a request back at the head of the queue."""
+    request.phase = request_state.Phase.QUEUED
+    request.current = None
+    state.requests.queue.insert(0, request.name())
+
+
+def begin(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    entry: list_messages.InstanceEntry,
+) -> None:
+    """Claims the key for an executor whose incarnation is known."""
+    request.phase = request_state.Phase.CLAIMING
+    load = runs.reserve(state, entry)
+    now_s = step.moment.now_s
+    if now_s - load.heard_s <= INCARNATION_AGE_S:
+        write_claim(state, step, request, entry)
+        return
+    step.trace = request.trace
+    probe = ids.TaskId(f"probe-{state.incarnation}-{state.calls_made}")
+    dispatch.call(
+        state,
+        step,
+        runs.destination_of(entry),
+        executor_messages.QueryTask(probe),
+        IncarnationAsked(request, entry),
+        min(runs.ASK_TIMEOUT_S, request.deadline_s - now_s),
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: IncarnationAsked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: executor_messages.TaskReply,
+) -> None:
+    request = context.request
+    runs.heard(state, step, context.entry.id, reply)
+    if request.answer is not None:
+        runs.release(state, context.entry.id)
+    elif reply.leaving:
+        runs.release(state, context.entry.id)
+        requeue(state, request)
+    else:
+        write_claim(state, step, request, context.entry)
+
+
+@dispatch.failed.register
+def _(
+    context: IncarnationAsked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    request = context.request
+    runs.release(state, context.entry.id)
+    load = state.requests.load.get(context.entry.id)
+    if load is not None:
+        load.busy_until_s = step.moment.now_s + REACH_BACKOFF_S
+    if request.answer is None:
+        request.tried.append(context.entry.id)
+        requeue(state, request)
+
+
+def write_claim(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    entry: list_messages.InstanceEntry,
+) -> None:
+    """Writes the claim; the start follows when it is confirmed."""
+    submission = request.submission
+    window_ms = step.moment.unix_ms + int(START_WINDOW_S * 1000)
+    record = claims.new_record(
+        state,
+        submission.organisation,
+        submission.key,
+        request.digest,
+        target=entry.id,
+        incarnation=routing.load_of(state, entry).incarnation,
+        start_deadline_ms=min(request.deadline_ms, window_ms),
+    )
+    record = _with_task_id(record)
+    step.trace = request.trace
+    claims.claim(
+        state,
+        step,
+        record,
+        ClaimWritten(request, entry),
+        timeout_s=_claim_timeout_s(request, step),
+        expected=request.replaceable,
+    )
+
+
+def _with_task_id(
+    record: claim_state.ClaimRecord,
+) -> claim_state.ClaimRecord:
+    """Derives the task id from the key and the claim.
+
+    Each claim has a task id of its own, so that a tombstone for an earlier
+    claim does not stop a later one.
+    """
+    text = f"{record.organisation}/{record.key}/{record.body_digest}"
+    prefix = executor_messages.digest_of(text.encode())[:32]
+    task_id = ids.TaskId(f"{prefix}-{record.claim_id}")
+    return claim_state.with_fields(record, task_id=task_id)
+
+
+@claims.decided.register
+def _(
+    context: ClaimWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    verdict: claims.Verdict,
+) -> None:
+    request = context.request
+    confirmed = verdict.status is claims.ClaimStatus.CONFIRMED
+    if request.answer is None and confirmed:
+        _start_claimed(state, step, request, context.entry, verdict.record)
+        return
+    runs.release(state, context.entry.id)
+    if request.answer is not None:
+        return
+    request.replaceable = None
+    if verdict.status is claims.ClaimStatus.UNAVAILABLE:
+        problem = outcomes.store_unavailable()
+        outcomes.end_without_result(state, step, request, problem)
+    elif verdict.record is None:
+        requeue(state, request)
+    else:
+        join(state, step, request, verdict.record)
+
+
+def _start_claimed(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    entry: list_messages.InstanceEntry,
+    record: claim_state.ClaimRecord,
+) -> None:
+    """Sends the start, unless the confirmation came too late for it.
+
+    After a stall the claim may have been replaced: its start deadline has
+    passed then, and the executor would refuse too.
+    """
+    request.claim = record
+    request.replaceable = None
+    if step.moment.unix_ms >= record.start_deadline_ms:
+        request.replaceable = record
+        runs.release(state, entry.id)
+        requeue(state, request)
+        return
+    run = request_state.Run(
+        record.target,
+        record.task_id,
+        record.incarnation,
+        record.start_deadline_ms,
+    )
+    request.starts.append(run)
+    runs.send(state, step, request, run, entry)
+
+
+def join(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    record: claim_state.ClaimRecord,
+) -> None:
+    """Answers from a claim, or follows the task that it names."""
+    request.claim = record
+    request.foreign = True
+    if record.state is claim_state.ClaimState.NOT_RUN:
+        request.key_not_run = True
+        problem = outcomes.cancelled()
+        outcomes.end_without_result(state, step, request, problem)
+    elif record.body_digest != request.digest:
+        problem = outcomes.key_reused()
+        outcomes.end_without_result(state, step, request, problem)
+    elif record.body is not None:
+        answer = answer_of(record)
+        outcomes.finish(state, step, request, answer)
+    else:
+        run = request_state.Run(
+            record.target,
+            record.task_id,
+            record.incarnation,
+            record.start_deadline_ms,
+            own=False,
+        )
+        request.starts.append(run)
+        request.phase = request_state.Phase.RUNNING
+        request.current = run
+        runs.follow(state, step, request, run)
+
+
+def answer_of(record: claim_state.ClaimRecord) -> caller_messages.Answer:
+    """Builds the answer that a completed claim holds."""
+    return caller_messages.Answer(
+        organisation=record.organisation,
+        key=record.key,
+        outcome=kinds.Outcome.COMPLETED,
+        body=record.body,
+        length=record.length,
+        digest=record.digest,
+        problem=None if record.succeeded else outcomes.task_failed(),
+    )
+
+
+def closed(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    run: request_state.Run,
+) -> None:
+    """Claims anew after a run that is proved not run; else gives up."""
+    if request.current is not run:
+        return
+    claimed = request.claim.state is claim_state.ClaimState.CLAIMED
+    if run.state is runs.NOT_RUN and claimed and not request.cancelled:
+        request.replaceable = request.claim
+        requeue(state, request)
+        return
+    problem = outcomes.target_lost()
+    outcomes.end_without_result(state, step, request, problem)
+
+
+def record_completion(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    result: executor_messages.TaskResult,
+) -> None:
+    """Writes the response to the claim, for retries after the executor."""
+    claim = request.claim
+    if claim is None or claim.state is not claim_state.ClaimState.CLAIMED:
+        return
+    if claim.task_id != result.task_id:
+        return
+    kept = result.length <= claims.MAX_KEPT_RESPONSE_BYTES
+    record = claim_state.with_fields(
+        claim,
+        state=claim_state.ClaimState.COMPLETED,
+        final_ms=step.moment.unix_ms,
+        succeeded=result.succeeded,
+        length=result.length,
+        digest=result.digest,
+        body=result.body if kept else None,
+    )
+    request.claim = record
+    claims.claim(
+        state,
+        step,
+        record,
+        CompletionWritten(),
+        timeout_s=COMPLETION_TIMEOUT_S,
+        expected=claim,
+    )
+
+
+@claims.decided.register
+def _(
+    context: CompletionWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    verdict: claims.Verdict,
+) -> None:
+    """Does nothing: without the record, retries ask the executor."""
--- /dev/null
+++ b/dandelionpick/claims.py
@@ -0,0 +1,323 @@
+"""Claims: non-idempotent work and jobs run at most once anywhere.
+
+A claim is a record under `claims/<shard>/<minute>` in the store. `claim` adds
+or replaces one record and `read` returns one; both call `decided`, registered
+by the type of the context, exactly once with a Verdict:
+
+* CONFIRMED: the store holds exactly the given record. Only now may something
+  be dispatched, and only while the record's start deadline has not passed:
+  the verdict can be late after a stall of the event loop.
+* EXISTS: the store holds another record, which the verdict carries.
+* ABSENT: the store holds no record (only after `read`, or after a `claim`
+  with `expected` whose record is gone).
+* UNAVAILABLE: the store gave no answer in time. The record may still appear;
+  the submission must dispatch nothing on the strength of it.
+
+A job claims with `failure_domain` and `body_digest` set and `target` empty:
+
+    record = claims.new_record(state, organisation, key, digest,
+                               failure_domain=domain)
+    claims.claim(state, step, record, JobClaimed(...), timeout_s=3.0)
+
+    @claims.decided.register
+    def _(context: JobClaimed, state, step, verdict): ...
+
+Changes of one bucket that arrive while a write is in flight share the next
+write. A lost reply is resolved by reading the bucket.
+"""
+
+import dataclasses
+import functools
+from typing import Any
+
+import msgspec
+
+from dandelionpick import claim_buckets
+from dandelionpick import claim_state
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from dandelionpick import store_messages
+
+MAX_KEPT_RESPONSE_BYTES = 8_192
+# The store's limit is 1 MB; the rest is for other fields and rounding.
+MAX_BUCKET_BYTES = 900_000
+# The store answers in milliseconds. A lost reply must be noticed early enough
+# to read the bucket before the change's own timeout.
+STORE_TIMEOUT_S = 0.7
+RETRY_BACKOFF_S = 0.1
+IDLE_BUCKET_S = 120.0
+
+ClaimStatus = claim_buckets.ClaimStatus
+Verdict = claim_buckets.Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BucketRead:
+    """Context of a read of a bucket."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BucketWritten:
+    """Context of a write of a bucket."""
+
+    key: str
+
+
+@functools.singledispatch
+def decided(
+    context: Any, state: state_lib.State, step: dispatch.Step, verdict: Verdict
+) -> None:
+    """Continues whoever asked for a claim, by the type of the context."""
+    raise TypeError(f"no handler for context {type(context).__name__}")
+
+
+def new_record(
+    state: state_lib.State,
+    organisation: ids.OrganisationId,
+    key: ids.RequestKey,
+    body_digest: str,
+    **fields: Any,
+) -> claim_state.ClaimRecord:
+    """Builds a record with a claim id of its own."""
+    state.claims.claims_made += 1
+    claim_id = f"{state.incarnation}-{state.claims.claims_made}"
+    return claim_state.ClaimRecord(
+        organisation=organisation,
+        key=key,
+        body_digest=body_digest,
+        claim_id=claim_id,
+        **fields,
+    )
+
+
+def claim(
+    state: state_lib.State,
+    step: dispatch.Step,
+    record: claim_state.ClaimRecord,
+    context: Any,
+    *,
+    timeout_s: float,
+    expected: claim_state.ClaimRecord | None = None,
+) -> None:
+    """Writes a record in place of `expected`, or of no record.
+
+    Args:
+        state: the reducer's state.
+        step: the current step.
+        record: the record to write; its key is a UUIDv7.
+        context: a struct whose type has a `decided` handler.
+        timeout_s: seconds until the verdict UNAVAILABLE.
+        expected: the record to replace; anything else gives EXISTS.
+    """
+    _add(state, step, record.name(), record, expected, context, timeout_s)
+
+
+def read(
+    state: state_lib.State,
+    step: dispatch.Step,
+    name: claim_state.ClaimName,
+    context: Any,
+    *,
+    timeout_s: float,
+) -> None:
+    """Reads a record; the verdict is EXISTS, ABSENT or UNAVAILABLE."""
+    _add(state, step, name, None, None, context, timeout_s)
+
+
+def _add(
+    state: state_lib.State,
+    step: dispatch.Step,
+    name: claim_state.ClaimName,
+    record: claim_state.ClaimRecord | None,
+    expected: claim_state.ClaimRecord | None,
+    context: Any,
+    timeout_s: float,
+) -> None:
+    key = claim_buckets.bucket_key(*name)
+    bucket = state.claims.buckets.setdefault(key, claim_state.Bucket())
+    now_s = step.moment.now_s
+    bucket.used_s = now_s
+    bucket.waiting.append(
+        claim_state.Change(
+            name, record, expected, context, now_s + timeout_s, step.trace
+        )
+    )
+    _advance(state, step, key, bucket, fresh=False)
+
+
+def _advance(
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+    bucket: claim_state.Bucket,
+    fresh: bool,
+) -> None:
+    """Decides what a fresh value decides and starts the next call."""
+    if bucket.calling or step.moment.now_s < bucket.retry_s:
+        return
+    verdicts = []
+    if fresh:
+        verdicts = claim_buckets.take_decided(bucket)
+    if bucket.waiting:
+        if bucket.must_read or any(
+            not claim_buckets.is_writable(bucket, change)
+            for change in bucket.waiting
+        ):
+            _send_read(state, step, key, bucket)
+        else:
+            _send_write(state, step, key, bucket)
+    for change, verdict in verdicts:
+        _decide(state, step, change, verdict)
+
+
+def _decide(
+    state: state_lib.State,
+    step: dispatch.Step,
+    change: claim_state.Change,
+    verdict: Verdict,
+) -> None:
+    step.trace = change.trace
+    decided(change.context, state, step, verdict)
+
+
+def _send_read(
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+    bucket: claim_state.Bucket,
+) -> None:
+    bucket.calling = True
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Read(key),
+        BucketRead(key),
+        STORE_TIMEOUT_S,
+    )
+
+
+def _send_write(
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+    bucket: claim_state.Bucket,
+) -> None:
+    """Writes all waiting changes, one for each name."""
+    records = dict(bucket.records)
+    in_flight = {}
+    later = []
+    for change in bucket.waiting:
+        if change.name in in_flight:
+            later.append(change)
+            continue
+        in_flight[change.name] = change
+        records[change.name] = change.record
+    text = claim_buckets.encode(records)
+    if len(text) > MAX_BUCKET_BYTES:
+        for change in in_flight.values():
+            change.record = msgspec.structs.replace(change.record, body=None)
+            records[change.name] = change.record
+        text = claim_buckets.encode(records)
+    bucket.waiting = later
+    bucket.in_flight = list(in_flight.values())
+    bucket.next_records = records
+    bucket.calling = True
+    write_id = f"{state.incarnation}-{state.calls_made + 1}"
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Write(key, bucket.version, text, write_id),
+        BucketWritten(key),
+        STORE_TIMEOUT_S,
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: BucketRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: store_messages.Value,
+) -> None:
+    bucket = state.claims.buckets[context.key]
+    claim_buckets.end_call(bucket)
+    claim_buckets.adopt(bucket, reply)
+    _advance(state, step, context.key, bucket, fresh=True)
+
+
+@dispatch.returned.register
+def _(
+    context: BucketWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: store_messages.Written | store_messages.Conflict,
+) -> None:
+    bucket = state.claims.buckets[context.key]
+    if isinstance(reply, store_messages.Conflict):
+        claim_buckets.end_call(bucket)
+        claim_buckets.adopt(bucket, reply)
+        _advance(state, step, context.key, bucket, fresh=True)
+        return
+    confirmed = bucket.in_flight
+    bucket.in_flight = []
+    bucket.calling = False
+    bucket.version = reply.version
+    bucket.records = bucket.next_records
+    _advance(state, step, context.key, bucket, fresh=True)
+    for change in confirmed:
+        verdict = Verdict(ClaimStatus.CONFIRMED, change.record)
+        _decide(state, step, change, verdict)
+
+
+@dispatch.failed.register(BucketRead)
+@dispatch.failed.register(BucketWritten)
+def _(
+    context: BucketRead | BucketWritten,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    """Reads before the next write: a lost write may have taken effect."""
+    bucket = state.claims.buckets[context.key]
+    claim_buckets.end_call(bucket)
+    bucket.must_read = True
+    jitter = 0.5 + step.moment.draw
+    bucket.retry_s = step.moment.now_s + RETRY_BACKOFF_S * jitter
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Gives up on overdue changes, repeats calls, forgets idle buckets."""
+    now_s = step.moment.now_s
+    for key, bucket in list(state.claims.buckets.items()):
+        for change in claim_buckets.take_overdue(bucket, now_s):
+            step.note(
+                effects.Part.CLAIMS,
+                f"no verdict of the store on {key} in time",
+                warning=True,
+            )
+            _decide(state, step, change, Verdict(ClaimStatus.UNAVAILABLE))
+        _advance(state, step, key, bucket, fresh=False)
+        idle = not (bucket.calling or bucket.waiting)
+        if idle and now_s - bucket.used_s > IDLE_BUCKET_S:
+            del state.claims.buckets[key]
+
+
+def stalled(state: state_lib.State) -> None:
+    """Makes every bucket be read again before it is written."""
+    for bucket in state.claims.buckets.values():
+        bucket.must_read = True
+
+
+def is_idle(state: state_lib.State) -> bool:
+    """Tells whether no change waits, so that a planned stop may exit."""
+    return not any(
+        bucket.waiting or bucket.in_flight
+        for bucket in state.claims.buckets.values()
+    )
--- /dev/null
+++ b/dandelionpick/outcomes.py
@@ -0,0 +1,217 @@
+"""Answers of requests: what may be told, to whom, and for how long."""
+
+import msgspec
+
+from dandelionpick import caller_messages
+from dandelionpick import dispatch
+from dandelionpick import errors
+from dandelionpick import executor_messages
+from dandelionpick import kinds
+from dandelionpick import request_state
+from dandelionpick import state as state_lib
+
+# Memory of a retained request beside the body of its answer.
+ANSWER_OVERHEAD_BYTES = 1_000
+
+
+def refusal(
+    message: caller_messages.SubmitRequest,
+    problem: errors.Problem,
+    proved: bool = True,
+) -> caller_messages.Answer:
+    """Builds the answer to a submission for which nothing was started.
+
+    Args:
+        message: the submission.
+        problem: why it was refused.
+        proved: whether it is certain that this submission was not run.
+    """
+    first = message.attempt == 1 and proved
+    return caller_messages.Answer(
+        organisation=message.organisation,
+        key=message.key,
+        outcome=kinds.Outcome.NOT_RUN if first else kinds.Outcome.UNKNOWN,
+        problem=problem,
+    )
+
+
+def is_proved_not_run(request: request_state.Request) -> bool:
+    """Tells whether no start for the request ran or ever can."""
+    if request.key_not_run:
+        return True
+    not_run = request_state.RunState.NOT_RUN
+    return not request.foreign and all(
+        run.state is not_run for run in request.starts
+    )
+
+
+def end_without_result(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    problem: errors.Problem,
+) -> None:
+    """Answers `not_run` if that is proved, else `unknown`."""
+    proved = is_proved_not_run(request)
+    submission = request.submission
+    answer = caller_messages.Answer(
+        organisation=submission.organisation,
+        key=submission.key,
+        outcome=kinds.Outcome.NOT_RUN if proved else kinds.Outcome.UNKNOWN,
+        problem=problem,
+    )
+    finish(state, step, request, answer)
+
+
+def told(
+    request: request_state.Request,
+    answer: caller_messages.Answer,
+    attempt: int,
+) -> caller_messages.Answer:
+    """Returns the answer as it is true for one submission of the key.
+
+    Only the first submission may be told `not_run`, unless no submission of
+    the key ran: an earlier one may have run elsewhere.
+    """
+    if answer.outcome is not kinds.Outcome.NOT_RUN:
+        return answer
+    if attempt == 1 or request.key_not_run:
+        return answer
+    return msgspec.structs.replace(answer, outcome=kinds.Outcome.UNKNOWN)
+
+
+def completed(
+    request: request_state.Request, result: executor_messages.TaskResult
+) -> caller_messages.Answer:
+    """Builds the answer from a whole result."""
+    return caller_messages.Answer(
+        organisation=request.submission.organisation,
+        key=request.submission.key,
+        outcome=kinds.Outcome.COMPLETED,
+        body=result.body,
+        length=result.length,
+        digest=result.digest,
+        problem=None if result.succeeded else task_failed(),
+    )
+
+
+def task_failed() -> errors.Problem:
+    """Builds the problem of a task that ran and failed."""
+    return errors.Problem(
+        errors.ProblemKind.TASK_FAILED,
+        "The task ran and reported a failure; the body is its output.",
+        "Read the output, correct the input and use a new key.",
+    )
+
+
+def store_unavailable() -> errors.Problem:
+    """Builds the problem of a claim that the store did not confirm."""
+    return errors.Problem(
+        errors.ProblemKind.STORE_UNAVAILABLE,
+        "The configuration store did not confirm the claim in time.",
+        "Submit the key again with a higher attempt.",
+    )
+
+
+def target_lost() -> errors.Problem:
+    """Builds the problem of a task whose executor can't tell its outcome."""
+    return errors.Problem(
+        errors.ProblemKind.TARGET_LOST,
+        "The executor that had the task restarted or no longer has it.",
+        "Check the effect of the request by other means before repeating it"
+        " under a new key.",
+    )
+
+
+def cancelled() -> errors.Problem:
+    """Builds the problem of a cancelled request."""
+    return errors.Problem(
+        errors.ProblemKind.CANCELLED,
+        "The request was cancelled.",
+        "Use a new key to run it after all.",
+    )
+
+
+def deadline_passed() -> errors.Problem:
+    """Builds the problem of a request without an answer in time."""
+    return errors.Problem(
+        errors.ProblemKind.DEADLINE_PASSED,
+        "The request had no answer by its deadline.",
+        "Fetch the answer later, or submit the key again with a higher"
+        " attempt.",
+    )
+
+
+def key_reused() -> errors.Problem:
+    """Builds the problem of a key that comes with two bodies."""
+    return errors.Problem(
+        errors.ProblemKind.KEY_REUSED,
+        "The key was submitted before with another body.",
+        "Use a new key for a new request.",
+    )
+
+
+def finish(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    answer: caller_messages.Answer,
+) -> None:
+    """Records the answer and sends it to every waiting exchange."""
+    submission = request.submission
+    requests = state.requests
+    request.answer = told(request, answer, submission.attempt)
+    if request.phase is request_state.Phase.QUEUED:
+        _leave_queue(state, request)
+    request.phase = request_state.Phase.DONE
+    request.done_s = step.moment.now_s
+    for exchange_id in request.waiting:
+        attempt = request.attempts.get(exchange_id, submission.attempt)
+        step.respond(exchange_id, told(request, answer, attempt))
+    request.waiting.clear()
+    request.attempts.clear()
+    # The digest is enough to recognise the key's body from now on.
+    request.submission = msgspec.structs.replace(submission, body=b"")
+    requests.unanswered.pop(request.name(), None)
+    requests.done.append(request)
+    requests.answer_bytes += size_of(request)
+
+
+def _leave_queue(
+    state: state_lib.State, request: request_state.Request
+) -> None:
+    if request.name() in state.requests.queue:
+        state.requests.queue.remove(request.name())
+
+
+def revise(
+    state: state_lib.State,
+    request: request_state.Request,
+    answer: caller_messages.Answer,
+) -> None:
+    """Replaces a retained `unknown` by what was found out later."""
+    if state.requests.by_name.get(request.name()) is not request:
+        return
+    state.requests.answer_bytes -= size_of(request)
+    request.answer = told(request, answer, request.submission.attempt)
+    state.requests.answer_bytes += size_of(request)
+
+
+def size_of(request: request_state.Request) -> int:
+    """Returns the bytes that a retained request counts for."""
+    return len(request.answer.body) + ANSWER_OVERHEAD_BYTES
+
+
+def drop_old(state: state_lib.State, now_s: float) -> None:
+    """Drops answers that are past retention or over the byte limit."""
+    requests = state.requests
+    limits = state.limits
+    while requests.done:
+        oldest = requests.done[0]
+        old = now_s - oldest.done_s > limits.answer_retention_s
+        if not old and requests.answer_bytes <= limits.max_answer_bytes:
+            return
+        requests.done.popleft()
+        requests.answer_bytes -= size_of(oldest)
+        if requests.by_name.get(oldest.name()) is oldest:
+            del requests.by_name[oldest.name()]
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from dandelionpick import claims
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
@@ -15,6 +16,7 @@
 TICKS = (
     membership.tick,
     configuration.tick,
+    claims.tick,
     requests.tick,
     drain.tick,
 )
@@ -83,6 +85,7 @@
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
     membership.stalled(state, step, event.stall_s)
+    claims.stalled(state)
 
 
 @_apply.register
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -1,9 +1,11 @@
 """State of requests on the instance that took them."""
 
+import collections
 import dataclasses
 import enum
 
 from dandelionpick import caller_messages
+from dandelionpick import claim_state
 from dandelionpick import ids
 from dandelionpick import tree_state
 
@@ -14,11 +16,52 @@
     """What a request waits for."""
 
     QUEUED = "queued"
+    CLAIMING = "claiming"
     RUNNING = "running"
     DONE = "done"
 
 
-@dataclasses.dataclass(slots=True)
+class RunState(enum.Enum):
+    """What is known about a start that was sent.
+
+    REFUSED is the executor's word about one copy of the start; NOT_RUN holds
+    for ever. LOST can never be resolved, since the executor has restarted.
+    """
+
+    OPEN = "open"
+    REFUSED = "refused"
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """A start that was sent to an executor, by this instance or another.
+
+    Attributes:
+        incarnation: the only incarnation that may start the task; "" for any.
+        deadline_ms: Unix milliseconds after which it may not start.
+        own: whether this instance sent the start.
+        resent: whether the start was sent more than once.
+        tombstone: whether to leave a tombstone rather than only ask.
+        asking: whether a question about the task is under way.
+        ask_s: monotonic seconds of the next question.
+    """
+
+    target: ids.InstanceId
+    task_id: ids.TaskId
+    incarnation: ids.Incarnation
+    deadline_ms: int
+    own: bool = True
+    resent: bool = False
+    state: RunState = RunState.OPEN
+    tombstone: bool = False
+    asking: bool = False
+    ask_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """A request that this instance took.
 
@@ -27,9 +70,17 @@
         deadline_ms: the same in Unix milliseconds.
         waiting: exchanges to answer when the request is done.
         target: the executor that runs the current task.
-        runs: tasks started so far.
+        attempts: attempt of each exchange in waiting that is a submission.
+        starts: every start sent for the key that this instance knows.
+        current: the start that the request waits for in phase RUNNING.
         tried: executors that refused or lost a task of this request.
-        sent: whether a start was ever sent that may have taken effect.
+        failures: runs that ended with a failed task.
+        foreign: whether another submission of the key claimed it.
+        claim: the key's claim as last seen; None for idempotent requests.
+        replaceable: the claim that may be replaced, since it did not run.
+        key_not_run: whether NOT_RUN holds for every submission of the key.
+        cancelled: whether a caller cancelled the request.
+        resolve_until_s: until when an unknown outcome is resolved further.
     """
 
     submission: caller_messages.SubmitRequest
@@ -42,12 +93,26 @@
     phase: Phase = Phase.QUEUED
     waiting: list[ids.ExchangeId] = dataclasses.field(default_factory=list)
     target: ids.InstanceId = ids.InstanceId("")
-    runs: int = 0
+    attempts: dict[ids.ExchangeId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    starts: list[Run] = dataclasses.field(default_factory=list)
+    current: Run | None = None
     tried: list[ids.InstanceId] = dataclasses.field(default_factory=list)
-    sent: bool = False
+    failures: int = 0
+    foreign: bool = False
+    claim: claim_state.ClaimRecord | None = None
+    replaceable: claim_state.ClaimRecord | None = None
+    key_not_run: bool = False
+    cancelled: bool = False
+    resolve_until_s: float = float("-inf")
     done_s: float = 0.0
     answer: caller_messages.Answer | None = None
 
+    def name(self) -> RequestName:
+        """Returns organisation and key."""
+        return (self.submission.organisation, self.submission.key)
+
 
 @dataclasses.dataclass(slots=True)
 class TargetLoad:
@@ -58,17 +123,35 @@
         free_slots: free slots as last reported, or its slots in the list.
         busy_until_s: do not try before this monotonic time.
         leaving: the executor said that it leaves.
+        incarnation: as last reported, at monotonic heard_s.
     """
 
     running: int = 0
     free_slots: int = 0
     busy_until_s: float = float("-inf")
     leaving: bool = False
+    incarnation: ids.Incarnation = ids.Incarnation("")
+    heard_s: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class Followed:
+    """A run whose executor is asked until its fate is known."""
+
+    request: Request
+    run: Run
 
 
 @dataclasses.dataclass(slots=True)
 class Requests:
-    """All requests of this instance."""
+    """All requests of this instance.
+
+    Attributes:
+        unanswered: requests without an answer, by name.
+        followed: runs to ask about.
+        done: answered requests, oldest first.
+        answer_bytes: bytes of all retained answers.
+    """
 
     by_name: dict[RequestName, Request] = dataclasses.field(
         default_factory=dict
@@ -77,3 +160,11 @@
     load: dict[ids.InstanceId, TargetLoad] = dataclasses.field(
         default_factory=dict
     )
+    unanswered: dict[RequestName, Request] = dataclasses.field(
+        default_factory=dict
+    )
+    followed: list[Followed] = dataclasses.field(default_factory=list)
+    done: collections.deque[Request] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    answer_bytes: int = 0
--- /dev/null
+++ b/dandelionpick/runs.py
@@ -0,0 +1,236 @@
+"""Starts sent to executors, and what their replies prove."""
+
+import dataclasses
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import executor_messages
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import request_state
+from dandelionpick import routing
+from dandelionpick import state as state_lib
+
+# Clocks agree within 1 s; a deadline that an executor enforces has certainly
+# passed there after twice that.
+CLOCK_MARGIN_MS = 2_000
+ASK_TIMEOUT_S = 1.0
+ASK_WAIT_S = 0.5
+ASK_PERIOD_S = 0.25
+# A start without a reply for this long, or twice the class's run time, is
+# asked about: the request or its reply may be lost without a broken connection.
+START_TIMEOUT_S = 2.0
+
+OPEN = request_state.RunState.OPEN
+REFUSED = request_state.RunState.REFUSED
+NOT_RUN = request_state.RunState.NOT_RUN
+RAN = request_state.RunState.RAN
+LOST = request_state.RunState.LOST
+FINAL_REFUSALS = (
+    kinds.TaskRefusal.TOMBSTONED,
+    kinds.TaskRefusal.DEADLINE_PASSED,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStarted:
+    """Context of a start sent to an executor."""
+
+    request: request_state.Request
+    run: request_state.Run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskAsked:
+    """Context of a question about a task, or of its tombstone."""
+
+    request: request_state.Request
+    run: request_state.Run
+
+
+def judge(
+    run: request_state.Run,
+    reply: executor_messages.TaskReply,
+    unix_ms: int,
+) -> request_state.RunState | None:
+    """Returns what a reply proves about a run; None if it is damaged.
+
+    A refusal for want of a slot, or by an executor that is leaving, holds for
+    the copy of the start that was refused only; a tombstone, or a passed start
+    deadline, holds for every copy. Nothing that another incarnation says
+    proves that the run's own incarnation did not start the task.
+    """
+    if reply.task_id != run.task_id:
+        return None
+    if isinstance(reply, executor_messages.TaskResult):
+        whole = executor_messages.is_whole(reply, run.task_id)
+        return RAN if whole else None
+    if isinstance(reply, executor_messages.TaskRunning):
+        return OPEN
+    if reply.incarnation != run.incarnation:
+        return LOST
+    return _judge_not_started(run, reply, unix_ms)
+
+
+def _judge_not_started(
+    run: request_state.Run,
+    reply: executor_messages.TaskReply,
+    unix_ms: int,
+) -> request_state.RunState:
+    if isinstance(reply, executor_messages.TaskTombstoned):
+        return NOT_RUN
+    if isinstance(reply, executor_messages.TaskRefused):
+        return NOT_RUN if reply.reason in FINAL_REFUSALS else REFUSED
+    passed = unix_ms > run.deadline_ms + CLOCK_MARGIN_MS
+    return NOT_RUN if passed else OPEN
+
+
+def heard(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: ids.InstanceId,
+    reply: executor_messages.TaskReply,
+) -> None:
+    """Records what a reply tells about its executor."""
+    load = state.requests.load.get(target)
+    if load is None:
+        return
+    load.free_slots = reply.free_slots
+    load.leaving = reply.leaving
+    load.incarnation = reply.incarnation
+    load.heard_s = step.moment.now_s
+
+
+def release(state: state_lib.State, target: ids.InstanceId) -> None:
+    """Gives back the slot that a start or claim has reserved."""
+    load = state.requests.load.get(target)
+    if load is not None:
+        load.running -= 1
+
+
+def send(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    run: request_state.Run,
+    entry: list_messages.InstanceEntry,
+) -> None:
+    """Sends a start; the caller has reserved the slot."""
+    submission = request.submission
+    request.phase = request_state.Phase.RUNNING
+    request.current = run
+    request.target = run.target
+    message = executor_messages.StartTask(
+        task_id=run.task_id,
+        labels=executor_messages.TaskLabels(
+            submission.organisation,
+            submission.job_class,
+            submission.key,
+            submission.attempt,
+        ),
+        body=submission.body,
+        start_deadline_ms=run.deadline_ms,
+        incarnation=run.incarnation,
+    )
+    patience_s = max(START_TIMEOUT_S, 2 * request.job_class.run_s)
+    step.trace = request.trace
+    dispatch.call(
+        state,
+        step,
+        destination_of(entry),
+        message,
+        TaskStarted(request, run),
+        min(patience_s, request.deadline_s - step.moment.now_s),
+    )
+
+
+def destination_of(
+    entry: list_messages.InstanceEntry,
+) -> effects.Destination:
+    """Returns where calls to an executor go."""
+    return effects.Destination(kinds.Service.EXECUTOR, entry.id, entry.address)
+
+
+def holder(
+    state: state_lib.State,
+    request: request_state.Request,
+    run: request_state.Run,
+) -> request_state.Request:
+    """Returns the newest submission of the key that waits for the run."""
+    newest = state.requests.by_name.get(request.name())
+    if newest is not None and run in newest.starts:
+        return newest
+    return request
+
+
+def follow(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    run: request_state.Run,
+    delay_s: float = 0.0,
+) -> None:
+    """Asks the run's executor until the run is closed."""
+    run.ask_s = step.moment.now_s + delay_s
+    followed = state.requests.followed
+    if not any(item.run is run for item in followed):
+        followed.append(request_state.Followed(request, run))
+    if delay_s == 0.0:
+        ask(state, step, request, run)
+
+
+def unfollow(state: state_lib.State, run: request_state.Run) -> None:
+    """Asks no more about a run."""
+    state.requests.followed = [
+        item for item in state.requests.followed if item.run is not run
+    ]
+
+
+def ask(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    run: request_state.Run,
+) -> None:
+    """Asks about a run, or leaves its tombstone."""
+    if run.asking:
+        return
+    entry = state.members.entries.get(run.target)
+    if entry is None:
+        run.ask_s = step.moment.now_s + ASK_PERIOD_S
+        return
+    run.asking = True
+    if run.tombstone:
+        message = executor_messages.CancelTask(run.task_id)
+    else:
+        message = executor_messages.QueryTask(run.task_id, ASK_WAIT_S)
+    step.trace = request.trace
+    dispatch.call(
+        state,
+        step,
+        destination_of(entry),
+        message,
+        TaskAsked(request, run),
+        ASK_TIMEOUT_S,
+    )
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Asks about the followed runs that are due; drops those out of time."""
+    now_s = step.moment.now_s
+    for item in list(state.requests.followed):
+        request = holder(state, item.request, item.run)
+        if request.answer is not None and now_s > request.resolve_until_s:
+            unfollow(state, item.run)
+        elif now_s >= item.run.ask_s:
+            ask(state, step, request, item.run)
+
+
+def reserve(
+    state: state_lib.State, entry: list_messages.InstanceEntry
+) -> request_state.TargetLoad:
+    """Reserves a slot of an executor for a start or claim."""
+    load = routing.load_of(state, entry)
+    load.running += 1
+    return load
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -3,11 +3,13 @@
 import dataclasses
 from typing import Any
 
+from dandelionpick import claim_state
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import job_state
 from dandelionpick import kinds
 from dandelionpick import list_messages
+from dandelionpick import lookup_state
 from dandelionpick import peer_messages
 from dandelionpick import request_state
 from dandelionpick import tree_state
@@ -110,6 +112,12 @@
     requests: request_state.Requests = dataclasses.field(
         default_factory=request_state.Requests
     )
+    claims: claim_state.Claims = dataclasses.field(
+        default_factory=claim_state.Claims
+    )
+    lookups: lookup_state.Lookups = dataclasses.field(
+        default_factory=lookup_state.Lookups
+    )
     jobs: job_state.Jobs = dataclasses.field(default_factory=job_state.Jobs)
     drain: Drain = dataclasses.field(default_factory=Drain)
 
