--- a/dandelionpick/caller_messages.py
+++ b/dandelionpick/caller_messages.py
@@ -36,10 +36,17 @@
 
 
 class CancelRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Cancels a request; the answer tells whether it ran."""
+    """Cancels a request; the answer tells whether it ran.
+
+    Attributes:
+        job_class: class of the request, or "". It lets an instance that did
+            not take a non-idempotent request tell for certain that it will
+            not run.
+    """
 
     organisation: ids.OrganisationId
     key: ids.RequestKey
+    job_class: ids.ClassName = ids.ClassName("")
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- /dev/null
+++ b/dandelionpick/claim_answers.py
@@ -0,0 +1,42 @@
+"""What a claim says to whoever finds it."""
+
+from dandelionpick import caller_messages
+from dandelionpick import claim_state
+from dandelionpick import kinds
+from dandelionpick import problems
+from dandelionpick import request_state
+
+
+def run_of(record: claim_state.ClaimRecord) -> request_state.Run:
+    """Returns the run that a claim names."""
+    return request_state.Run(
+        record.target,
+        record.task_id,
+        record.incarnation,
+        record.start_deadline_ms,
+    )
+
+
+def cancelled_answer(
+    record: claim_state.ClaimRecord,
+) -> caller_messages.Answer:
+    """Builds the answer of a claim that keeps the key from running."""
+    return caller_messages.Answer(
+        organisation=record.organisation,
+        key=record.key,
+        outcome=kinds.Outcome.NOT_RUN,
+        problem=problems.cancelled(),
+    )
+
+
+def answer_of(record: claim_state.ClaimRecord) -> caller_messages.Answer:
+    """Builds the answer that a completed claim holds."""
+    return caller_messages.Answer(
+        organisation=record.organisation,
+        key=record.key,
+        outcome=kinds.Outcome.COMPLETED,
+        body=record.body,
+        length=record.length,
+        digest=record.digest,
+        problem=None if record.succeeded else problems.task_failed(),
+    )
--- a/dandelionpick/claim_state.py
+++ b/dandelionpick/claim_state.py
@@ -124,6 +124,7 @@
         sweep_minute: Unix minute of the last sweep.
         sweep_keys: buckets that the current sweep has yet to read.
         sweeping: whether a call of the sweep is under way.
+        sweep_read_s: monotonic seconds of the sweep's last read.
     """
 
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
@@ -131,3 +132,4 @@
     sweep_minute: int = 0
     sweep_keys: list[str] = dataclasses.field(default_factory=list)
     sweeping: bool = False
+    sweep_read_s: float = float("-inf")
--- a/dandelionpick/claimed_requests.py
+++ b/dandelionpick/claimed_requests.py
@@ -2,16 +2,17 @@
 
 import dataclasses
 
-from dandelionpick import caller_messages
+from dandelionpick import claim_answers
 from dandelionpick import claim_state
 from dandelionpick import claims
 from dandelionpick import dispatch
-from dandelionpick import errors
 from dandelionpick import executor_messages
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import outcomes
+from dandelionpick import problems
+from dandelionpick import request_queue
 from dandelionpick import request_state
 from dandelionpick import routing
 from dandelionpick import runs
@@ -107,31 +108,17 @@
     if request.answer is not None:
         return
     if verdict.status is claims.ClaimStatus.UNAVAILABLE:
-        problem = outcomes.store_unavailable()
+        problem = problems.store_unavailable()
         outcomes.end_without_result(state, step, request, problem)
     elif verdict.record is not None:
         join(state, step, request, verdict.record)
     elif is_expired(request.submission.key, step.moment.unix_ms):
         request.foreign = True
-        outcomes.end_without_result(state, step, request, key_expired())
+        outcomes.end_without_result(
+            state, step, request, problems.key_expired()
+        )
     else:
-        requeue(state, request)
-
-
-def key_expired() -> errors.Problem:
-    """Builds the problem of a key without a claim that is too old."""
-    return errors.Problem(
-        errors.ProblemKind.KEY_EXPIRED,
-        "The key is older than 24 hours and its claim is gone.",
-        "Use a new key for a new request.",
-    )
-
-
-def requeue(state: state_lib.State, request: request_state.Request) -> None:
-    """Puts a request back at the head of the queue."""
-    request.phase = request_state.Phase.QUEUED
-    request.current = None
-    state.requests.queue.insert(0, request.name())
+        request_queue.requeue(state, request)
 
 
 def begin(
@@ -172,7 +159,7 @@
         runs.release(state, context.entry.id)
     elif reply.leaving:
         runs.release(state, context.entry.id)
-        requeue(state, request)
+        request_queue.requeue(state, request)
     else:
         write_claim(state, step, request, context.entry)
 
@@ -191,7 +178,7 @@
         load.busy_until_s = step.moment.now_s + REACH_BACKOFF_S
     if request.answer is None:
         request.tried.append(context.entry.id)
-        requeue(state, request)
+        request_queue.requeue(state, request)
 
 
 def write_claim(
@@ -255,10 +242,10 @@
         return
     request.replaceable = None
     if verdict.status is claims.ClaimStatus.UNAVAILABLE:
-        problem = outcomes.store_unavailable()
+        problem = problems.store_unavailable()
         outcomes.end_without_result(state, step, request, problem)
     elif verdict.record is None:
-        requeue(state, request)
+        request_queue.requeue(state, request)
     else:
         join(state, step, request, verdict.record)
 
@@ -280,14 +267,9 @@
     if step.moment.unix_ms >= record.start_deadline_ms:
         request.replaceable = record
         runs.release(state, entry.id)
-        requeue(state, request)
+        request_queue.requeue(state, request)
         return
-    run = request_state.Run(
-        record.target,
-        record.task_id,
-        record.incarnation,
-        record.start_deadline_ms,
-    )
+    run = claim_answers.run_of(record)
     request.starts.append(run)
     runs.send(state, step, request, run, entry)
 
@@ -303,41 +285,23 @@
     request.foreign = True
     if record.state is claim_state.ClaimState.NOT_RUN:
         request.key_not_run = True
-        problem = outcomes.cancelled()
+        problem = problems.cancelled()
         outcomes.end_without_result(state, step, request, problem)
     elif record.body_digest != request.digest:
-        problem = outcomes.key_reused()
+        problem = problems.key_reused()
         outcomes.end_without_result(state, step, request, problem)
     elif record.body is not None:
-        answer = answer_of(record)
+        answer = claim_answers.answer_of(record)
         outcomes.finish(state, step, request, answer)
     else:
-        run = request_state.Run(
-            record.target,
-            record.task_id,
-            record.incarnation,
-            record.start_deadline_ms,
-            own=False,
-        )
+        run = claim_answers.run_of(record)
+        run.own = False
         request.starts.append(run)
         request.phase = request_state.Phase.RUNNING
         request.current = run
         runs.follow(state, step, request, run)
 
 
-def answer_of(record: claim_state.ClaimRecord) -> caller_messages.Answer:
-    """Builds the answer that a completed claim holds."""
-    return caller_messages.Answer(
-        organisation=record.organisation,
-        key=record.key,
-        outcome=kinds.Outcome.COMPLETED,
-        body=record.body,
-        length=record.length,
-        digest=record.digest,
-        problem=None if record.succeeded else outcomes.task_failed(),
-    )
-
-
 def closed(
     state: state_lib.State,
     step: dispatch.Step,
@@ -350,9 +314,9 @@
     claimed = request.claim.state is claim_state.ClaimState.CLAIMED
     if run.state is runs.NOT_RUN and claimed and not request.cancelled:
         request.replaceable = request.claim
-        requeue(state, request)
+        request_queue.requeue(state, request)
         return
-    problem = outcomes.target_lost()
+    problem = problems.target_lost()
     outcomes.end_without_result(state, step, request, problem)
 
 
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -209,7 +209,10 @@
     live = list(live_instances(state, now_s)) or [state.identity.instance]
     return max(
         live,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{domain}/{name}"), name),
+        key=lambda name: (
+            xxhash.xxh64_intdigest(f"{domain}/{name}".encode()),
+            name,
+        ),
     )
 
 
--- a/dandelionpick/outcomes.py
+++ b/dandelionpick/outcomes.py
@@ -6,7 +6,10 @@
 from dandelionpick import dispatch
 from dandelionpick import errors
 from dandelionpick import executor_messages
+from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import problems
+from dandelionpick import request_queue
 from dandelionpick import request_state
 from dandelionpick import state as state_lib
 
@@ -80,74 +83,20 @@
     return msgspec.structs.replace(answer, outcome=kinds.Outcome.UNKNOWN)
 
 
-def completed(
-    request: request_state.Request, result: executor_messages.TaskResult
+def answer_of(
+    organisation: ids.OrganisationId,
+    key: ids.RequestKey,
+    result: executor_messages.TaskResult,
 ) -> caller_messages.Answer:
     """Builds the answer from a whole result."""
     return caller_messages.Answer(
-        organisation=request.submission.organisation,
-        key=request.submission.key,
+        organisation=organisation,
+        key=key,
         outcome=kinds.Outcome.COMPLETED,
         body=result.body,
         length=result.length,
         digest=result.digest,
-        problem=None if result.succeeded else task_failed(),
-    )
-
-
-def task_failed() -> errors.Problem:
-    """Builds the problem of a task that ran and failed."""
-    return errors.Problem(
-        errors.ProblemKind.TASK_FAILED,
-        "The task ran and reported a failure; the body is its output.",
-        "Read the output, correct the input and use a new key.",
-    )
-
-
-def store_unavailable() -> errors.Problem:
-    """Builds the problem of a claim that the store did not confirm."""
-    return errors.Problem(
-        errors.ProblemKind.STORE_UNAVAILABLE,
-        "The configuration store did not confirm the claim in time.",
-        "Submit the key again with a higher attempt.",
-    )
-
-
-def target_lost() -> errors.Problem:
-    """Builds the problem of a task whose executor can't tell its outcome."""
-    return errors.Problem(
-        errors.ProblemKind.TARGET_LOST,
-        "The executor that had the task restarted or no longer has it.",
-        "Check the effect of the request by other means before repeating it"
-        " under a new key.",
-    )
-
-
-def cancelled() -> errors.Problem:
-    """Builds the problem of a cancelled request."""
-    return errors.Problem(
-        errors.ProblemKind.CANCELLED,
-        "The request was cancelled.",
-        "Use a new key to run it after all.",
-    )
-
-
-def deadline_passed() -> errors.Problem:
-    """Builds the problem of a request without an answer in time."""
-    return errors.Problem(
-        errors.ProblemKind.DEADLINE_PASSED,
-        "The request had no answer by its deadline.",
-        "Fetch the answer later, or submit the key again with a higher"
-        " attempt.",
-    )
-
-
-def key_reused() -> errors.Problem:
-    """Builds the problem of a key that comes with two bodies."""
-    return errors.Problem(
-        errors.ProblemKind.KEY_REUSED,
-        "The key was submitted before with another body.",
-        "Use a new key for a new request.",
+        problem=None if result.succeeded else problems.task_failed(),
     )
 
 
@@ -161,8 +110,7 @@
     submission = request.submission
     requests = state.requests
     request.answer = told(request, answer, submission.attempt)
-    if request.phase is request_state.Phase.QUEUED:
-        _leave_queue(state, request)
+    request_queue.withdraw(state, request)
     request.phase = request_state.Phase.DONE
     request.done_s = step.moment.now_s
     for exchange_id in request.waiting:
@@ -177,13 +125,6 @@
     requests.answer_bytes += size_of(request)
 
 
-def _leave_queue(
-    state: state_lib.State, request: request_state.Request
-) -> None:
-    if request.name() in state.requests.queue:
-        state.requests.queue.remove(request.name())
-
-
 def revise(
     state: state_lib.State,
     request: request_state.Request,
@@ -215,3 +156,31 @@
         requests.answer_bytes -= size_of(oldest)
         if requests.by_name.get(oldest.name()) is oldest:
             del requests.by_name[oldest.name()]
+
+
+def own_answer(
+    state: state_lib.State,
+    organisation: ids.OrganisationId,
+    key: ids.RequestKey,
+) -> caller_messages.Answer | None:
+    """Returns what this instance's memory has, or None."""
+    known = state.requests.by_name.get((organisation, key))
+    if known is None:
+        return None
+    return known.answer or caller_messages.Answer(
+        organisation=organisation, key=key, outcome=kinds.Outcome.PENDING
+    )
+
+
+def unknown(
+    organisation: ids.OrganisationId,
+    key: ids.RequestKey,
+    problem: errors.Problem,
+) -> caller_messages.Answer:
+    """Builds an answer that tells nothing about the outcome."""
+    return caller_messages.Answer(
+        organisation=organisation,
+        key=key,
+        outcome=kinds.Outcome.UNKNOWN,
+        problem=problem,
+    )
--- a/dandelionpick/peer_messages.py
+++ b/dandelionpick/peer_messages.py
@@ -47,7 +47,10 @@
 
 
 class FetchPeerAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Asks for an answer that the receiver or its executors may have."""
+    """Asks for an answer that the receiver may have in its memory.
+
+    The reply is an Answer; one with problem UNKNOWN_KEY means it has none.
+    """
 
     organisation: ids.OrganisationId
     key: ids.RequestKey
--- /dev/null
+++ b/dandelionpick/problems.py
@@ -0,0 +1,113 @@
+"""Problems of requests, as callers see them."""
+
+from dandelionpick import errors
+
+
+def task_failed() -> errors.Problem:
+    """Builds the problem of a task that ran and failed."""
+    return errors.Problem(
+        errors.ProblemKind.TASK_FAILED,
+        "The task ran and reported a failure; the body is its output.",
+        "Read the output, correct the input and use a new key.",
+    )
+
+
+def store_unavailable() -> errors.Problem:
+    """Builds the problem of a claim that the store did not confirm."""
+    return errors.Problem(
+        errors.ProblemKind.STORE_UNAVAILABLE,
+        "The configuration store did not confirm the claim in time.",
+        "Submit the key again with a higher attempt.",
+    )
+
+
+def target_lost() -> errors.Problem:
+    """Builds the problem of a task whose executor can't tell its outcome."""
+    return errors.Problem(
+        errors.ProblemKind.TARGET_LOST,
+        "The executor that had the task restarted or no longer has it.",
+        "Check the effect of the request by other means before repeating it"
+        " under a new key.",
+    )
+
+
+def claimed() -> errors.Problem:
+    """Builds the problem of a key whose executor has not told its fate."""
+    return errors.Problem(
+        errors.ProblemKind.TARGET_LOST,
+        "The key is claimed and no response of its task is known.",
+        "Fetch again later, or submit the key again with a higher attempt.",
+    )
+
+
+def cancelled() -> errors.Problem:
+    """Builds the problem of a cancelled request."""
+    return errors.Problem(
+        errors.ProblemKind.CANCELLED,
+        "The request was cancelled.",
+        "Use a new key to run it after all.",
+    )
+
+
+def deadline_passed() -> errors.Problem:
+    """Builds the problem of a request without an answer in time."""
+    return errors.Problem(
+        errors.ProblemKind.DEADLINE_PASSED,
+        "The request had no answer by its deadline.",
+        "Fetch the answer later, or submit the key again with a higher"
+        " attempt.",
+    )
+
+
+def key_reused() -> errors.Problem:
+    """Builds the problem of a key that comes with two bodies."""
+    return errors.Problem(
+        errors.ProblemKind.KEY_REUSED,
+        "The key was submitted before with another body.",
+        "Use a new key for a new request.",
+    )
+
+
+def key_expired() -> errors.Problem:
+    """Builds the problem of a key without a claim that is too old."""
+    return errors.Problem(
+        errors.ProblemKind.KEY_EXPIRED,
+        "The key is older than 24 hours and its claim is gone.",
+        "Use a new key for a new request.",
+    )
+
+
+def unknown_key() -> errors.Problem:
+    """Builds the problem of a key that nobody knows."""
+    return errors.Problem(
+        errors.ProblemKind.UNKNOWN_KEY,
+        "No instance, executor or claim knows the key.",
+        "Check the key, or submit it again with a higher attempt.",
+    )
+
+
+def not_all_asked() -> errors.Problem:
+    """Builds the problem of a lookup with unreachable places."""
+    return errors.Problem(
+        errors.ProblemKind.PEER_UNAVAILABLE,
+        "Nothing was found, and some places could not be asked.",
+        "Fetch again later.",
+    )
+
+
+def not_reached() -> errors.Problem:
+    """Builds the problem of an executor that did not take the tombstone."""
+    return errors.Problem(
+        errors.ProblemKind.TARGET_LOST,
+        "The executor that the key was claimed for can't be reached.",
+        "Cancel again later.",
+    )
+
+
+def names_job() -> errors.Problem:
+    """Builds the problem of a request's cancel that names a job."""
+    return errors.Problem(
+        errors.ProblemKind.KEY_INVALID,
+        "The key names a job, not a request.",
+        "Cancel it as a job.",
+    )
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -6,6 +6,8 @@
 from dandelionpick import executor_messages
 from dandelionpick import kinds
 from dandelionpick import outcomes
+from dandelionpick import problems
+from dandelionpick import request_queue
 from dandelionpick import request_state
 from dandelionpick import runs
 from dandelionpick import state as state_lib
@@ -71,17 +73,12 @@
         lose(state, step, request, run)
     elif proved is not runs.OPEN:
         close(state, step, request, run, proved)
-    elif request.answer is None or run_is_followed(state, run):
+    elif request.answer is None or run in state.requests.followed:
         runs.follow(state, step, request, run, runs.ASK_PERIOD_S)
         if isinstance(reply, executor_messages.TaskUnknown):
             resend(state, step, request, run)
 
 
-def run_is_followed(state: state_lib.State, run: request_state.Run) -> bool:
-    """Tells whether a run is asked about."""
-    return any(item.run is run for item in state.requests.followed)
-
-
 def refuse(
     state: state_lib.State,
     step: dispatch.Step,
@@ -177,7 +174,7 @@
 ) -> None:
     """Answers a cancelled request when none of its starts can run."""
     if outcomes.is_proved_not_run(request):
-        problem = outcomes.cancelled()
+        problem = problems.cancelled()
         outcomes.end_without_result(state, step, request, problem)
 
 
@@ -193,9 +190,7 @@
     if request.current is not run or request.cancelled:
         return
     request.tried.append(run.target)
-    request.current = None
-    request.phase = request_state.Phase.QUEUED
-    state.requests.queue.insert(0, request.name())
+    request_queue.requeue(state, request)
 
 
 def complete(
@@ -208,7 +203,7 @@
     """Answers a request with the executor's result."""
     if request.answer is not None:
         if request.answer.outcome is not kinds.Outcome.COMPLETED:
-            answer = outcomes.completed(request, result)
+            answer = outcomes.answer_of(*request.name(), result)
             outcomes.revise(state, request, answer)
             claimed_requests.record_completion(state, step, request, result)
         return
@@ -217,7 +212,8 @@
         if request.failures < MAX_FAILED_RUNS and request.current is run:
             retry(state, request, run)
             return
-    outcomes.finish(state, step, request, outcomes.completed(request, result))
+    answer = outcomes.answer_of(*request.name(), result)
+    outcomes.finish(state, step, request, answer)
     claimed_requests.record_completion(state, step, request, result)
 
 
@@ -244,7 +240,7 @@
     An unknown outcome is resolved further, so that a later fetch is told what
     became of the request.
     """
-    problem = outcomes.deadline_passed()
+    problem = problems.deadline_passed()
     outcomes.end_without_result(state, step, request, problem)
     request.resolve_until_s = step.moment.now_s + RESOLVE_S
     for run in request.starts:
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -2,12 +2,15 @@
 
 import functools
 
+from dandelionpick import cancel  # noqa: F401  Registers its handlers.
+from dandelionpick import claim_sweep
 from dandelionpick import claims
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import lookup
 from dandelionpick import membership
 from dandelionpick import requests
 from dandelionpick import state as state_lib
@@ -18,6 +21,8 @@
     configuration.tick,
     claims.tick,
     requests.tick,
+    lookup.tick,
+    claim_sweep.tick,
     drain.tick,
 )
 
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -134,21 +134,13 @@
     heard_s: float = float("-inf")
 
 
-@dataclasses.dataclass(slots=True)
-class Followed:
-    """A run whose executor is asked until its fate is known."""
-
-    request: Request
-    run: Run
-
-
 @dataclasses.dataclass(slots=True)
 class Requests:
     """All requests of this instance.
 
     Attributes:
         unanswered: requests without an answer, by name.
-        followed: runs to ask about.
+        followed: runs to ask about, with a request that waits for each.
         done: answered requests, oldest first.
         answer_bytes: bytes of all retained answers.
     """
@@ -163,7 +155,7 @@
     unanswered: dict[RequestName, Request] = dataclasses.field(
         default_factory=dict
     )
-    followed: list[Followed] = dataclasses.field(default_factory=list)
+    followed: dict[Run, Request] = dataclasses.field(default_factory=dict)
     done: collections.deque[Request] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -10,8 +10,10 @@
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import outcomes
+from dandelionpick import problems
 from dandelionpick import progress
 from dandelionpick import request_checks
+from dandelionpick import request_queue
 from dandelionpick import request_state
 from dandelionpick import routing
 from dandelionpick import runs
@@ -55,7 +57,7 @@
         return
     if progress.resume(state, step, request):
         return
-    state.requests.queue.append(name)
+    request_queue.enqueue(state, request)
     dispatch_queued(state, step)
 
 
@@ -124,7 +126,7 @@
 ) -> None:
     """Answers a resubmission with the answer of the first submission."""
     if digest != request.digest:
-        problem = outcomes.key_reused()
+        problem = problems.key_reused()
         answer = outcomes.refusal(message, problem, proved=False)
         step.respond(exchange_id, answer)
     elif request.answer is not None:
--- a/dandelionpick/runs.py
+++ b/dandelionpick/runs.py
@@ -173,18 +173,14 @@
 ) -> None:
     """Asks the run's executor until the run is closed."""
     run.ask_s = step.moment.now_s + delay_s
-    followed = state.requests.followed
-    if not any(item.run is run for item in followed):
-        followed.append(request_state.Followed(request, run))
+    state.requests.followed[run] = request
     if delay_s == 0.0:
         ask(state, step, request, run)
 
 
 def unfollow(state: state_lib.State, run: request_state.Run) -> None:
     """Asks no more about a run."""
-    state.requests.followed = [
-        item for item in state.requests.followed if item.run is not run
-    ]
+    state.requests.followed.pop(run, None)
 
 
 def ask(
@@ -219,12 +215,12 @@
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Asks about the followed runs that are due; drops those out of time."""
     now_s = step.moment.now_s
-    for item in list(state.requests.followed):
-        request = holder(state, item.request, item.run)
+    for run, first in list(state.requests.followed.items()):
+        request = holder(state, first, run)
         if request.answer is not None and now_s > request.resolve_until_s:
-            unfollow(state, item.run)
-        elif now_s >= item.run.ask_s:
-            ask(state, step, request, item.run)
+            unfollow(state, run)
+        elif now_s >= run.ask_s:
+            ask(state, step, request, run)
 
 
 def reserve(
