--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -6,6 +6,9 @@
 from collections.abc import Sequence
 from types import ModuleType
 
+from dandelionpick import cancel
+from dandelionpick import claim_sweep
+from dandelionpick import claims
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
@@ -14,6 +17,7 @@
 from dandelionpick import events
 from dandelionpick import job_lookup
 from dandelionpick import jobs
+from dandelionpick import lookup
 from dandelionpick import membership
 from dandelionpick import operator_reads
 from dandelionpick import requests
@@ -23,15 +27,18 @@
 Handler = Callable[[state_lib.State, dispatch.Step], None]
 
 # These only register handlers of messages.
-HANDLERS: tuple[ModuleType, ...] = (job_lookup, jobs, operator_reads)
+HANDLERS: tuple[ModuleType, ...] = (cancel, job_lookup, jobs, operator_reads)
 
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
     membership.tick,
     configuration.tick,
     edits.tick,
+    claims.tick,
     requests.tick,
+    lookup.tick,
     schedule.tick,
+    claim_sweep.tick,
     drain.tick,
 )
 
@@ -130,6 +137,7 @@
 ) -> None:
     membership.stalled(state, step, event.stall_s)
     schedule.stalled(state, step, event.stall_s)
+    claims.stalled(state)
 
 
 @_apply.register
