Queue by lane, worth and share; admit, route, hedge and forward requests

Cause: requests waited in one list in order of arrival, went to any executor and were retried at once and without bound; a stall of the event loop kept stale knowledge; a planned stop could wait for ever. Ruled out: a sorted list for the queue (linear insert), a limit on long work for each executor (one instance does not see the others' tasks there), and a fixed part of the open slots for each instance (leaves slots unused when the balancer is uneven). Change: new modules queueing, estimates, lanes, admission, routing_state, quarantine, retries, hedging, forward_choice, forwarding, listing, targets and stalls; membership and drain are extended; requests.py only calls them. preferred_instance raised TypeError, because xxhash 4 hashes bytes only.

--- /dev/null
+++ b/dandelionpick/listing.py
@@ -0,0 +1,158 @@
+"""Reads the instance list and decides what to believe of it."""
+
+import collections
+import dataclasses
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import membership
+from dandelionpick import state as state_lib
+
+# Entries that vanish together with most of their group are kept this long,
+# and longer while they reply. A real loss of that size costs some failed
+# calls; believing an empty list would stop the whole failure domain.
+RETAIN_S = 30.0
+VANISHED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListRead:
+    """Context of a read of the instance list.
+
+    Attributes:
+        stalls: stalls of this instance before the read was sent.
+    """
+
+    stalls: int = 0
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Reads the list when it is due."""
+    members = state.members
+    list_age_s = step.moment.now_s - members.list_read_s
+    if not members.list_pending and list_age_s >= state.limits.list_period_s:
+        read(state, step)
+
+
+def read(state: state_lib.State, step: dispatch.Step) -> None:
+    """Sends a read of the list."""
+    state.members.list_pending = True
+    destination = effects.Destination(
+        kinds.Service.INSTANCE_LIST, "", state.identity.list_address
+    )
+    dispatch.call(
+        state,
+        step,
+        destination,
+        list_messages.ReadInstances(),
+        ListRead(state.members.stalls),
+        state.limits.call_timeout_s,
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: ListRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: list_messages.Instances,
+) -> None:
+    if context.stalls != state.members.stalls:
+        return
+    state.members.list_pending = False
+    state.members.list_read_s = step.moment.now_s
+    state.routing.hold = False
+    adopt(state, step, reply)
+
+
+@dispatch.failed.register
+def _(
+    context: ListRead,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    if context.stalls != state.members.stalls:
+        return
+    state.members.list_pending = False
+    state.routing.hold = False
+
+
+def adopt(
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: list_messages.Instances,
+) -> None:
+    """Takes over a list, except for what it implausibly leaves out."""
+    members = state.members
+    now_s = step.moment.now_s
+    listed = {entry.id: entry for entry in reply.entries}
+    vanished = [
+        entry
+        for entry in members.entries.values()
+        if entry.id not in listed and entry.state is kinds.Liveness.LIVE
+    ]
+    kept = [
+        entry
+        for entry in vanished
+        if is_kept(state, entry, implausible_groups(state, vanished), now_s)
+    ]
+    missing_before = members.missing
+    members.missing = {
+        entry.id: missing_before.get(entry.id, now_s) for entry in kept
+    }
+    if members.missing and not missing_before:
+        step.note(
+            effects.Part.MEMBERSHIP,
+            f"the instance list lacks {len(kept)} entries that are kept",
+            warning=True,
+        )
+    members.entries = {**listed, **{entry.id: entry for entry in kept}}
+    members.has_self = state.identity.instance in listed
+    membership.update_peers(state, now_s)
+
+
+def implausible_groups(
+    state: state_lib.State, vanished: list[list_messages.InstanceEntry]
+) -> set[tuple[kinds.Role, ids.FailureDomain]]:
+    """Returns the groups that lost more than half of their live entries.
+
+    A group is a role in a failure domain, so that a list that lacks one role
+    or one failure domain is recognised too.
+    """
+    known = collections.Counter(
+        (entry.role, entry.failure_domain)
+        for entry in state.members.entries.values()
+        if entry.state is kinds.Liveness.LIVE
+    )
+    lost = collections.Counter(
+        (entry.role, entry.failure_domain) for entry in vanished
+    )
+    return {
+        group
+        for group, count in lost.items()
+        if count > VANISHED_SHARE * known[group]
+    }
+
+
+def is_kept(
+    state: state_lib.State,
+    entry: list_messages.InstanceEntry,
+    implausible: set[tuple[kinds.Role, ids.FailureDomain]],
+    now_s: float,
+) -> bool:
+    """Tells whether an entry that the list lacks is still believed.
+
+    A peer that is heard directly is alive whatever the list says.
+    """
+    peer = state.members.peers.get(entry.id)
+    if peer is not None and membership.is_peer_usable(state, peer, now_s):
+        return True
+    missing_s = state.members.missing.get(entry.id)
+    if missing_s is None:
+        return (entry.role, entry.failure_domain) in implausible
+    heard_s = state.members.heard.get(entry.id, missing_s)
+    return now_s - max(heard_s, missing_s) <= RETAIN_S
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -1,6 +1,7 @@
-"""The live set: instance list, heartbeats, and the preferred instance."""
+"""The live set: heartbeats, suspicion and the preferred instance."""
 
 import dataclasses
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 import xxhash
@@ -13,10 +14,12 @@
 from dandelionpick import peer_messages
 from dandelionpick import state as state_lib
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListRead:
-    """Context of a read of the instance list."""
+# Control traffic is limited to 22 KB/s a node with nine failure domains.
+CROSS_ROUNDS = 2
+# A peer heard within this share of the period needs no heartbeat of ours.
+FRESH_SHARE = 0.5
+CONTACT_RETRY_S = 10.0
+SUPERSEDED_KEPT = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,38 +30,74 @@
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Reads the list and sends heartbeats when they are due."""
+    """Sends heartbeats when they are due."""
     now_s = step.moment.now_s
     members = state.members
-    list_age_s = now_s - members.list_read_s
-    if not members.list_pending and list_age_s >= state.limits.list_period_s:
-        members.list_pending = True
-        destination = effects.Destination(
-            kinds.Service.INSTANCE_LIST, "", state.identity.list_address
-        )
-        dispatch.call(
-            state,
-            step,
-            destination,
-            list_messages.ReadInstances(),
-            ListRead(),
-            state.limits.call_timeout_s,
-        )
+    if members.blind_until_s is None:
+        members.blind_until_s = now_s + state.limits.suspect_after_s
     if now_s - members.heartbeat_sent_s >= state.limits.heartbeat_period_s:
         members.heartbeat_sent_s = now_s
-        send_heartbeats(state, step)
+        members.rounds += 1
+        send_heartbeats(state, step, due_peers(state, now_s))
+
+
+def due_peers(state: state_lib.State, now_s: float) -> Iterator[state_lib.Peer]:
+    """Yields the peers that are due a heartbeat in this round.
+
+    Every peer of this failure domain is, unless an exchange that it began has
+    just told both sides the same. Of each other failure domain one peer is, in
+    every CROSS_ROUNDS-th round.
+    """
+    fresh_s = state.limits.heartbeat_period_s * FRESH_SHARE
+    elsewhere: dict[ids.FailureDomain, list[state_lib.Peer]] = {}
+    for peer in state.members.peers.values():
+        domain = peer.entry.failure_domain
+        if domain != state.identity.failure_domain:
+            elsewhere.setdefault(domain, []).append(peer)
+        elif now_s - peer.heard_s > fresh_s:
+            yield peer
+    if state.members.rounds % CROSS_ROUNDS == 1:
+        for peers in elsewhere.values():
+            yield _contact(state, peers, now_s)
+
+
+def _contact(
+    state: state_lib.State, peers: list[state_lib.Peer], now_s: float
+) -> state_lib.Peer:
+    """Returns the peer of another failure domain to send heartbeats to.
+
+    Rendezvous hashing spreads the load; a peer that did not reply lately is
+    used only if none did, the one longest ago first.
+    """
+    own = state.identity.instance
+
+    def rank(peer: state_lib.Peer) -> tuple[float, int]:
+        failed = now_s - peer.failed_s <= CONTACT_RETRY_S
+        order = peer.failed_s if failed else float("-inf")
+        return order, weight_of(own, peer.entry.id)
+
+    return min(peers, key=rank)
+
+
+def weight_of(place: str, name: str) -> int:
+    """Returns the rendezvous hash of a name in a place."""
+    return xxhash.xxh64_intdigest(f"{place}/{name}".encode())
 
 
-def send_heartbeats(state: state_lib.State, step: dispatch.Step) -> None:
-    """Sends a heartbeat to each peer."""
+def send_heartbeats(
+    state: state_lib.State,
+    step: dispatch.Step,
+    peers: Iterable[state_lib.Peer],
+) -> None:
+    """Sends a heartbeat to each of the peers."""
     message = own_heartbeat(state)
-    for peer_id, peer in state.members.peers.items():
+    for peer in peers:
         dispatch.call(
             state,
             step,
             peer_destination(peer.entry),
             message,
-            HeartbeatSent(peer_id),
+            HeartbeatSent(peer.entry.id),
             state.limits.call_timeout_s,
         )
 
@@ -71,7 +110,9 @@
         incarnation=state.incarnation,
         revision=state.configuration.document.revision,
         leaving=state.drain.requested_s is not None,
-        queued=len(state.requests.queue),
+        queued=len(state.routing.queue),
+        free_slots=state.routing.free_slots,
+        long_running=state.routing.long_running,
     )
 
 
@@ -80,41 +121,23 @@
     return effects.Destination(kinds.Service.PEER, entry.id, entry.address)
 
 
-@dispatch.returned.register
-def _(
-    context: ListRead,
-    state: state_lib.State,
-    step: dispatch.Step,
-    reply: list_messages.Instances,
-) -> None:
+def update_peers(state: state_lib.State, now_s: float) -> None:
+    """Derives the peers from the entries."""
     members = state.members
-    members.list_pending = False
-    members.list_read_s = step.moment.now_s
-    members.entries = {entry.id: entry for entry in reply.entries}
     peers = {}
-    for entry in reply.entries:
+    for entry in members.entries.values():
         if entry.role is not kinds.Role.ENTRY:
             continue
         if entry.id == state.identity.instance:
             continue
         known = members.peers.get(entry.id)
         if known is None or known.entry.address != entry.address:
-            known = state_lib.Peer(entry, step.moment.now_s)
+            known = state_lib.Peer(entry, now_s)
         known.entry = entry
         peers[entry.id] = known
     members.peers = peers
 
 
-@dispatch.failed.register
-def _(
-    context: ListRead,
-    state: state_lib.State,
-    step: dispatch.Step,
-    failure: kinds.CallFailure,
-) -> None:
-    state.members.list_pending = False
-
-
 @dispatch.returned.register
 def _(
     context: HeartbeatSent,
@@ -132,7 +155,16 @@
     step: dispatch.Step,
     failure: kinds.CallFailure,
 ) -> None:
-    """Does nothing: the peer becomes suspected as its last heartbeat ages."""
+    note_failed(state, context.peer, step.moment.now_s)
+
+
+def note_failed(
+    state: state_lib.State, peer_id: ids.InstanceId, now_s: float
+) -> None:
+    """Records a call to a peer that got no reply."""
+    peer = state.members.peers.get(peer_id)
+    if peer is not None:
+        peer.failed_s = now_s
 
 
 @dispatch.receive.register
@@ -151,39 +183,80 @@
     step: dispatch.Step,
     heartbeat: peer_messages.Heartbeat,
 ) -> None:
-    """Records a heartbeat of a listed peer."""
+    """Records a heartbeat of a known peer."""
     peer = state.members.peers.get(heartbeat.instance)
-    if peer is None:
+    if peer is None or heartbeat.incarnation in peer.superseded:
         return
+    known = peer.heartbeat
+    if known is not None and known.incarnation != heartbeat.incarnation:
+        earlier = (known.incarnation, *peer.superseded)
+        peer.superseded = earlier[:SUPERSEDED_KEPT]
+        step.note(
+            effects.Part.MEMBERSHIP, f"instance {peer.entry.id} was restarted"
+        )
+    if heartbeat.leaving:
+        peer.leaving = heartbeat.incarnation
     peer.heard_s = step.moment.now_s
     peer.heartbeat = heartbeat
 
 
-def stalled(
-    state: state_lib.State, step: dispatch.Step, stall_s: float
+def note_heard(
+    state: state_lib.State, destination: effects.Destination, now_s: float
 ) -> None:
-    """Forgets what peers said before a stall of the event loop.
+    """Records that a target replied, so that a shrunken list can't drop it."""
+    if destination.service in (kinds.Service.EXECUTOR, kinds.Service.WORKER):
+        state.members.heard[ids.InstanceId(destination.name)] = now_s
+
 
-    Their heartbeats could not be heard, so their silence proves nothing, and
-    what they said may no longer hold.
+def is_leaving(peer: state_lib.Peer) -> bool:
+    """Tells whether the list or the peer itself said that it leaves.
+
+    What a peer said holds for its incarnation, whatever arrives later.
     """
-    step.note(
-        effects.Part.MEMBERSHIP,
-        f"event loop stalled for {stall_s:.1f} s",
-        warning=True,
-    )
-    state.members.heartbeat_sent_s = float("-inf")
+    if peer.entry.state is kinds.Liveness.LEAVING:
+        return True
+    heartbeat = peer.heartbeat
+    return heartbeat is not None and peer.leaving == heartbeat.incarnation
 
 
 def is_peer_usable(
     state: state_lib.State, peer: state_lib.Peer, now_s: float
 ) -> bool:
     """Tells whether a peer lives, as far as known, and takes new work."""
-    if peer.entry.state is kinds.Liveness.LEAVING:
+    if is_leaving(peer):
         return False
-    if peer.heartbeat is not None and peer.heartbeat.leaving:
-        return False
-    return now_s - peer.heard_s <= state.limits.suspect_after_s
+    suspect_after_s = state.limits.suspect_after_s
+    if peer.entry.failure_domain != state.identity.failure_domain:
+        # Heartbeats across failure domains come less often.
+        suspect_after_s *= CROSS_ROUNDS
+    return now_s - peer.heard_s <= suspect_after_s
+
+
+def live_peers(
+    state: state_lib.State, now_s: float
+) -> Iterator[state_lib.Peer]:
+    """Yields the usable peers of this failure domain."""
+    for peer in state.members.peers.values():
+        if peer.entry.failure_domain != state.identity.failure_domain:
+            continue
+        if is_peer_usable(state, peer, now_s):
+            yield peer
+
+
+def peers_elsewhere(
+    state: state_lib.State, now_s: float
+) -> Iterator[state_lib.Peer]:
+    """Yields the usable peers of other failure domains.
+
+    One whose last call failed is left out until it is heard again.
+    """
+    for peer in state.members.peers.values():
+        if peer.entry.failure_domain == state.identity.failure_domain:
+            continue
+        if peer.failed_s > peer.heard_s:
+            continue
+        if is_peer_usable(state, peer, now_s):
+            yield peer
 
 
 def live_instances(
@@ -192,11 +265,28 @@
     """Yields the live entry instances of this failure domain."""
     if state.drain.requested_s is None:
         yield state.identity.instance
-    for peer_id, peer in state.members.peers.items():
-        if peer.entry.failure_domain != state.identity.failure_domain:
-            continue
-        if is_peer_usable(state, peer, now_s):
-            yield peer_id
+    for peer in live_peers(state, now_s):
+        yield peer.entry.id
+
+
+def is_blind(state: state_lib.State, now_s: float) -> bool:
+    """Tells whether this instance has not yet heard enough of its peers.
+
+    That is so after its start and after a long stall, until every peer of the
+    failure domain was heard or has had the time to be suspected.
+    """
+    members = state.members
+    if members.blind_until_s is None:
+        return True
+    if now_s >= members.blind_until_s:
+        return False
+    peers = [
+        peer
+        for peer in members.peers.values()
+        if peer.entry.failure_domain == state.identity.failure_domain
+    ]
+    heard = all(peer.heard_s > float("-inf") for peer in peers)
+    return not (members.has_self and heard)
 
 
 def preferred_instance(state: state_lib.State, now_s: float) -> ids.InstanceId:
@@ -204,12 +294,21 @@
 
     Rendezvous hashing over the live set: when an instance joins or leaves,
     only the failure domains that it wins or held change their scheduler.
+    An instance that is blind does not consider itself, and names no instance
+    if it knows no other.
     """
     domain = state.identity.failure_domain
-    live = list(live_instances(state, now_s)) or [state.identity.instance]
+    if is_blind(state, now_s):
+        live = [
+            peer.entry.id
+            for peer in state.members.peers.values()
+            if peer.entry.failure_domain == domain and not is_leaving(peer)
+        ] or [ids.InstanceId("")]
+    else:
+        live = list(live_instances(state, now_s)) or [state.identity.instance]
     return max(
         live,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{domain}/{name}"), name),
+        key=lambda name: (weight_of(domain, name), name),
     )
 
 
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -8,6 +8,24 @@
         "Requests answered, by outcome.",
         ["outcome"],
     ),
+    "quarantines_total": prometheus_client.Counter(
+        "dandelionpick_quarantines_total",
+        "Executors taken out of use because requests fail or run slowly.",
+    ),
+    "refusals_total": prometheus_client.Counter(
+        "dandelionpick_refusals_total",
+        "Requests refused at admission or displaced, by problem.",
+        ["problem"],
+    ),
+    "hedges_total": prometheus_client.Counter(
+        "dandelionpick_hedges_total",
+        "Second tasks started for slow idempotent requests.",
+    ),
+    "forwards_total": prometheus_client.Counter(
+        "dandelionpick_forwards_total",
+        "Requests forwarded to another failure domain, by region.",
+        ["same_region"],
+    ),
 }
 HISTOGRAMS = {
     "request_seconds": prometheus_client.Histogram(
--- a/dandelionpick/peer_messages.py
+++ b/dandelionpick/peer_messages.py
@@ -20,6 +20,7 @@
     leaving: bool = False
     queued: int = 0
     free_slots: int = 0
+    long_running: int = 0
 
 
 class ReadDocument(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/dandelionpick/quarantine.py
@@ -0,0 +1,240 @@
+"""Takes failing and slow executors out of use, and tries them again.
+
+A failure may be the target's or the job's. It counts against an executor only
+if different requests fail there while other executors complete requests of the
+same classes; a request that failed on another executor too proves nothing.
+"""
+
+import statistics
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import estimates
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import membership
+from dandelionpick import routing_state
+from dandelionpick import state as state_lib
+
+EVIDENCE_S = 60.0
+MIN_FAILED_REQUESTS = 3
+FAILED_SHARE = 0.5
+# Outcomes of the same classes needed elsewhere, and the share that succeeded.
+MIN_ELSEWHERE = 3
+SUCCEEDED_SHARE_ELSEWHERE = 0.8
+MIN_TIMED = 6
+SLOW_FACTOR = 3.0
+FIRST_QUARANTINE_S = 5.0
+MAX_QUARANTINE_S = 60.0
+PROBES_TO_RECOVER = 3
+# If most executors look bad, the network or the jobs are the likelier cause.
+MAX_QUARANTINED_SHARE = 0.5
+
+
+def health_of(
+    state: state_lib.State, target: ids.InstanceId
+) -> routing_state.Health:
+    """Returns the evidence about an executor, empty if there is none."""
+    health = state.routing.health.get(target)
+    if health is None:
+        health = state.routing.health[target] = routing_state.Health()
+    return health
+
+
+def is_quarantined(state: state_lib.State, target: ids.InstanceId) -> bool:
+    """Tells whether an executor is out of use, also while it is probed."""
+    health = state.routing.health.get(target)
+    return health is not None and health.quarantined_until_s is not None
+
+
+def is_probe_due(
+    state: state_lib.State, target: ids.InstanceId, now_s: float
+) -> bool:
+    """Tells whether a quarantined executor may take one idempotent request."""
+    health = health_of(state, target)
+    if health.quarantined_until_s is None:
+        return False
+    load = state.requests.load.get(target)
+    idle = load is None or load.running == 0
+    return idle and now_s >= health.quarantined_until_s
+
+
+def failed_share(
+    state: state_lib.State, target: ids.InstanceId, now_s: float
+) -> float:
+    """Returns the share of recent tasks of an executor that failed."""
+    outcomes = _recent(health_of(state, target), now_s)
+    if not outcomes:
+        return 0.0
+    return sum(not o.succeeded for o in outcomes) / len(outcomes)
+
+
+def _recent(
+    health: routing_state.Health, now_s: float
+) -> list[routing_state.TaskOutcome]:
+    return [o for o in health.outcomes if now_s - o.at_s <= EVIDENCE_S]
+
+
+def _elsewhere(
+    state: state_lib.State, target: ids.InstanceId, now_s: float
+) -> list[routing_state.TaskOutcome]:
+    return [
+        outcome
+        for other, health in state.routing.health.items()
+        if other != target
+        for outcome in _recent(health, now_s)
+    ]
+
+
+def record(
+    state: state_lib.State,
+    step: dispatch.Step,
+    task: routing_state.Running,
+    succeeded: bool,
+) -> None:
+    """Records how a task ended and judges its executor."""
+    now_s = step.moment.now_s
+    if task.stalled:
+        return
+    elapsed_s = now_s - task.started_s
+    outcome = routing_state.TaskOutcome(
+        now_s, task.name, task.class_key, succeeded, elapsed_s
+    )
+    health = health_of(state, task.target)
+    health.outcomes.append(outcome)
+    if health.quarantined_until_s is not None:
+        _judge_probe(state, step, task.target, outcome)
+    elif not succeeded and _fails(state, task.target, now_s):
+        _quarantine(state, step, task.target, "requests fail there only")
+    elif succeeded and _is_slow(state, task.target, task.class_key, now_s):
+        _quarantine(state, step, task.target, "it is slower than the others")
+
+
+def _fails(
+    state: state_lib.State, target: ids.InstanceId, now_s: float
+) -> bool:
+    elsewhere = _elsewhere(state, target, now_s)
+    failed_elsewhere = {o.name for o in elsewhere if not o.succeeded}
+    here = _recent(health_of(state, target), now_s)
+    here = [o for o in here if o.name not in failed_elsewhere]
+    failed = [o for o in here if not o.succeeded]
+    if len({o.name for o in failed}) < MIN_FAILED_REQUESTS:
+        return False
+    if len(failed) < FAILED_SHARE * len(here):
+        return False
+    classes = {o.class_key for o in failed}
+    comparable = [o for o in elsewhere if o.class_key in classes]
+    succeeded = sum(o.succeeded for o in comparable)
+    if succeeded < MIN_ELSEWHERE:
+        return False
+    return succeeded >= SUCCEEDED_SHARE_ELSEWHERE * len(comparable)
+
+
+def _is_slow(
+    state: state_lib.State,
+    target: ids.InstanceId,
+    class_key: estimates.ClassKey,
+    now_s: float,
+) -> bool:
+    here = _times(_recent(health_of(state, target), now_s), class_key)
+    if len(here) < MIN_TIMED:
+        return False
+    elsewhere = _times(_elsewhere(state, target, now_s), class_key)
+    if len(elsewhere) < MIN_TIMED:
+        return False
+    usual_s = statistics.median(elsewhere)
+    return statistics.median(here) > SLOW_FACTOR * usual_s
+
+
+def _times(
+    outcomes: list[routing_state.TaskOutcome], class_key: estimates.ClassKey
+) -> list[float]:
+    return [
+        o.elapsed_s
+        for o in outcomes
+        if o.succeeded and o.class_key == class_key
+    ]
+
+
+def _quarantine(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: ids.InstanceId,
+    reason: str,
+) -> None:
+    listed = [
+        entry.id for entry in membership.targets(state, kinds.Role.EXECUTOR)
+    ]
+    quarantined = sum(is_quarantined(state, name) for name in listed)
+    if quarantined + 1 > MAX_QUARANTINED_SHARE * len(listed):
+        return
+    health = health_of(state, target)
+    _extend(health, step.moment.now_s)
+    step.note(
+        effects.Part.ROUTING,
+        f"executor {target} is quarantined: {reason}",
+        warning=True,
+    )
+    step.count("quarantines_total")
+
+
+def _extend(health: routing_state.Health, now_s: float) -> None:
+    length_s = FIRST_QUARANTINE_S * 2.0 ** min(health.quarantines, 10)
+    health.quarantined_until_s = now_s + min(MAX_QUARANTINE_S, length_s)
+    health.quarantines += 1
+    health.probes_passed = 0
+
+
+def _judge_probe(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: ids.InstanceId,
+    outcome: routing_state.TaskOutcome,
+) -> None:
+    """Lets an executor back after enough probes, or extends the quarantine.
+
+    Tasks that were running when the quarantine began prove nothing.
+    """
+    health = health_of(state, target)
+    now_s = step.moment.now_s
+    if now_s < health.quarantined_until_s:
+        return
+    usual = _times(_elsewhere(state, target, now_s), outcome.class_key)
+    slow = bool(usual) and (
+        outcome.elapsed_s > SLOW_FACTOR * statistics.median(usual)
+    )
+    if not outcome.succeeded or slow:
+        _extend(health, now_s)
+        return
+    health.probes_passed += 1
+    if health.probes_passed >= PROBES_TO_RECOVER:
+        release(health)
+        step.note(effects.Part.ROUTING, f"executor {target} is in use again")
+
+
+def release(health: routing_state.Health) -> None:
+    """Ends a quarantine and drops the evidence."""
+    health.quarantined_until_s = None
+    health.quarantines = 0
+    health.probes_passed = 0
+    health.outcomes.clear()
+
+
+def restarted(health: routing_state.Health) -> None:
+    """Lets an executor with a new incarnation be probed at once."""
+    health.outcomes.clear()
+    if health.quarantined_until_s is not None:
+        health.quarantined_until_s = float("-inf")
+
+
+def stalled(state: state_lib.State, stall_s: float) -> None:
+    """Moves quarantines on by the time in which nothing was observed.
+
+    Tasks in progress are marked, because their elapsed time and their
+    timeouts include the stall of this instance.
+    """
+    for health in state.routing.health.values():
+        if health.quarantined_until_s is not None:
+            health.quarantined_until_s += stall_s
+    for task in state.routing.running.values():
+        task.stalled = True
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -7,15 +7,26 @@
 from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import forwarding
+from dandelionpick import hedging
+from dandelionpick import lanes
+from dandelionpick import listing
 from dandelionpick import membership
 from dandelionpick import requests
+from dandelionpick import stalls
 from dandelionpick import state as state_lib
+from dandelionpick import targets
 
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
+    listing.tick,
     membership.tick,
     configuration.tick,
+    targets.tick,
+    lanes.tick,
     requests.tick,
+    forwarding.tick,
+    hedging.tick,
     drain.tick,
 )
 
@@ -58,6 +69,7 @@
     if pending is None:
         return
     step.trace = pending.trace
+    membership.note_heard(state, pending.destination, event.moment.now_s)
     dispatch.returned(pending.context, state, step, event.reply)
 
 
@@ -82,7 +94,7 @@
 def _(
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    membership.stalled(state, step, event.stall_s)
+    stalls.stalled(state, step, event.stall_s)
 
 
 @_apply.register
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -30,6 +30,8 @@
         runs: tasks started so far.
         tried: executors that refused or lost a task of this request.
         sent: whether a start was ever sent that may have taken effect.
+        failures: tasks and forwards of this request that were lost or failed.
+        hops: instances that forwarded the request to this one.
     """
 
     submission: caller_messages.SubmitRequest
@@ -45,6 +47,8 @@
     runs: int = 0
     tried: list[ids.InstanceId] = dataclasses.field(default_factory=list)
     sent: bool = False
+    failures: int = 0
+    hops: int = 0
     done_s: float = 0.0
     answer: caller_messages.Answer | None = None
 
@@ -73,7 +77,6 @@
     by_name: dict[RequestName, Request] = dataclasses.field(
         default_factory=dict
     )
-    queue: list[RequestName] = dataclasses.field(default_factory=list)
     load: dict[ids.InstanceId, TargetLoad] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dandelionpick import admission
 from dandelionpick import caller_messages
 from dandelionpick import dispatch
 from dandelionpick import drain
@@ -10,13 +11,14 @@
 from dandelionpick import executor_messages
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import lanes
 from dandelionpick import list_messages
+from dandelionpick import peer_messages
 from dandelionpick import request_state
+from dandelionpick import retries
 from dandelionpick import routing
 from dandelionpick import state as state_lib
 
-BUSY_BACKOFF_S = 0.02
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskStarted:
@@ -42,8 +44,17 @@
     step: dispatch.Step,
     message: caller_messages.SubmitRequest,
     exchange_id: ids.ExchangeId,
+    hops: int = 0,
 ) -> None:
-    """Takes a request, or joins the one that has its key."""
+    """Takes a request, or joins the one that has its key.
+
+    Args:
+        state: the reducer's state.
+        step: the current step.
+        message: the submission.
+        exchange_id: the exchange to answer.
+        hops: instances that forwarded the request to this one.
+    """
     name = (message.organisation, message.key)
     digest = executor_messages.digest_of(message.body)
     known = state.requests.by_name.get(name)
@@ -52,7 +63,7 @@
         return
     problem = check(state, step, message)
     if problem is not None:
-        step.respond(exchange_id, refusal(message, problem))
+        refuse(step, message, problem, exchange_id, hops)
         return
     now_s = step.moment.now_s
     organisation = state.configuration.organisations[message.organisation]
@@ -65,12 +76,52 @@
         deadline_ms=step.moment.unix_ms + int(message.deadline_s * 1000),
         trace=step.trace,
         waiting=[exchange_id],
+        hops=hops,
     )
+    decision = admission.decide(state, name, request, now_s)
+    if decision.problem is not None:
+        refuse(step, message, decision.problem, exchange_id, hops)
+        return
+    if decision.displaced is not None:
+        displace(state, step, decision.displaced)
     state.requests.by_name[name] = request
-    state.requests.queue.append(name)
+    lanes.enqueue(state, name, request)
+    if decision.offered:
+        state.routing.offers.append(name)
     dispatch_queued(state, step)
 
 
+def refuse(
+    step: dispatch.Step,
+    message: caller_messages.SubmitRequest,
+    problem: errors.Problem,
+    exchange_id: ids.ExchangeId,
+    hops: int,
+) -> None:
+    """Answers a submission that is not taken, to a caller or to a peer."""
+    step.count("refusals_total", problem.kind.value)
+    if hops:
+        step.respond(exchange_id, peer_messages.Refused(problem))
+    else:
+        step.respond(exchange_id, refusal(message, problem))
+
+
+def displace(
+    state: state_lib.State,
+    step: dispatch.Step,
+    name: request_state.RequestName,
+) -> None:
+    """Refuses a queued request that was never sent, to make room.
+
+    Its record is dropped, so that the caller can submit the key again.
+    """
+    request = state.requests.by_name.pop(name)
+    lanes.withdraw(state, name)
+    problem = admission.displaced()
+    step.count("refusals_total", problem.kind.value)
+    finish(step, request, refusal(request.submission, problem))
+
+
 def join(
     state: state_lib.State,
     step: dispatch.Step,
@@ -137,16 +188,9 @@
 
 def dispatch_queued(state: state_lib.State, step: dispatch.Step) -> None:
     """Starts queued requests while executors have free slots."""
-    queue = state.requests.queue
-    while queue:
-        request = state.requests.by_name[queue[0]]
-        entry = routing.choose_executor(
-            state, request, step.moment.now_s, step.moment.draw
-        )
-        if entry is None:
-            return
-        name = queue.pop(0)
-        start(state, step, name, request, entry)
+    now_s = step.moment.now_s
+    while chosen := lanes.take_next(state, now_s, step.moment.draw):
+        start(state, step, *chosen)
 
 
 def start(
@@ -161,9 +205,9 @@
     request.runs += 1
     request.sent = True
     request.target = entry.id
-    routing.load_of(state, entry).running += 1
     submission = request.submission
     task_id = task_id_of(submission, request.runs)
+    routing.note_start(state, entry, name, request, task_id, step.moment.now_s)
     message = executor_messages.StartTask(
         task_id=task_id,
         labels=executor_messages.TaskLabels(
@@ -206,17 +250,13 @@
     step: dispatch.Step,
     reply: executor_messages.TaskReply,
 ) -> None:
-    load = state.requests.load[context.target]
-    load.running -= 1
-    load.free_slots = reply.free_slots
-    load.leaving = reply.leaving
+    routing.note_reply(state, step, context.target, context.task_id, reply)
     request = state.requests.by_name.get(context.name)
     if request is not None and request.answer is None:
         if isinstance(reply, executor_messages.TaskResult):
-            complete(state, step, request, reply, context.task_id)
+            complete(state, step, request, reply, context)
         else:
-            load.busy_until_s = step.moment.now_s + BUSY_BACKOFF_S
-            retry(state, context.name, request)
+            requeue(state, context, request)
     dispatch_queued(state, step)
 
 
@@ -227,22 +267,53 @@
     step: dispatch.Step,
     failure: kinds.CallFailure,
 ) -> None:
-    state.requests.load[context.target].running -= 1
+    routing.note_failure(state, step, context.target, context.task_id)
     request = state.requests.by_name.get(context.name)
     if request is not None and request.answer is None:
-        retry(state, context.name, request)
+        retry(state, step, context, request)
     dispatch_queued(state, step)
 
 
+def requeue(
+    state: state_lib.State,
+    context: TaskStarted,
+    request: request_state.Request,
+) -> None:
+    """Queues a request again that an executor refused."""
+    request.tried.append(context.target)
+    if not routing.has_run(state, context.name):
+        request.phase = request_state.Phase.QUEUED
+        lanes.enqueue(state, context.name, request)
+
+
 def retry(
     state: state_lib.State,
+    step: dispatch.Step,
+    context: TaskStarted,
+    request: request_state.Request,
+) -> None:
+    """Tries a request again whose task was lost or failed.
+
+    A request that has another task in progress, a hedge, waits for that.
+    """
+    request.tried.append(context.target)
+    request.failures += 1
+    if routing.has_run(state, context.name):
+        return
+    try_again(state, step, context.name, request)
+
+
+def try_again(
+    state: state_lib.State,
+    step: dispatch.Step,
     name: request_state.RequestName,
     request: request_state.Request,
 ) -> None:
-    """Puts a request back at the head of the queue."""
-    request.tried.append(request.target)
+    """Queues a request for another try, or gives up after too many."""
     request.phase = request_state.Phase.QUEUED
-    state.requests.queue.insert(0, name)
+    moment = step.moment
+    if not retries.schedule(state, name, request, moment.now_s, moment.draw):
+        finish(step, request, retries.lost(request))
 
 
 def complete(
@@ -250,12 +321,17 @@
     step: dispatch.Step,
     request: request_state.Request,
     result: executor_messages.TaskResult,
-    task_id: ids.TaskId,
+    context: TaskStarted,
 ) -> None:
-    """Answers a request with the executor's result."""
-    if not executor_messages.is_whole(result, task_id):
-        name = (request.submission.organisation, request.submission.key)
-        retry(state, name, request)
+    """Answers a request with the executor's result.
+
+    The first failed task of an idempotent request is tried on another
+    executor, which tells a failing executor from a failing job.
+    """
+    again = request.job_class.idempotent and not request.failures
+    whole = executor_messages.is_whole(result, context.task_id)
+    if not whole or (again and not result.succeeded):
+        retry(state, step, context, request)
         return
     answer = caller_messages.Answer(
         organisation=request.submission.organisation,
@@ -304,7 +380,7 @@
 ) -> None:
     """Answers a request whose deadline has passed."""
     if request.phase is request_state.Phase.QUEUED:
-        state.requests.queue.remove(name)
+        lanes.withdraw(state, name)
     proved = not request.sent and request.submission.attempt == 1
     problem = errors.Problem(
         errors.ProblemKind.DEADLINE_PASSED,
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -1,11 +1,25 @@
-"""Chooses the executor for a request."""
+"""Chooses the executor for a request and records what executors reply."""
 
+from dandelionpick import dispatch
+from dandelionpick import estimates
+from dandelionpick import executor_messages
+from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import membership
+from dandelionpick import quarantine
+from dandelionpick import queueing
 from dandelionpick import request_state
+from dandelionpick import retries
+from dandelionpick import routing_state
 from dandelionpick import state as state_lib
 
+FIRST_BUSY_S = 0.02
+MAX_BUSY_S = 0.32
+# A report of free slots that is older than this says little, because other
+# instances use the same executor.
+REPORT_FRESH_S = 1.0
+
 
 def load_of(
     state: state_lib.State, entry: list_messages.InstanceEntry
@@ -18,21 +32,51 @@
     return load
 
 
+def is_leaving(
+    state: state_lib.State, entry: list_messages.InstanceEntry
+) -> bool:
+    """Tells whether the list or the executor itself said that it leaves."""
+    if entry.state is kinds.Liveness.LEAVING:
+        return True
+    return bool(quarantine.health_of(state, entry.id).leaving)
+
+
+def executors_in_use(
+    state: state_lib.State,
+) -> list[list_messages.InstanceEntry]:
+    """Returns the executors that take new work, busy or not."""
+    return [
+        entry
+        for entry in membership.targets(state, kinds.Role.EXECUTOR)
+        if not is_leaving(state, entry)
+        and not quarantine.is_quarantined(state, entry.id)
+    ]
+
+
 def usable_executors(
     state: state_lib.State, now_s: float
 ) -> list[list_messages.InstanceEntry]:
     """Returns the executors that may take a task now."""
     usable = []
-    for entry in membership.targets(state, kinds.Role.EXECUTOR):
+    for entry in executors_in_use(state):
         load = load_of(state, entry)
-        if entry.state is kinds.Liveness.LEAVING or load.leaving:
-            continue
-        if load.running >= entry.slots or now_s < load.busy_until_s:
-            continue
-        usable.append(entry)
+        if load.running < entry.slots and now_s >= load.busy_until_s:
+            usable.append(entry)
     return usable
 
 
+def probes_due(
+    state: state_lib.State, now_s: float
+) -> list[list_messages.InstanceEntry]:
+    """Returns the quarantined executors that may be probed now."""
+    return [
+        entry
+        for entry in membership.targets(state, kinds.Role.EXECUTOR)
+        if quarantine.is_probe_due(state, entry.id, now_s)
+        and not is_leaving(state, entry)
+    ]
+
+
 def choose_executor(
     state: state_lib.State,
     request: request_state.Request,
@@ -42,21 +86,187 @@
     """Returns the less loaded of two random executors, or None.
 
     Executors that already failed the request are used only if no other is
-    usable.
+    usable. A quarantined executor whose probe is due goes first.
     """
+    if request.job_class.idempotent and not request.failures:
+        for entry in probes_due(state, now_s):
+            return entry
     usable = usable_executors(state, now_s)
     fresh = [entry for entry in usable if entry.id not in request.tried]
     candidates = fresh or usable
     if not candidates:
         return None
+    first, second = two_of(
+        candidates, retries.derive(draw, "first", state.calls_made)
+    )
+    if _load(state, second, now_s) < _load(state, first, now_s):
+        return second
+    return first
+
+
+def two_of(
+    candidates: list[list_messages.InstanceEntry], draw: float
+) -> tuple[list_messages.InstanceEntry, list_messages.InstanceEntry]:
+    """Returns two different random candidates, or the only one twice."""
     size = len(candidates)
     first = int(draw * size)
-    second = (first + 1 + int(draw * 1_000_003) % max(1, size - 1)) % size
-    pair = (candidates[first], candidates[second])
-    return min(
-        pair,
-        key=lambda entry: (
-            state.requests.load[entry.id].running,
-            -state.requests.load[entry.id].free_slots,
-        ),
+    if size == 1:
+        return candidates[0], candidates[0]
+    step = 1 + int(retries.derive(draw, "second") * (size - 1))
+    return candidates[first], candidates[(first + step) % size]
+
+
+def _load(
+    state: state_lib.State,
+    entry: list_messages.InstanceEntry,
+    now_s: float,
+) -> float:
+    """Returns the used share of the slots, raised by recent failures.
+
+    An executor that fails its tasks at once always looks idle. Counting the
+    failed share as load keeps it from attracting work before there is enough
+    evidence for a quarantine.
+    """
+    load = load_of(state, entry)
+    used = load.running
+    health = quarantine.health_of(state, entry.id)
+    if now_s - health.replied_s <= REPORT_FRESH_S:
+        used = max(used, entry.slots - load.free_slots)
+    failed = quarantine.failed_share(state, entry.id, now_s)
+    return used / max(1, entry.slots) + 2.0 * failed
+
+
+def note_start(
+    state: state_lib.State,
+    entry: list_messages.InstanceEntry,
+    name: request_state.RequestName,
+    request: request_state.Request,
+    task_id: ids.TaskId,
+    now_s: float,
+) -> None:
+    """Records that a start is sent to an executor."""
+    load = load_of(state, entry)
+    load.running += 1
+    load.free_slots = max(0, load.free_slots - 1)
+    if request.runs == 1:
+        retries.earn(state)
+    lane = lane_of(state, request)
+    if lane is queueing.Lane.NORMAL:
+        state.routing.long_running += 1
+    state.routing.running[task_id] = routing_state.Running(
+        name, class_key(request), entry.id, now_s, lane
     )
+
+
+def class_key(request: request_state.Request) -> estimates.ClassKey:
+    """Returns what the request's run times are recorded under."""
+    submission = request.submission
+    return (submission.organisation, submission.job_class)
+
+
+def lane_of(
+    state: state_lib.State, request: request_state.Request
+) -> queueing.Lane:
+    """Returns the lane that a request's class belongs to now."""
+    short = state.routing.run_times.is_short(
+        class_key(request), request.job_class.short, state.limits.short_max_s
+    )
+    return queueing.Lane.SHORT if short else queueing.Lane.NORMAL
+
+
+def note_reply(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: ids.InstanceId,
+    task_id: ids.TaskId,
+    reply: executor_messages.TaskReply,
+) -> None:
+    """Records an executor's reply to the start of a task."""
+    hear(state, target, reply, step.moment.now_s)
+    task = end(state, task_id)
+    load = state.requests.load.get(target)
+    health = quarantine.health_of(state, target)
+    if load is not None and isinstance(reply, executor_messages.TaskRefused):
+        health.busy_streak += 1
+        draw = retries.derive(step.moment.draw, task_id)
+        load.busy_until_s = step.moment.now_s + retries.backoff_s(
+            health.busy_streak, draw, FIRST_BUSY_S, MAX_BUSY_S
+        )
+        return
+    health.busy_streak = 0
+    if task is None or not isinstance(reply, executor_messages.TaskResult):
+        return
+    succeeded = reply.succeeded and executor_messages.is_whole(reply, task_id)
+    if succeeded and not task.stalled:
+        observe(state, task, step.moment.now_s)
+    quarantine.record(state, step, task, succeeded)
+
+
+def observe(
+    state: state_lib.State, task: routing_state.Running, now_s: float
+) -> None:
+    """Records the run time of a task that ended."""
+    known = state.routing.run_times
+    if task.provisional_s is not None:
+        known.of(task.class_key).take_back(task.provisional_s)
+    known.observe(task.class_key, now_s - task.started_s, now_s)
+
+
+def hear(
+    state: state_lib.State,
+    target: ids.InstanceId,
+    reply: executor_messages.TaskReply,
+    now_s: float,
+) -> None:
+    """Records what every reply of an executor tells.
+
+    "Leaving" holds until another incarnation replies: replies can arrive out
+    of order, and an incarnation that leaves does not come back.
+    """
+    load = state.requests.load.get(target)
+    if load is not None:
+        load.free_slots = reply.free_slots
+    health = quarantine.health_of(state, target)
+    health.replied_s = now_s
+    if reply.incarnation != health.incarnation:
+        if health.incarnation:
+            quarantine.restarted(health)
+        health.incarnation = reply.incarnation
+        if health.leaving != reply.incarnation:
+            health.leaving = ""
+    if reply.leaving:
+        health.leaving = reply.incarnation
+    if load is not None:
+        load.leaving = bool(health.leaving)
+
+
+def note_failure(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: ids.InstanceId,
+    task_id: ids.TaskId,
+) -> None:
+    """Records that a start of a task got no reply."""
+    task = end(state, task_id)
+    if task is not None:
+        quarantine.record(state, step, task, succeeded=False)
+
+
+def end(
+    state: state_lib.State, task_id: ids.TaskId
+) -> routing_state.Running | None:
+    """Takes a task out of the running ones."""
+    task = state.routing.running.pop(task_id, None)
+    if task is None:
+        return None
+    load = state.requests.load.get(task.target)
+    if load is not None:
+        load.running = max(0, load.running - 1)
+    if task.lane is queueing.Lane.NORMAL:
+        state.routing.long_running -= 1
+    return task
+
+
+def has_run(state: state_lib.State, name: request_state.RequestName) -> bool:
+    """Tells whether a task of the request is on an executor."""
+    return any(task.name == name for task in state.routing.running.values())
--- a/dandelionpick/settings.py
+++ b/dandelionpick/settings.py
@@ -47,6 +47,10 @@
     suspect_after_s: Seconds = 3.0
     call_timeout_s: Seconds = 2.0
     drain_notice_s: Seconds = 3.0
+    drain_limit_s: Seconds = 30.0
+    short_max_s: Seconds = 0.5
+    closed_to_long_share: Share = 0.25
+    inter_region_bytes_per_s: Positive = 100_000
 
 
 class TracingSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -10,6 +10,7 @@
 from dandelionpick import list_messages
 from dandelionpick import peer_messages
 from dandelionpick import request_state
+from dandelionpick import routing_state
 from dandelionpick import tree_state
 
 
@@ -40,12 +41,18 @@
     Attributes:
         heard_s: monotonic seconds of the last heartbeat; -inf before the first.
         first_listed_s: monotonic seconds when the peer was first listed.
+        failed_s: monotonic seconds of the last call to it without a reply.
+        superseded: earlier incarnations, whose late heartbeats are ignored.
+        leaving: incarnation that said that it leaves, or "".
     """
 
     entry: list_messages.InstanceEntry
     first_listed_s: float
     heard_s: float = float("-inf")
     heartbeat: peer_messages.Heartbeat | None = None
+    failed_s: float = float("-inf")
+    superseded: tuple[ids.Incarnation, ...] = ()
+    leaving: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +65,13 @@
         list_read_s: monotonic seconds of the last successful read.
         list_pending: whether a read is under way.
         heartbeat_sent_s: monotonic seconds of the last heartbeat round.
+        rounds: heartbeat rounds sent.
+        missing: when the list first lacked an entry that is kept, by id.
+        heard: monotonic seconds of the last reply of a target, by id.
+        has_self: whether the last list contains this instance.
+        stalls: long stalls of the event loop so far.
+        blind_until_s: until then the silence of peers proves nothing; None
+            before the first tick.
     """
 
     entries: dict[ids.InstanceId, list_messages.InstanceEntry] = (
@@ -67,6 +81,14 @@
     list_read_s: float = float("-inf")
     list_pending: bool = False
     heartbeat_sent_s: float = float("-inf")
+    rounds: int = 0
+    missing: dict[ids.InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    heard: dict[ids.InstanceId, float] = dataclasses.field(default_factory=dict)
+    has_self: bool = False
+    stalls: int = 0
+    blind_until_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +112,10 @@
     suspect_after_s: float = 3.0
     call_timeout_s: float = 2.0
     drain_notice_s: float = 3.0
+    drain_limit_s: float = 30.0
+    short_max_s: float = 0.5
+    closed_to_long_share: float = 0.25
+    inter_region_bytes_per_s: int = 100_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +136,9 @@
     requests: request_state.Requests = dataclasses.field(
         default_factory=request_state.Requests
     )
+    routing: routing_state.Routing = dataclasses.field(
+        default_factory=routing_state.Routing
+    )
     jobs: job_state.Jobs = dataclasses.field(default_factory=job_state.Jobs)
     drain: Drain = dataclasses.field(default_factory=Drain)
 
--- /dev/null
+++ b/dandelionpick/targets.py
@@ -0,0 +1,93 @@
+"""Keeps the records of executors, and asks those that nothing is sent to."""
+
+import dataclasses
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import executor_messages
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick import list_messages
+from dandelionpick import membership
+from dandelionpick import quarantine
+from dandelionpick import routing
+from dandelionpick import state as state_lib
+
+ASK_PERIOD_S = 5.0
+FORGET_S = 60.0
+# Never started, so that the query changes nothing on the executor.
+NO_TASK = ids.TaskId("none")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateAsked:
+    """Context of a query for an executor's own state."""
+
+    target: ids.InstanceId
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Asks executors that are not sent work, and drops old records."""
+    now_s = step.moment.now_s
+    for entry in membership.targets(state, kinds.Role.EXECUTOR):
+        health = quarantine.health_of(state, entry.id)
+        # A leaving executor may be restarted under its id, and one that the
+        # list lacks stays known only while it replies.
+        unsure = health.leaving or entry.id in state.members.missing
+        if unsure and now_s - health.asked_s >= ASK_PERIOD_S:
+            health.asked_s = now_s
+            ask(state, step, entry)
+    forget(state, now_s)
+
+
+def ask(
+    state: state_lib.State,
+    step: dispatch.Step,
+    entry: list_messages.InstanceEntry,
+) -> None:
+    """Queries an executor for its incarnation and whether it leaves."""
+    dispatch.call(
+        state,
+        step,
+        effects.Destination(kinds.Service.EXECUTOR, entry.id, entry.address),
+        executor_messages.QueryTask(NO_TASK),
+        StateAsked(entry.id),
+        state.limits.call_timeout_s,
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: StateAsked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: executor_messages.TaskReply,
+) -> None:
+    routing.hear(state, context.target, reply, step.moment.now_s)
+
+
+@dispatch.failed.register
+def _(
+    context: StateAsked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    """Does nothing: the executor stays out of use and is asked again."""
+
+
+def forget(state: state_lib.State, now_s: float) -> None:
+    """Drops the records of targets that are gone."""
+    members = state.members
+    gone = [
+        name
+        for name, heard_s in members.heard.items()
+        if name not in members.entries and now_s - heard_s > FORGET_S
+    ]
+    for name in gone:
+        load = state.requests.load.get(name)
+        if load is not None and load.running:
+            continue
+        del members.heard[name]
+        state.requests.load.pop(name, None)
+        state.routing.health.pop(name, None)
