Test queue order, admission, quarantine, hedging and retry budget

Ruled out: the declared run time as the estimate of an unobserved class, since declarations are far off. Change: an unobserved class counts its declaration up to the observed mean; only the latest 8 outcomes are judged; tasks in progress count as waiting time in their own lane.

--- a/dandelionpick/admission.py
+++ b/dandelionpick/admission.py
@@ -57,7 +57,7 @@
     item = lanes.item_of(state, name, request)
     ahead_s = expected_wait_s(state, item, now_s)
     offered = ahead_s >= FORWARD_WAIT_S
-    late = ahead_s + item.cost_s > left_s
+    late = ahead_s > 0 and ahead_s + item.cost_s > left_s
     if late and not forward_choice.has_room(state, request, now_s):
         return Decision(too_busy(ahead_s, left_s))
     if len(state.routing.queue) < state.limits.max_queued_requests:
@@ -74,18 +74,35 @@
     """Returns how long a request would wait, by observed run times.
 
     The instance counts on its part of the slots, or on the slots that it uses
-    now if these are more. Without an executor the wait can't be estimated and
-    is 0.
+    now if these are more. Tasks in progress in the lane are ahead too if they
+    fill them. Without an executor the wait can't be estimated and is 0.
     """
     slots, open_to_long = lanes.open_slots(state)
+    if not slots:
+        return 0.0
     instances = 1 + sum(1 for _ in membership.live_peers(state, now_s))
+    long_running = state.routing.long_running
     if item.lane is queueing.Lane.SHORT:
-        usable = max(slots / instances, len(state.routing.running))
+        running = len(state.routing.running) - long_running
+        usable = max(slots / instances - long_running, running, 1.0)
     else:
-        usable = max(open_to_long / instances, state.routing.long_running)
-    if not slots:
-        return 0.0
-    return state.routing.queue.work_ahead(item) / usable
+        running = long_running
+        usable = max(open_to_long / instances, running)
+    ahead_s = state.routing.queue.work_ahead(item)
+    if running >= usable:
+        ahead_s += left_in_progress_s(state, item.lane, now_s)
+    return ahead_s / usable
+
+
+def left_in_progress_s(
+    state: state_lib.State, lane: queueing.Lane, now_s: float
+) -> float:
+    """Returns the expected remaining run time of a lane's running tasks."""
+    return sum(
+        max(0.0, task.expected_s - now_s + task.started_s)
+        for task in state.routing.running.values()
+        if task.lane is lane
+    )
 
 
 def too_short(left_s: float, fastest_s: float) -> errors.Problem:
--- a/dandelionpick/estimates.py
+++ b/dandelionpick/estimates.py
@@ -123,12 +123,17 @@
             return None
         return histogram
 
-    def expected_s(self, key: ClassKey) -> float:
-        """Returns the median run time, or the mean of all classes, or 0."""
+    def expected_s(self, key: ClassKey, declared_s: float) -> float:
+        """Returns the median run time of a class.
+
+        For a class without observations it is the declared run time, but not
+        above the mean of all classes, because declarations can be far off and
+        requests are refused by this figure; 0 if nothing was observed at all.
+        """
         histogram = self.classes.get(key)
         if histogram is not None and histogram.total:
             return histogram.quantile(0.5)
-        return self.mean_s
+        return min(declared_s, self.mean_s)
 
     def is_short(
         self, key: ClassKey, declared: bool, short_max_s: float
--- a/dandelionpick/forwarding.py
+++ b/dandelionpick/forwarding.py
@@ -59,10 +59,15 @@
 def _waiting(
     state: state_lib.State, name: request_state.RequestName
 ) -> request_state.Request | None:
-    """Returns a request that is queued here and has no answer."""
+    """Returns a queued request that may be forwarded.
+
+    A non-idempotent one that was sent before may have run and stays here.
+    """
     request = state.requests.by_name.get(name)
     if request is None or request.answer is not None:
         return None
+    if request.sent and not request.job_class.idempotent:
+        return None
     return request if name in state.routing.queue else None
 
 
@@ -162,7 +167,9 @@
     """
     if not request.job_class.idempotent:
         return left_s
-    expected_s = state.routing.run_times.expected_s(routing.class_key(request))
+    expected_s = state.routing.run_times.expected_s(
+        routing.class_key(request), request.job_class.run_s
+    )
     patience_s = RUNS_BEFORE_TIMEOUT * max(expected_s, request.job_class.run_s)
     return min(left_s, max(state.limits.call_timeout_s, patience_s))
 
@@ -288,7 +295,9 @@
     if problem is not None:
         step.respond(exchange_id, peer_messages.Refused(problem))
         return
-    requests.submit(state, step, message.request, exchange_id, message.hops)
+    requests.submit(
+        state, step, message.request, exchange_id, max(1, message.hops)
+    )
 
 
 def check(
--- a/dandelionpick/lanes.py
+++ b/dandelionpick/lanes.py
@@ -35,7 +35,9 @@
     classes, so that both units are of the same size.
     """
     known = state.routing.run_times
-    cost_s = known.expected_s(routing.class_key(request))
+    cost_s = known.expected_s(
+        routing.class_key(request), request.job_class.run_s
+    )
     organisation = state.configuration.organisations.get(name[0])
     share = organisation.share if organisation else 1.0
     charge = 1.0
@@ -78,7 +80,7 @@
     """
     if state.routing.hold:
         return None
-    release_delayed(state, now_s)
+    release_delayed(state, now_s, draw)
     lanes = [queueing.Lane.SHORT, queueing.Lane.NORMAL]
     if state.routing.short_streak >= MAX_SHORT_STREAK:
         lanes.reverse()
@@ -89,14 +91,10 @@
     return None
 
 
-def release_delayed(state: state_lib.State, now_s: float) -> None:
+def release_delayed(state: state_lib.State, now_s: float, draw: float) -> None:
     """Queues the requests whose wait before a retry is over."""
-    for name in retries.due(state, now_s):
-        request = state.requests.by_name.get(name)
-        if request is None or request.answer is not None:
-            continue
-        if request.phase is request_state.Phase.QUEUED:
-            enqueue(state, name, request)
+    for name in retries.due(state, now_s, draw):
+        enqueue(state, name, state.requests.by_name[name])
 
 
 def _take(
--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -17,6 +17,9 @@
 from dandelionpick import state as state_lib
 
 EVIDENCE_S = 60.0
+# Only the latest outcomes count, so that an executor that begins to fail is
+# not protected by what it completed before.
+LATEST_OUTCOMES = 8
 MIN_FAILED_REQUESTS = 3
 FAILED_SHARE = 0.5
 # Outcomes of the same classes needed elsewhere, and the share that succeeded.
@@ -62,11 +65,17 @@
 def failed_share(
     state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> float:
-    """Returns the share of recent tasks of an executor that failed."""
-    outcomes = _recent(health_of(state, target), now_s)
-    if not outcomes:
+    """Returns the share of an executor's latest tasks that failed.
+
+    Few failures count as none: an executor that is avoided because of them
+    would never give enough evidence to be quarantined and probed.
+    """
+    outcomes = _recent(health_of(state, target), now_s)[-LATEST_OUTCOMES:]
+    failed = sum(not o.succeeded for o in outcomes)
+    share = failed / max(1, len(outcomes))
+    if failed < MIN_FAILED_REQUESTS or share < FAILED_SHARE:
         return 0.0
-    return sum(not o.succeeded for o in outcomes) / len(outcomes)
+    return share
 
 
 def _recent(
@@ -117,6 +126,7 @@
     failed_elsewhere = {o.name for o in elsewhere if not o.succeeded}
     here = _recent(health_of(state, target), now_s)
     here = [o for o in here if o.name not in failed_elsewhere]
+    here = here[-LATEST_OUTCOMES:]
     failed = [o for o in here if not o.succeeded]
     if len({o.name for o in failed}) < MIN_FAILED_REQUESTS:
         return False
--- a/dandelionpick/queueing.py
+++ b/dandelionpick/queueing.py
@@ -272,7 +272,8 @@
     def move(self, item: Item, lane: Lane) -> None:
         """Moves a queued item to another lane."""
         self.remove(item.name)
-        self.push(dataclasses.replace(item, lane=lane, queued=True))
+        # A new number, because the heaps may still hold the removed item.
+        self.push(dataclasses.replace(item, lane=lane, queued=True, number=0))
 
     def least_valuable(self) -> Item | None:
         """Returns the item to refuse first among those never sent."""
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -270,6 +270,9 @@
     routing.note_failure(state, step, context.target, context.task_id)
     request = state.requests.by_name.get(context.name)
     if request is not None and request.answer is None:
+        # A message that was certainly not delivered says nothing about what
+        # the request does to executors.
+        request.failures += failure is kinds.CallFailure.LOST
         retry(state, step, context, request)
     dispatch_queued(state, step)
 
@@ -297,7 +300,6 @@
     A request that has another task in progress, a hedge, waits for that.
     """
     request.tried.append(context.target)
-    request.failures += 1
     if routing.has_run(state, context.name):
         return
     try_again(state, step, context.name, request)
@@ -331,6 +333,7 @@
     again = request.job_class.idempotent and not request.failures
     whole = executor_messages.is_whole(result, context.task_id)
     if not whole or (again and not result.succeeded):
+        request.failures += 1
         retry(state, step, context, request)
         return
     answer = caller_messages.Answer(
--- a/dandelionpick/retries.py
+++ b/dandelionpick/retries.py
@@ -12,6 +12,7 @@
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
+NO_TOKEN_WAIT_S = 0.4
 # A first start earns a tenth of a retry, so that retries and hedges add at
 # most about 10 % to the load of the executors.
 TOKENS_PER_START = 0.1
@@ -64,38 +65,49 @@
     now_s: float,
     draw: float,
 ) -> bool:
-    """Queues a failed request again after a wait.
-
-    If the budget is empty, the request waits until a token has accrued.
+    """Lets a failed request wait before it is tried again.
 
     Returns:
-        False if the request failed too often to be tried again.
+        False if the request was lost too often to be tried again.
     """
     if request.failures >= MAX_FAILURES:
         return False
-    wait_s = backoff_s(max(1, request.failures), derive(draw, *name))
-    budget = state.routing.retry_budget
-    budget.refill(now_s)
-    # The token is taken now even if it accrues later, so that a burst of
-    # failures is spread over time.
-    budget.tokens -= 1.0
-    if budget.tokens < 0:
-        wait_s += -budget.tokens / budget.rate_per_s
+    wait_s = backoff_s(max(1, len(request.tried)), derive(draw, *name))
+    _delay(state, name, now_s + wait_s)
+    return True
+
+
+def _delay(
+    state: state_lib.State, name: request_state.RequestName, until_s: float
+) -> None:
     state.calls_made += 1
-    item = (now_s + wait_s, state.calls_made, name)
+    item = (until_s, state.calls_made, name)
     heapq.heappush(state.routing.delayed, item)
-    return True
 
 
 def due(
-    state: state_lib.State, now_s: float
+    state: state_lib.State, now_s: float, draw: float
 ) -> list[request_state.RequestName]:
-    """Removes and returns the requests whose wait is over."""
+    """Removes and returns the requests that may be tried again now.
+
+    Each costs a token of the budget. Without one the request waits on, so
+    that a burst of failures does not become a burst of retries.
+    """
     delayed = state.routing.delayed
-    names = []
+    ready = []
     while delayed and delayed[0][0] <= now_s:
-        names.append(heapq.heappop(delayed)[2])
-    return names
+        name = heapq.heappop(delayed)[2]
+        request = state.requests.by_name.get(name)
+        if request is None or request.answer is not None:
+            continue
+        if request.phase is not request_state.Phase.QUEUED:
+            continue
+        if pay(state, now_s):
+            ready.append(name)
+        else:
+            wait_s = NO_TOKEN_WAIT_S * (0.5 + derive(draw, *name))
+            _delay(state, name, now_s + wait_s)
+    return ready
 
 
 def lost(request: request_state.Request) -> caller_messages.Answer:
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -153,8 +153,12 @@
     lane = lane_of(state, request)
     if lane is queueing.Lane.NORMAL:
         state.routing.long_running += 1
+    key = class_key(request)
+    expected_s = state.routing.run_times.expected_s(
+        key, request.job_class.run_s
+    )
     state.routing.running[task_id] = routing_state.Running(
-        name, class_key(request), entry.id, now_s, lane
+        name, key, entry.id, now_s, expected_s, lane
     )
 
 
@@ -200,6 +204,24 @@
     if succeeded and not task.stalled:
         observe(state, task, step.moment.now_s)
     quarantine.record(state, step, task, succeeded)
+    if succeeded:
+        _note_overtaken(state, step, task)
+
+
+def _note_overtaken(
+    state: state_lib.State,
+    step: dispatch.Step,
+    ended: routing_state.Running,
+) -> None:
+    """Counts tasks of the same request that a hedge overtook as failures.
+
+    The job ran in the usual time elsewhere, so that the executor, and not the
+    job, is what kept the first task. It may never reply.
+    """
+    for task in list(state.routing.running.values()):
+        if task.name == ended.name and task.started_s < ended.started_s:
+            quarantine.record(state, step, task, succeeded=False)
+            task.stalled = True
 
 
 def observe(
--- a/dandelionpick/routing_state.py
+++ b/dandelionpick/routing_state.py
@@ -56,6 +56,7 @@
     """A task that this instance has on an executor.
 
     Attributes:
+        expected_s: run time that was expected at the start.
         lane: NORMAL also once the task has run longer than short work may.
         provisional_s: run time that was recorded before the task's end.
         stalled: this instance did not run for a while meanwhile, so that the
@@ -66,6 +67,7 @@
     class_key: estimates.ClassKey
     target: ids.InstanceId
     started_s: float
+    expected_s: float
     lane: queueing.Lane
     provisional_s: float | None = None
     stalled: bool = False
--- a/dandelionpick/targets.py
+++ b/dandelionpick/targets.py
@@ -79,15 +79,13 @@
 def forget(state: state_lib.State, now_s: float) -> None:
     """Drops the records of targets that are gone."""
     members = state.members
-    gone = [
-        name
-        for name, heard_s in members.heard.items()
-        if name not in members.entries and now_s - heard_s > FORGET_S
-    ]
-    for name in gone:
-        load = state.requests.load.get(name)
-        if load is not None and load.running:
+    loads = state.requests.load
+    known = {*members.heard, *loads, *state.routing.health}
+    for name in known - members.entries.keys():
+        busy = name in loads and loads[name].running
+        heard_s = members.heard.get(name, float("-inf"))
+        if busy or now_s - heard_s <= FORGET_S:
             continue
-        del members.heard[name]
-        state.requests.load.pop(name, None)
+        members.heard.pop(name, None)
+        loads.pop(name, None)
         state.routing.health.pop(name, None)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,302 @@
+"""Tests of admission, order of starts, executors, retries and hedges."""
+
+import collections
+import unittest
+
+from dandelionpick import executor_messages
+from dandelionpick import kinds
+from dandelionpick import quarantine
+from dandelionpick import retries
+from dandelionpick import routing_state
+from dandelionpick import state as state_lib
+from tests import builders
+from tests import routing_cases as cases
+
+FAILING = cases.FailingExecutor
+
+
+class SlowExecutor(cases.ClassedExecutor):
+    factor = 10.0
+
+
+class BurstTest(unittest.TestCase):
+    """Ten times the load of two executors with 8 slots arrives at once."""
+
+    def test_short_work_does_not_wait_behind_long_work(self):
+        """Guards against head-of-line blocking in every slot."""
+        built = cases.build({"a": (1, 2)})
+        cases.send_many(
+            built,
+            "a-entry-1",
+            "long",
+            160,
+            job_class="assessment",
+            deadline_s=60.0,
+        )
+        built.run_for(2.0)
+        self.assertLessEqual(self.running(built, "long"), 12)
+        short = cases.send_many(built, "a-entry-1", "short", 40)
+        # Four closed slots take 40 tasks of 20 ms in ten rounds of about
+        # 40 ms with the network; a long task takes 1 s.
+        built.run_for(0.8)
+        outcomes = collections.Counter(cases.outcomes(built, short))
+        self.assertEqual(outcomes, {"completed": 40})
+
+    def running(self, built, prefix):
+        return sum(
+            task.end_s > built.now_s
+            for target in built.targets.values()
+            for task in target.tasks.values()
+            if task.labels.key.startswith(prefix)
+        )
+
+    def test_instances_share_the_open_slots(self):
+        """Guards against each instance using all open slots for long work."""
+        built = cases.build({"a": (3, 2)})
+        for number in (1, 2, 3):
+            cases.send_many(
+                built,
+                f"a-entry-{number}",
+                f"long{number}-",
+                30,
+                job_class="assessment",
+                deadline_s=60.0,
+            )
+        most = 0
+        for _ in range(60):
+            built.run_for(0.1)
+            most = max(most, self.running(built, "long"))
+        self.assertLessEqual(most, 12)
+        self.assertGreaterEqual(most, 10)
+
+    def test_long_work_is_not_starved(self):
+        """Guards against a steady flow of short work stopping long work."""
+        built = cases.build({"a": (1, 1)}, slots=2)
+        long = cases.send_many(
+            built, "a-entry-1", "long", 3, job_class="assessment"
+        )
+        for number in range(40):
+            cases.send_many(built, "a-entry-1", f"s{number}-", 10)
+            built.run_for(0.1)
+        self.assertEqual(set(cases.outcomes(built, long)), {"completed"})
+
+    def test_class_declared_short_loses_the_closed_slots(self):
+        """Guards against trusting a declaration that is far off."""
+        built = cases.build({"a": (1, 2)})
+        for target in built.targets.values():
+            target.seconds = {"confirmation": 4.0}
+        cases.send_many(built, "a-entry-1", "k", 60, deadline_s=60.0)
+        built.run_for(4.5)
+        state = built.instances["a-entry-1"].state
+        short = state.routing.run_times.is_short(
+            ("ward", "confirmation"), True, 0.5
+        )
+        self.assertFalse(short)
+        built.run_for(4.0)
+        self.assertLessEqual(self.running(built, "k"), 12)
+
+    def test_refuses_what_the_queue_can_not_serve(self):
+        """Guards against requests that wait until their deadline for nothing.
+
+        Every slot has about 1 s of observed work in progress, and the task
+        itself takes 1 s. The refusal is true: nothing was started.
+        """
+        built = cases.build({"a": (1, 1)}, slots=4)
+        warm = {"job_class": "assessment", "deadline_s": 60.0}
+        cases.send_many(built, "a-entry-1", "warm", 8, **warm)
+        built.run_for(10.0)
+        cases.send_many(built, "a-entry-1", "long", 12, **warm)
+        late = cases.send_many(
+            built,
+            "a-entry-1",
+            "late",
+            5,
+            job_class="assessment",
+            deadline_s=1.5,
+        )
+        built.run_for(0.1)
+        self.assertEqual(set(cases.outcomes(built, late)), {"overloaded"})
+        answer = built.response(late[0])
+        self.assertEqual(answer.outcome, kinds.Outcome.NOT_RUN)
+        built.run_for(10.0)
+        self.assertEqual(cases.started(built, "late"), 0)
+
+    def test_refuses_a_deadline_below_the_fastest_run(self):
+        """Guards against starting work that can't end in time."""
+        built = cases.build({"a": (1, 1)})
+        request = {"job_class": "assessment", "deadline_s": 9.0}
+        cases.send_many(built, "a-entry-1", "warm", 12, **request)
+        built.run_for(5.0)
+        answer = built.ask(
+            "a-entry-1",
+            builders.request("k", job_class="assessment", deadline_s=0.3),
+        )
+        self.assertEqual(answer.problem.kind.value, "deadline_too_short")
+        self.assertEqual(answer.outcome, kinds.Outcome.NOT_RUN)
+        self.assertEqual(cases.started(built, "k"), 0)
+
+    def test_full_queue_refuses_the_least_valuable(self):
+        """Guards against worthless work keeping valuable work out."""
+        limits = state_lib.Limits(max_queued_requests=10)
+        built = cases.build({"a": (1, 0)}, limits=limits)
+        low = cases.send_many(
+            built, "a-entry-1", "low", 10, job_class="assessment"
+        )
+        high = cases.send_many(built, "a-entry-1", "high", 4)
+        more = cases.send_many(
+            built, "a-entry-1", "more", 3, job_class="assessment"
+        )
+        count = collections.Counter(cases.outcomes(built, low))
+        self.assertEqual(count, {"overloaded": 4, "none": 6})
+        self.assertEqual(set(cases.outcomes(built, high)), {"none"})
+        self.assertEqual(set(cases.outcomes(built, more)), {"overloaded"})
+        refused = next(filter(None, map(built.response, low)))
+        self.assertEqual(refused.outcome, kinds.Outcome.NOT_RUN)
+
+
+class ExecutorTest(unittest.TestCase):
+    def steady(self, built, rounds, prefix="k"):
+        """Sends 4 requests every 100 ms; returns the exchange ids."""
+        sent = []
+        for number in range(rounds):
+            sent += cases.send_many(built, "a-entry-1", f"{prefix}{number}-", 4)
+            built.run_for(0.1)
+        built.run_for(6.0)
+        return sent
+
+    def is_quarantined(self, built, name):
+        state = built.instances["a-entry-1"].state
+        return quarantine.is_quarantined(state, name)
+
+    def test_executor_that_fails_everything_attracts_no_work(self):
+        """Guards against a failing executor that always looks idle."""
+        built = cases.build({"a": (1, 4)})
+        bad = cases.replace_executor(built, "a-executor-1", FAILING)
+        sent = self.steady(built, 40)
+        self.assertEqual(
+            collections.Counter(cases.outcomes(built, sent)),
+            {"completed": 160},
+        )
+        self.assertTrue(self.is_quarantined(built, "a-executor-1"))
+        self.assertLess(cases.runs_of(built, "a-executor-1"), 12)
+        bad.failing = False
+        bad.factor = 1.0
+        self.steady(built, 150, "again")
+        self.assertFalse(self.is_quarantined(built, "a-executor-1"))
+
+    def test_jobs_that_fail_everywhere_quarantine_nothing(self):
+        """Guards against blaming executors for jobs that can never run."""
+        built = cases.build({"a": (1, 4)})
+        for number in range(1, 5):
+            cases.replace_executor(built, f"a-executor-{number}", FAILING)
+        self.steady(built, 20)
+        for number in range(1, 5):
+            name = f"a-executor-{number}"
+            self.assertFalse(self.is_quarantined(built, name))
+
+    def test_slow_executor_is_taken_out_of_use(self):
+        """Guards against an executor that slows every tenth request."""
+        built = cases.build({"a": (1, 4)})
+        self.steady(built, 10, "warm")
+        built.targets["a-executor-1"].factor = 10.0
+        self.steady(built, 60)
+        self.assertTrue(self.is_quarantined(built, "a-executor-1"))
+        self.assertFalse(self.is_quarantined(built, "a-executor-2"))
+
+    def test_hedge_answers_for_a_silent_executor(self):
+        """Guards against waiting for a reply until the deadline."""
+        built = cases.build({"a": (1, 4)})
+        self.steady(built, 10, "warm")
+        built.targets["a-executor-1"].factor = 1e6
+        sent = []
+        for number in range(10):
+            sent += cases.send_many(built, "a-entry-1", f"k{number}-", 8)
+            built.run_for(0.4)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertTrue(self.is_quarantined(built, "a-executor-1"))
+
+    def test_non_idempotent_work_is_neither_hedged_nor_a_probe(self):
+        """Guards against a second run of non-idempotent work."""
+        built = cases.build({"a": (1, 2)})
+        fields = {"job_class": "reconciliation", "deadline_s": 20.0}
+        cases.send_many(built, "a-entry-1", "warm", 20, **fields)
+        built.run_for(2.0)
+        for name in built.targets:
+            cases.replace_executor(built, name, SlowExecutor).factor = 100.0
+        cases.send_many(built, "a-entry-1", "k", 2, **fields)
+        built.run_for(5.0)
+        self.assertEqual(cases.started(built, "k"), 2)
+
+    def test_leaving_executor_receives_nothing_new(self):
+        """Guards against a lagging list that shows an executor as live."""
+        built = cases.build({"a": (1, 2)})
+        built.list.lag_s = 60.0
+        self.steady(built, 5, "warm")
+        leaver = built.targets["a-executor-1"]
+        leaver.leaving = True
+        # The first reply tells this instance; starts until then are refused.
+        self.steady(built, 1, "first")
+        before = cases.runs_of(built, "a-executor-1")
+        handled = []
+        original = leaver.handle
+        leaver.handle = lambda message, *rest: (
+            handled.append(type(message)),
+            original(message, *rest),
+        )[1]
+        sent = self.steady(built, 20)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertEqual(cases.runs_of(built, "a-executor-1"), before)
+        self.assertNotIn(executor_messages.StartTask, handled)
+        cases.replace_executor(built, "a-executor-1", cases.ClassedExecutor)
+        built.run_for(6.0)
+        self.steady(built, 20, "back")
+        self.assertGreater(cases.runs_of(built, "a-executor-1"), 0)
+
+    def test_late_reply_does_not_end_leaving(self):
+        """Guards against replies that arrive out of order."""
+        built = cases.build({"a": (1, 2)})
+        cases.send_many(built, "a-entry-1", "k", 6, job_class="assessment")
+        built.run_for(0.5)
+        state = built.instances["a-entry-1"].state
+        name = "a-executor-1"
+        incarnation = built.targets[name].incarnation
+        health = quarantine.health_of(state, name)
+        health.incarnation = health.leaving = incarnation
+        built.run_for(2.0)
+        self.assertEqual(health.leaving, incarnation)
+
+
+class RetryTest(unittest.TestCase):
+    def test_budget_bounds_retries(self):
+        """Guards against retries that multiply the load of an outage."""
+        built = cases.build({"a": (1, 2)})
+        for name in built.targets:
+            cases.replace_executor(built, name, FAILING)
+        sent = cases.send_many(built, "a-entry-1", "k", 300, deadline_s=20.0)
+        built.run_for(25.0)
+        self.assertNotIn("none", cases.outcomes(built, sent))
+        # 10 tokens at first, 1 a second, and a tenth for each first start.
+        self.assertLessEqual(cases.started(built, "k"), 300 + 10 + 25 + 30)
+
+    def test_backoff_is_jittered_and_bounded(self):
+        """Guards against synchronised and against endless growing waits."""
+        table = [(1, 0.0, 0.025), (1, 1.0, 0.05), (3, 1.0, 0.2), (90, 1.0, 2)]
+        for streak, draw, expected_s in table:
+            with self.subTest(streak=streak, draw=draw):
+                wait_s = retries.backoff_s(streak, draw)
+                self.assertAlmostEqual(wait_s, expected_s)
+        derived = {retries.derive(0.5, number) for number in range(100)}
+        self.assertEqual(len(derived), 100)
+        self.assertTrue(all(0.0 <= draw < 1.0 for draw in derived))
+
+    def test_bucket_allows_debt_only_when_asked(self):
+        """Guards against a budget that an amount above it can never use."""
+        bucket = routing_state.TokenBucket(10.0, 10.0, 10.0)
+        self.assertFalse(bucket.spend(25.0, 0.0))
+        self.assertTrue(bucket.spend(25.0, 0.0, debt=True))
+        self.assertFalse(bucket.spend(1.0, 1.0, debt=True))
+        self.assertTrue(bucket.spend(1.0, 2.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
