Stop using unreachable executors and shed requests that were overtaken

Cause: when all executors of a failure domain vanish, the limit on quarantines keeps half of them in use and nothing is forwarded; a queued request that more valuable ones overtake waited until its deadline; every start scanned the whole instance list. Ruled out: a quarantine without a limit (one bad class or a cut of this instance would take all executors out of use for up to 60 s). Change: three starts in a row without a reply take an executor out of use until it answers a query, asked once a second; a tick refuses the least valuable requests that can no longer start in time; the targets of the failure domain are sorted out once for each list.

--- a/dandelionpick/admission.py
+++ b/dandelionpick/admission.py
@@ -77,7 +77,7 @@
     now if these are more. Tasks in progress in the lane are ahead too if they
     fill them. Without an executor the wait can't be estimated and is 0.
     """
-    slots, open_to_long = lanes.open_slots(state)
+    slots = state.routing.slots
     if not slots:
         return 0.0
     instances = 1 + sum(1 for _ in membership.live_peers(state, now_s))
@@ -87,11 +87,28 @@
         usable = max(slots / instances - long_running, running, 1.0)
     else:
         running = long_running
-        usable = max(open_to_long / instances, running)
+        usable = max(state.routing.open_slots / instances, running)
     ahead_s = state.routing.queue.work_ahead(item)
     if running >= usable:
         ahead_s += left_in_progress_s(state, item.lane, now_s)
-    return ahead_s / usable
+    wait_s = ahead_s / usable
+    if item.lane is queueing.Lane.NORMAL:
+        wait_s += short_ahead_s(state) * instances / slots
+    return wait_s
+
+
+def short_ahead_s(state: state_lib.State) -> float:
+    """Returns the run time of short work that starts before long work.
+
+    Between two starts of long work there are at most MAX_SHORT_STREAK of short
+    work.
+    """
+    short = state.routing.queue.lanes[queueing.Lane.SHORT]
+    normal = state.routing.queue.lanes[queueing.Lane.NORMAL]
+    if not short.size:
+        return 0.0
+    most = lanes.MAX_SHORT_STREAK * (normal.size + 1)
+    return short.work_s * min(1.0, most / short.size)
 
 
 def left_in_progress_s(
@@ -135,6 +152,16 @@
     )
 
 
+def overtaken(wait_s: float, left_s: float) -> errors.Problem:
+    """Builds the problem of a request that more valuable ones overtook."""
+    return errors.Problem(
+        errors.ProblemKind.OVERLOADED,
+        f"Requests of more worth or urgency came in; the wait is now about"
+        f" {wait_s:.1f} s and the deadline in {left_s:.1f} s.",
+        f"Send the request again after about {max(1.0, wait_s):.0f} s.",
+    )
+
+
 def displaced() -> errors.Problem:
     """Builds the problem of a queued request that made room."""
     return errors.Problem(
--- a/dandelionpick/hedging.py
+++ b/dandelionpick/hedging.py
@@ -1,6 +1,7 @@
 """Starts a second task for an idempotent request whose first one is slow."""
 
 from dandelionpick import dispatch
+from dandelionpick import estimates
 from dandelionpick import requests
 from dandelionpick import retries
 from dandelionpick import routing
@@ -22,22 +23,26 @@
     """
     if len(state.routing.queue) or state.routing.hold:
         return
+    now_s = step.moment.now_s
+    limits: dict[estimates.ClassKey, float] = {}
     for task in list(state.routing.running.values()):
-        if is_due(state, task, step.moment.now_s):
+        if task.hedged:
+            continue
+        key = task.class_key
+        if key not in limits:
+            limits[key] = limit_s(state, key, now_s)
+        if now_s - task.started_s > limits[key]:
             hedge(state, step, task)
 
 
-def is_due(
-    state: state_lib.State, task: routing_state.Running, now_s: float
-) -> bool:
-    """Tells whether a task runs longer than almost all of its class."""
-    if task.hedged:
-        return False
-    known = state.routing.run_times.known(task.class_key, now_s)
+def limit_s(
+    state: state_lib.State, key: estimates.ClassKey, now_s: float
+) -> float:
+    """Returns the run time that almost all tasks of a class stay below."""
+    known = state.routing.run_times.known(key, now_s)
     if known is None:
-        return False
-    limit_s = max(MIN_HEDGE_S, MARGIN * known.quantile(HEDGE_QUANTILE))
-    return now_s - task.started_s > limit_s
+        return float("inf")
+    return max(MIN_HEDGE_S, MARGIN * known.quantile(HEDGE_QUANTILE))
 
 
 def hedge(
--- a/dandelionpick/lanes.py
+++ b/dandelionpick/lanes.py
@@ -161,6 +161,8 @@
     _note_long_tasks(state, now_s)
     renewed_s = state.routing.limit_set_s
     slots, open_to_long = open_slots(state)
+    state.routing.slots = slots
+    state.routing.open_slots = open_to_long
     peers = list(membership.live_peers(state, now_s))
     count = 1 + len(peers)
     used = len(state.routing.running)
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -314,10 +314,17 @@
 
 def targets(
     state: state_lib.State, role: kinds.Role
-) -> Iterator[list_messages.InstanceEntry]:
-    """Yields this failure domain's listed targets of a role."""
-    for entry in state.members.entries.values():
-        if entry.role is not role:
-            continue
-        if entry.failure_domain == state.identity.failure_domain:
-            yield entry
+) -> list[list_messages.InstanceEntry]:
+    """Returns this failure domain's listed targets of a role.
+
+    They are sorted out once for each list, because every start asks for them
+    and the list has thousands of entries.
+    """
+    members = state.members
+    if members.local_of is not members.entries:
+        members.local_of = members.entries
+        members.local = {}
+        for entry in members.entries.values():
+            if entry.failure_domain == state.identity.failure_domain:
+                members.local.setdefault(entry.role, []).append(entry)
+    return members.local.get(role, [])
--- a/dandelionpick/queueing.py
+++ b/dandelionpick/queueing.py
@@ -116,6 +116,9 @@
         virtual: service received by each organisation, divided by its share.
         clock: virtual time of the last start; an organisation that was idle
             continues from here, so that it can't save up service.
+        counts: queued items of each organisation.
+        size: queued items.
+        work_s: their expected run time.
     """
 
     def __init__(self) -> None:
@@ -123,10 +126,14 @@
         self.virtual: dict[ids.OrganisationId, float] = {}
         self.clock = 0.0
         self.counts: dict[ids.OrganisationId, int] = {}
+        self.size = 0
+        self.work_s = 0.0
 
     def push(self, item: Item) -> None:
         """Adds an item."""
         organisation = item.organisation
+        self.size += 1
+        self.work_s += item.cost_s
         level = self.levels.setdefault(item.worth, Level())
         if not self.counts.get(organisation):
             own = self.virtual.get(organisation, 0.0)
@@ -143,6 +150,8 @@
 
     def forget(self, item: Item) -> None:
         """Takes an item that is no longer queued out of the totals."""
+        self.size -= 1
+        self.work_s = self.work_s - item.cost_s if self.size else 0.0
         self.counts[item.organisation] -= 1
         if self.counts[item.organisation] == 0:
             del self.counts[item.organisation]
@@ -282,13 +291,8 @@
         return self.victims[0][3] if self.victims else None
 
     def work_ahead(self, item: Item) -> float:
-        """Returns the expected run time of what starts before an item."""
-        ahead_s = self.lanes[item.lane].work_ahead(item)
-        if item.lane is Lane.NORMAL:
-            for level in self.lanes[Lane.SHORT].levels.values():
-                for backlog in level.backlogs.values():
-                    ahead_s += sum(backlog.work_s.values())
-        return ahead_s
+        """Returns the run time of what starts before an item in its lane."""
+        return self.lanes[item.lane].work_ahead(item)
 
 
 def is_worth_more(item: Item, other: Item) -> bool:
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -13,6 +13,7 @@
 from dandelionpick import listing
 from dandelionpick import membership
 from dandelionpick import requests
+from dandelionpick import shedding
 from dandelionpick import stalls
 from dandelionpick import state as state_lib
 from dandelionpick import targets
@@ -26,6 +27,7 @@
     lanes.tick,
     requests.tick,
     forwarding.tick,
+    shedding.tick,
     hedging.tick,
     drain.tick,
 )
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -83,7 +83,7 @@
         refuse(step, message, decision.problem, exchange_id, hops)
         return
     if decision.displaced is not None:
-        displace(state, step, decision.displaced)
+        displace(state, step, decision.displaced, admission.displaced())
     state.requests.by_name[name] = request
     lanes.enqueue(state, name, request)
     if decision.offered:
@@ -110,14 +110,14 @@
     state: state_lib.State,
     step: dispatch.Step,
     name: request_state.RequestName,
+    problem: errors.Problem,
 ) -> None:
-    """Refuses a queued request that was never sent, to make room.
+    """Refuses a queued request that was never sent.
 
     Its record is dropped, so that the caller can submit the key again.
     """
     request = state.requests.by_name.pop(name)
     lanes.withdraw(state, name)
-    problem = admission.displaced()
     step.count("refusals_total", problem.kind.value)
     finish(step, request, refusal(request.submission, problem))
 
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -19,6 +19,9 @@
 # A report of free slots that is older than this says little, because other
 # instances use the same executor.
 REPORT_FRESH_S = 1.0
+# After so many starts in a row without a reply, an executor is asked whether
+# it is there before it is sent more.
+MAX_UNANSWERED = 3
 
 
 def load_of(
@@ -41,6 +44,12 @@
     return bool(quarantine.health_of(state, entry.id).leaving)
 
 
+def is_unreachable(state: state_lib.State, target: ids.InstanceId) -> bool:
+    """Tells whether the last starts on an executor all got no reply."""
+    health = quarantine.health_of(state, target)
+    return health.unanswered >= MAX_UNANSWERED
+
+
 def executors_in_use(
     state: state_lib.State,
 ) -> list[list_messages.InstanceEntry]:
@@ -49,6 +58,7 @@
         entry
         for entry in membership.targets(state, kinds.Role.EXECUTOR)
         if not is_leaving(state, entry)
+        and not is_unreachable(state, entry.id)
         and not quarantine.is_quarantined(state, entry.id)
     ]
 
@@ -74,6 +84,7 @@
         for entry in membership.targets(state, kinds.Role.EXECUTOR)
         if quarantine.is_probe_due(state, entry.id, now_s)
         and not is_leaving(state, entry)
+        and not is_unreachable(state, entry.id)
     ]
 
 
@@ -204,7 +215,7 @@
     if succeeded and not task.stalled:
         observe(state, task, step.moment.now_s)
     quarantine.record(state, step, task, succeeded)
-    if succeeded:
+    if succeeded and task.hedged:
         _note_overtaken(state, step, task)
 
 
@@ -250,6 +261,7 @@
         load.free_slots = reply.free_slots
     health = quarantine.health_of(state, target)
     health.replied_s = now_s
+    health.unanswered = 0
     if reply.incarnation != health.incarnation:
         if health.incarnation:
             quarantine.restarted(health)
@@ -270,8 +282,10 @@
 ) -> None:
     """Records that a start of a task got no reply."""
     task = end(state, task_id)
-    if task is not None:
-        quarantine.record(state, step, task, succeeded=False)
+    if task is None or task.stalled:
+        return
+    quarantine.health_of(state, target).unanswered += 1
+    quarantine.record(state, step, task, succeeded=False)
 
 
 def end(
--- a/dandelionpick/routing_state.py
+++ b/dandelionpick/routing_state.py
@@ -100,7 +100,8 @@
         busy_streak: refusals for want of a slot without a start in between.
         incarnation: incarnation of the last reply.
         leaving: incarnation that said that it leaves, or "".
-        asked_s: when a leaving executor was last asked for its state.
+        unanswered: starts in a row that got no reply.
+        asked_s: when an executor out of use was last asked for its state.
         replied_s: when the executor last replied to anything.
     """
 
@@ -113,6 +114,7 @@
     busy_streak: int = 0
     incarnation: str = ""
     leaving: str = ""
+    unanswered: int = 0
     asked_s: float = float("-inf")
     replied_s: float = float("-inf")
 
@@ -122,6 +124,8 @@
     """Everything about where requests go and in which order.
 
     Attributes:
+        slots: slots of the executors in use.
+        open_slots: those of them that are open to long work.
         long_running: own tasks that count as long.
         long_limit: how many of them there may be until the next heartbeat.
         limit_set_s: when long_limit was computed.
@@ -141,6 +145,8 @@
         default_factory=estimates.Estimates
     )
     running: dict[ids.TaskId, Running] = dataclasses.field(default_factory=dict)
+    slots: int = 0
+    open_slots: int = 0
     long_running: int = 0
     long_limit: int = 0
     limit_set_s: float = float("-inf")
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -60,7 +60,9 @@
     """Instances and targets known from the list and from heartbeats.
 
     Attributes:
-        entries: the last list, by id.
+        entries: the last list, by id; replaced as a whole.
+        local: this failure domain's targets of `local_of`, by role.
+        local_of: the entries that `local` was derived from.
         peers: other entry instances, by id.
         list_read_s: monotonic seconds of the last successful read.
         list_pending: whether a read is under way.
@@ -77,6 +79,10 @@
     entries: dict[ids.InstanceId, list_messages.InstanceEntry] = (
         dataclasses.field(default_factory=dict)
     )
+    local: dict[kinds.Role, list[list_messages.InstanceEntry]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    local_of: dict[ids.InstanceId, list_messages.InstanceEntry] | None = None
     peers: dict[ids.InstanceId, Peer] = dataclasses.field(default_factory=dict)
     list_read_s: float = float("-inf")
     list_pending: bool = False
--- a/dandelionpick/targets.py
+++ b/dandelionpick/targets.py
@@ -14,6 +14,9 @@
 from dandelionpick import state as state_lib
 
 ASK_PERIOD_S = 5.0
+# Unreachable executors are asked more often, because they may all be, and
+# then nothing can start in this failure domain.
+UNREACHABLE_PERIOD_S = 1.0
 FORGET_S = 60.0
 # Never started, so that the query changes nothing on the executor.
 NO_TASK = ids.TaskId("none")
@@ -31,15 +34,26 @@
     now_s = step.moment.now_s
     for entry in membership.targets(state, kinds.Role.EXECUTOR):
         health = quarantine.health_of(state, entry.id)
-        # A leaving executor may be restarted under its id, and one that the
-        # list lacks stays known only while it replies.
-        unsure = health.leaving or entry.id in state.members.missing
-        if unsure and now_s - health.asked_s >= ASK_PERIOD_S:
+        if now_s - health.asked_s >= period_s(state, entry.id):
             health.asked_s = now_s
             ask(state, step, entry)
     forget(state, now_s)
 
 
+def period_s(state: state_lib.State, target: ids.InstanceId) -> float:
+    """Returns how often an executor is asked for its state.
+
+    One that leaves may be restarted under its id, and one that the list lacks
+    stays known only while it replies. The others reply to work.
+    """
+    if routing.is_unreachable(state, target):
+        return UNREACHABLE_PERIOD_S
+    health = quarantine.health_of(state, target)
+    if health.leaving or target in state.members.missing:
+        return ASK_PERIOD_S
+    return float("inf")
+
+
 def ask(
     state: state_lib.State,
     step: dispatch.Step,
@@ -73,7 +87,7 @@
     step: dispatch.Step,
     failure: kinds.CallFailure,
 ) -> None:
-    """Does nothing: the executor stays out of use and is asked again."""
+    """Does nothing: the executor is asked again after its period."""
 
 
 def forget(state: state_lib.State, now_s: float) -> None:
--- a/tests/routing_cases.py
+++ b/tests/routing_cases.py
@@ -135,11 +135,16 @@
     return sum(built.targets[name].runs.values())
 
 
-def started(built: fabric.Fabric, prefix: str) -> int:
-    """Returns how many tasks executors started for keys with a prefix."""
-    return sum(
-        1
+def started_keys(built: fabric.Fabric) -> list[str]:
+    """Returns the key of every task that an executor started."""
+    return [
+        task.labels.key
         for target in built.targets.values()
         for task in target.tasks.values()
-        if task.labels is not None and task.labels.key.startswith(prefix)
-    )
+        if task.labels is not None
+    ]
+
+
+def started(built: fabric.Fabric, prefix: str) -> int:
+    """Returns how many tasks executors started for keys with a prefix."""
+    return sum(key.startswith(prefix) for key in started_keys(built))
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,109 @@
+"""Tests of the planned stop."""
+
+import collections
+import unittest
+from unittest import mock
+
+from dandelionpick import drain
+from dandelionpick import events
+from dandelionpick import kinds
+from dandelionpick import peer_messages
+from dandelionpick import state as state_lib
+from tests import builders
+from tests import routing_cases as cases
+
+
+def stop(built, name):
+    """Delivers the request for a planned stop."""
+    built.deliver(name, events.StopRequested(built.moment()))
+
+
+class DrainTest(unittest.TestCase):
+    def test_drain_under_load_loses_nothing(self):
+        """Guards against a stop that drops queued or running requests."""
+        built = cases.build({"a": (2, 2)})
+        sent = []
+        for number in range(60):
+            if number == 10:
+                stop(built, "a-entry-1")
+            if built.instances["a-entry-1"].exited:
+                break
+            for job_class in ("confirmation", "assessment"):
+                sent.append(
+                    built.send(
+                        "a-entry-1",
+                        builders.request(
+                            f"k{number}-{job_class}",
+                            job_class,
+                            deadline_s=20.0,
+                        ),
+                    )
+                )
+            built.run_for(0.1)
+        exited = built.run_until(lambda: built.instances["a-entry-1"].exited)
+        self.assertTrue(exited)
+        count = collections.Counter(cases.outcomes(built, sent))
+        self.assertEqual(set(count), {"completed", "leaving"})
+        refused = {
+            built.response(one).outcome
+            for one in sent
+            if built.response(one).problem is not None
+        }
+        self.assertEqual(refused, {kinds.Outcome.NOT_RUN})
+        # 3 s of notice at 20 requests a second, and 1 s before the stop.
+        self.assertGreaterEqual(count["completed"], 80)
+
+    def test_peers_stop_using_it_at_once(self):
+        """Guards against new work for a leaving instance."""
+        built = cases.build({"a": (1, 1), "b": (2, 1)})
+        for name in ("a-executor-1",):
+            cases.set_state(built, name, kinds.Liveness.LEAVING)
+        built.run_for(3.0)
+        stop(built, "b-entry-1")
+        built.run_for(0.05)
+        forwarded = []
+        original = built._call
+
+        def call(name, state, made):
+            if isinstance(made.message, peer_messages.ForwardRequest):
+                forwarded.append(made.destination.name)
+            original(name, state, made)
+
+        built._call = call
+        cases.send_many(built, "a-entry-1", "k", 20)
+        built.run_for(2.0)
+        self.assertEqual(set(forwarded), {"b-entry-2"})
+
+    def test_exits_in_bounded_time_with_true_answers(self):
+        """Guards against a stop that waits for ever for a silent executor."""
+        limits = state_lib.Limits(drain_limit_s=10.0)
+        built = cases.build({"a": (1, 1)}, limits=limits, slots=2)
+        built.targets["a-executor-1"].factor = 1e6
+        sent = cases.send_many(built, "a-entry-1", "k", 3, deadline_s=900.0)
+        built.run_for(1.0)
+        stop(built, "a-entry-1")
+        built.run_for(9.0)
+        self.assertFalse(built.instances["a-entry-1"].exited)
+        built.run_for(1.5)
+        self.assertTrue(built.instances["a-entry-1"].exited)
+        found = collections.Counter(built.response(one).outcome for one in sent)
+        expected = {kinds.Outcome.UNKNOWN: 2, kinds.Outcome.NOT_RUN: 1}
+        self.assertEqual(found, expected)
+        self.assertEqual(cases.started(built, "k"), 2)
+
+    def test_waits_for_what_is_handed_over(self):
+        """Guards against an exit before jobs are handed over."""
+        with mock.patch.object(drain, "_hand_overs", []):
+            done = []
+            drain.on_leaving(lambda state, step: bool(done))
+            built = cases.build({"a": (1, 1)})
+            stop(built, "a-entry-1")
+            built.run_for(8.0)
+            self.assertFalse(built.instances["a-entry-1"].exited)
+            done.append(True)
+            built.run_for(0.5)
+            self.assertTrue(built.instances["a-entry-1"].exited)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,223 @@
+"""Tests of forwarding between failure domains."""
+
+import collections
+import unittest
+
+import msgspec
+
+from dandelionpick import kinds
+from dandelionpick import peer_messages
+from dandelionpick import state as state_lib
+from tests import builders
+from tests import routing_cases as cases
+
+
+def stop_executors(built, domain):
+    """Removes the executors of a failure domain, from the list too."""
+    for name in list(built.targets):
+        if name.startswith(f"{domain}-"):
+            del built.targets[name]
+            cases.set_state(built, name, kinds.Liveness.LEAVING)
+    built.run_for(3.0)
+
+
+def watch_forwards(built):
+    """Returns a list that fills with (receiver, message, timeout_s)."""
+    seen = []
+    original = built._call
+
+    def call(name, state, made):
+        if isinstance(made.message, peer_messages.ForwardRequest):
+            seen.append((made.destination.name, made.message, made.timeout_s))
+        original(name, state, made)
+
+    built._call = call
+    return seen
+
+
+class ForwardTest(unittest.TestCase):
+    def test_goes_to_the_same_region_first(self):
+        """Guards against using the billed link without need."""
+        built = cases.build(
+            {"a": (1, 1), "b": (1, 1), "c": (1, 1)},
+            regions={"b": "region-2"},
+        )
+        stop_executors(built, "a")
+        seen = watch_forwards(built)
+        sent = cases.send_many(built, "a-entry-1", "k", 20)
+        built.run_for(2.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertEqual({receiver for receiver, _, _ in seen}, {"c-entry-1"})
+
+    def test_carries_the_remaining_time_and_is_not_passed_on(self):
+        """Guards against loops, and against a deadline that starts anew."""
+        built = cases.build({"a": (1, 1), "b": (1, 1)})
+        stop_executors(built, "b")
+        stop_executors(built, "a")
+        seen = watch_forwards(built)
+        exchange_id = built.send(
+            "a-entry-1", builders.request("k", deadline_s=4.0)
+        )
+        built.run_for(1.0)
+        _, message, _ = seen[0]
+        self.assertEqual(message.hops, 1)
+        self.assertLess(message.request.deadline_s, 4.0)
+        self.assertGreater(message.request.deadline_s, 3.5)
+        built.run_for(6.0)
+        self.assertEqual({name for name, _, _ in seen}, {"b-entry-1"})
+        answer = built.response(exchange_id)
+        self.assertEqual(answer.problem.kind.value, "deadline_passed")
+
+    def test_second_hop_is_refused(self):
+        """Guards against a peer of another version that forwards again."""
+        built = cases.build({"a": (1, 1)})
+        message = peer_messages.ForwardRequest(
+            request=builders.request("k"), hops=2
+        )
+        refused = built.ask("a-entry-1", message)
+        self.assertIsInstance(refused, peer_messages.Refused)
+
+    def test_same_key_at_both_instances_does_not_wait_in_a_circle(self):
+        """Guards against two instances that wait for each other's answer."""
+        built = cases.build({"a": (1, 1), "b": (1, 1), "c": (1, 1)})
+        stop_executors(built, "a")
+        stop_executors(built, "b")
+        sent = [
+            built.send(name, builders.request("k"))
+            for name in ("a-entry-1", "b-entry-1")
+        ]
+        built.run_for(3.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+
+    def test_long_wait_is_shared_with_an_idle_failure_domain(self):
+        """Guards against a queue in one failure domain while another idles."""
+        built = cases.build({"a": (1, 1), "b": (1, 1)})
+        long = {"job_class": "assessment", "deadline_s": 60.0}
+        cases.send_many(built, "a-entry-1", "warm", 6, **long)
+        built.run_for(6.0)
+        seen = watch_forwards(built)
+        sent = cases.send_many(built, "a-entry-1", "k", 30, **long)
+        built.run_for(10.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertGreater(len(seen), 0)
+        # Not more than the peer had reported as free.
+        self.assertLessEqual(len(seen), 8)
+
+    def test_region_budget_bounds_bytes(self):
+        """Guards against flooding the slow link between the regions."""
+        limits = state_lib.Limits(inter_region_bytes_per_s=20_000)
+        built = cases.build(
+            {"a": (1, 1), "b": (1, 2)}, regions={"b": "region-2"}, limits=limits
+        )
+        stop_executors(built, "a")
+        seen = watch_forwards(built)
+        sent = cases.send_many(
+            built, "a-entry-1", "k", 60, body=b"x" * 6000, deadline_s=10.0
+        )
+        built.run_for(12.0)
+        # A request takes 9 KB on the link, and so does its response.
+        size = 6000 * 4 / 3 + 1024
+        most = (20_000 + 10.2 * 20_000) / size + 2
+        self.assertLessEqual(len(seen), most)
+        count = collections.Counter(cases.outcomes(built, sent))
+        self.assertEqual(set(count), {"completed", "deadline_passed"})
+        self.assertGreater(count["completed"], 8)
+        started = cases.started_keys(built)
+        for answer in map(built.response, sent):
+            if answer.outcome is kinds.Outcome.NOT_RUN:
+                self.assertNotIn(answer.key, started)
+
+    def test_cut_failure_domain_goes_on_serving(self):
+        """Guards against depending on other failure domains or the platform."""
+        built = cases.build({"a": (2, 2), "b": (2, 2)})
+        built.cut("a", "b")
+        built.cut("a", "platform")
+        sent = []
+        for number in range(30):
+            name = f"a-entry-{number % 2 + 1}"
+            sent += cases.send_many(built, name, f"k{number}-", 4)
+            built.run_for(1.0)
+        built.run_for(3.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+
+
+class LostForwardTest(unittest.TestCase):
+    """The reply of a forward is lost: the peer may have run the request."""
+
+    def test_table(self):
+        """Guards against a second run of what must run once at most."""
+        table = [
+            ("confirmation", "completed", 2),
+            ("reconciliation", "target_lost", 1),
+        ]
+        for job_class, expected, runs in table:
+            with self.subTest(job_class):
+                built = cases.build({"a": (1, 1), "b": (1, 1), "c": (1, 1)})
+                stop_executors(built, "a")
+                for name in ("b-entry-1", "c-entry-1"):
+                    self.lose_first(built, name)
+                exchange_id = built.send(
+                    "a-entry-1",
+                    builders.request("k", job_class, deadline_s=20.0),
+                )
+                built.run_for(25.0)
+                found = cases.outcomes(built, [exchange_id])
+                self.assertEqual(found, [expected])
+                self.assertEqual(cases.started(built, "k"), runs)
+                answer = built.response(exchange_id)
+                if expected == "target_lost":
+                    self.assertEqual(answer.outcome, kinds.Outcome.UNKNOWN)
+
+    def lose_first(self, built, receiver):
+        """Loses the reply of the first forward in the whole fabric."""
+        original = built._arrive
+        built.lost = getattr(built, "lost", False)
+
+        def arrive(call, reply):
+            forward = isinstance(call.message, peer_messages.ForwardRequest)
+            first = forward and not built.lost
+            first = first and call.destination.name == receiver
+            built.lost = built.lost or first
+            original(call, (lambda message: None) if first else reply)
+
+        built._arrive = arrive
+
+    def test_refused_forward_stays_not_run(self):
+        """Guards against `unknown` for what a leaving peer refused."""
+        built = cases.build({"a": (1, 1), "b": (1, 1)})
+        stop_executors(built, "a")
+        built.instances["b-entry-1"].state.drain.requested_s = built.now_s
+        exchange_id = built.send(
+            "a-entry-1",
+            builders.request("k", "reconciliation", deadline_s=3.0),
+        )
+        built.run_for(5.0)
+        answer = built.response(exchange_id)
+        self.assertEqual(answer.outcome, kinds.Outcome.NOT_RUN)
+        self.assertEqual(cases.started(built, "k"), 0)
+
+    def test_damaged_answer_is_treated_as_lost(self):
+        """Guards against passing on a crossed or cut response."""
+        built = cases.build({"a": (1, 1), "b": (1, 1), "c": (1, 1)})
+        stop_executors(built, "a")
+        original = built._arrive
+        damaged = []
+
+        def arrive(call, reply):
+            def damage(message):
+                if not damaged and getattr(message, "body", b""):
+                    damaged.append(message)
+                    message = msgspec.structs.replace(message, body=b"other")
+                reply(message)
+
+            forward = isinstance(call.message, peer_messages.ForwardRequest)
+            original(call, damage if forward else reply)
+
+        built._arrive = arrive
+        answer = built.ask("a-entry-1", builders.request("k"))
+        self.assertEqual(answer.body, b"body of k"[::-1])
+        self.assertEqual(len(damaged), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
