--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -101,7 +101,10 @@
     task: routing_state.Running,
     succeeded: bool,
 ) -> None:
-    """Records how a task ended and judges its executor."""
+    """Records how a task ended and judges its executor.
+
+    Failures are judged by `tick`.
+    """
     now_s = step.moment.now_s
     if task.stalled:
         return
@@ -113,12 +116,25 @@
     health.outcomes.append(outcome)
     if health.quarantined_until_s is not None:
         _judge_probe(state, step, task.target, outcome)
-    elif not succeeded and _fails(state, task.target, now_s):
-        _quarantine(state, step, task.target, "requests fail there only")
     elif succeeded and _is_slow(state, task.target, task.class_key, now_s):
         _quarantine(state, step, task.target, "it is slower than the others")
 
 
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Judges executors that fail.
+
+    They are judged again and again, because the evidence from elsewhere may
+    come after the failures, when they are already avoided.
+    """
+    now_s = step.moment.now_s
+    for entry in membership.targets(state, kinds.Role.EXECUTOR):
+        if is_quarantined(state, entry.id):
+            continue
+        failing = failed_share(state, entry.id, now_s) > 0
+        if failing and _fails(state, entry.id, now_s):
+            _quarantine(state, step, entry.id, "requests fail there only")
+
+
 def _fails(
     state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> bool:
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -12,6 +12,7 @@
 from dandelionpick import lanes
 from dandelionpick import listing
 from dandelionpick import membership
+from dandelionpick import quarantine
 from dandelionpick import requests
 from dandelionpick import shedding
 from dandelionpick import stalls
@@ -24,6 +25,7 @@
     membership.tick,
     configuration.tick,
     targets.tick,
+    quarantine.tick,
     lanes.tick,
     requests.tick,
     forwarding.tick,
