Merge queueing, routing and forwarding into the request path

Cause: the outcome rules (runs, claims, tombstones) and the routing rules (queue, admission, quarantine, hedging, forwarding) were built side by side on the same skeleton.

Change: one queue for both; a start reserves its slot until its run is closed, because a start without a reply may still take up the slot; a start is judged lost only when the executor does not answer the question about it, so that a long task is not held against its executor; a forwarded request counts as possibly run elsewhere until the peer declines it. Modules register what a planned stop must wait for.

Ruled out: releasing the slot when a start times out. A third request on a two-slot executor was then sent, refused, and could no longer be told that it was not run (test_exits_in_bounded_time_with_true_answers).

--- a/dandelionpick/claimed_requests.py
+++ b/dandelionpick/claimed_requests.py
@@ -118,7 +118,7 @@
             state, step, request, problems.key_expired()
         )
     else:
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
 
 
 def begin(
@@ -159,7 +159,7 @@
         runs.release(state, context.entry.id)
     elif reply.leaving:
         runs.release(state, context.entry.id)
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
     else:
         write_claim(state, step, request, context.entry)
 
@@ -178,7 +178,7 @@
         load.busy_until_s = step.moment.now_s + REACH_BACKOFF_S
     if request.answer is None:
         request.tried.append(context.entry.id)
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
 
 
 def write_claim(
@@ -245,7 +245,7 @@
         problem = problems.store_unavailable()
         outcomes.end_without_result(state, step, request, problem)
     elif verdict.record is None:
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
     else:
         join(state, step, request, verdict.record)
 
@@ -267,7 +267,7 @@
     if step.moment.unix_ms >= record.start_deadline_ms:
         request.replaceable = record
         runs.release(state, entry.id)
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
         return
     run = claim_answers.run_of(record)
     request.starts.append(run)
@@ -314,7 +314,7 @@
     claimed = request.claim.state is claim_state.ClaimState.CLAIMED
     if run.state is runs.NOT_RUN and claimed and not request.cancelled:
         request.replaceable = request.claim
-        request_queue.requeue(state, request)
+        request_queue.enqueue(state, request)
         return
     problem = problems.target_lost()
     outcomes.end_without_result(state, step, request, problem)
--- a/dandelionpick/claims.py
+++ b/dandelionpick/claims.py
@@ -35,6 +35,7 @@
 from dandelionpick import claim_buckets
 from dandelionpick import claim_state
 from dandelionpick import dispatch
+from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import kinds
@@ -315,8 +316,9 @@
         bucket.must_read = True
 
 
-def is_idle(state: state_lib.State) -> bool:
-    """Tells whether no change waits, so that a planned stop may exit."""
+@drain.on_leaving
+def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
+    """Tells whether no change waits, so that the process may exit."""
     return not any(
         bucket.waiting or bucket.in_flight
         for bucket in state.claims.buckets.values()
--- a/dandelionpick/edits.py
+++ b/dandelionpick/edits.py
@@ -14,6 +14,7 @@
 from dandelionpick import adoption
 from dandelionpick import configuration
 from dandelionpick import dispatch
+from dandelionpick import drain
 from dandelionpick import edit_problems
 from dandelionpick import edit_state
 from dandelionpick import errors
@@ -103,6 +104,12 @@
     in_force.answer_accepted(state, step)
 
 
+@drain.on_leaving
+def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
+    """Tells whether every edit was answered, so that the process may exit."""
+    return not (state.edits.queue or state.edits.accepted)
+
+
 def _start_next(state: state_lib.State, step: dispatch.Step) -> None:
     """Starts an attempt of the edit at the head of the queue."""
     if not state.edits.queue:
--- a/dandelionpick/operator_reads.py
+++ b/dandelionpick/operator_reads.py
@@ -159,7 +159,7 @@
         preferred=membership.preferred_instance(state, now_s),
         leaving=state.drain.requested_s is not None,
         members=list(_members(state, now_s)),
-        requests_queued=len(state.requests.queue),
+        requests_queued=len(state.routing.queue),
         requests_running=running,
         configuration_age_s=age_s if math.isfinite(age_s) else None,
     )
--- a/dandelionpick/problems.py
+++ b/dandelionpick/problems.py
@@ -111,3 +111,23 @@
         "The key names a job, not a request.",
         "Cancel it as a job.",
     )
+
+
+def leaving() -> errors.Problem:
+    """Builds the problem of a request that a planned stop ends."""
+    return errors.Problem(
+        errors.ProblemKind.LEAVING,
+        "The instance stopped before the request had a result.",
+        "Submit the key again with a higher attempt; the balancer will use"
+        " another instance.",
+    )
+
+
+def forward_lost() -> errors.Problem:
+    """Builds the problem of a forwarded request without a reply."""
+    return errors.Problem(
+        errors.ProblemKind.TARGET_LOST,
+        "The request was forwarded and no reply came back.",
+        "Fetch the answer later, or submit the key again with a higher"
+        " attempt.",
+    )
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -9,10 +9,10 @@
 from dandelionpick import problems
 from dandelionpick import request_queue
 from dandelionpick import request_state
+from dandelionpick import retries
 from dandelionpick import runs
 from dandelionpick import state as state_lib
 
-BUSY_BACKOFF_S = 0.02
 UNREACHABLE_BACKOFF_S = 0.1
 # A failed task may be the executor's fault; a second executor decides.
 MAX_FAILED_RUNS = 2
@@ -67,7 +67,6 @@
         runs.unfollow(state, run)
         complete(state, step, request, run, reply)
     elif proved is runs.REFUSED:
-        back_off(state, step, run, BUSY_BACKOFF_S)
         refuse(state, step, request, run)
     elif proved is None:
         lose(state, step, request, run)
@@ -94,7 +93,9 @@
     if request.answer is not None:
         return
     if request.job_class.idempotent and not request.cancelled:
-        retry(state, request, run)
+        request.tried.append(run.target)
+        if request.current is run and not wait_for_hedge(state, request, run):
+            request_queue.enqueue(state, request)
         return
     run.tombstone = True
     runs.follow(state, step, request, run)
@@ -108,7 +109,8 @@
 ) -> None:
     """Treats a damaged or crossed reply as a lost one."""
     if request.job_class.idempotent and request.answer is None:
-        retry(state, request, run)
+        request.losses += 1
+        retry(state, step, request, run)
     else:
         runs.follow(state, step, request, run, runs.ASK_PERIOD_S)
 
@@ -127,7 +129,8 @@
         return
     if request.current is run:
         run.resent = True
-        runs.reserve(state, entry)
+        if not run.reserved:
+            runs.reserve(state, entry)
         runs.send(state, step, request, run, entry)
 
 
@@ -146,7 +149,7 @@
     elif request.cancelled and request.job_class.idempotent:
         finish_if_cancelled(state, step, request)
     elif request.job_class.idempotent:
-        retry(state, request, run)
+        retry(state, step, request, run)
     else:
         claimed_requests.closed(state, step, request, run)
 
@@ -178,19 +181,50 @@
         outcomes.end_without_result(state, step, request, problem)
 
 
+def wait_for_hedge(
+    state: state_lib.State,
+    request: request_state.Request,
+    run: request_state.Run,
+) -> bool:
+    """Lets a request wait for another start that is in progress, if any."""
+    for other in request.starts:
+        if other is run or other.state is not runs.OPEN:
+            continue
+        if other.task_id in state.routing.running:
+            request.current = other
+            return True
+    return False
+
+
 def retry(
     state: state_lib.State,
+    step: dispatch.Step,
     request: request_state.Request,
     run: request_state.Run,
 ) -> None:
-    """Puts a request back at the head of the queue.
+    """Tries a request again after a delay, charged to the retry budget.
 
     Does nothing if the request does not wait for this run.
     """
     if request.current is not run or request.cancelled:
         return
     request.tried.append(run.target)
-    request_queue.requeue(state, request)
+    if not wait_for_hedge(state, request, run):
+        try_again(state, step, request)
+
+
+def try_again(
+    state: state_lib.State, step: dispatch.Step, request: request_state.Request
+) -> None:
+    """Schedules another try, or gives up after too many losses."""
+    request.phase = request_state.Phase.QUEUED
+    request.current = None
+    moment = step.moment
+    name = request.name()
+    if retries.schedule(state, name, request, moment.now_s, moment.draw):
+        return
+    outcomes.end_without_result(state, step, request, problems.target_lost())
+    keep_resolving(state, step, request)
 
 
 def complete(
@@ -210,7 +244,7 @@
     if not result.succeeded and request.job_class.idempotent:
         request.failures += 1
         if request.failures < MAX_FAILED_RUNS and request.current is run:
-            retry(state, request, run)
+            retry(state, step, request, run)
             return
     answer = outcomes.answer_of(*request.name(), result)
     outcomes.finish(state, step, request, answer)
@@ -242,6 +276,13 @@
     """
     problem = problems.deadline_passed()
     outcomes.end_without_result(state, step, request, problem)
+    keep_resolving(state, step, request)
+
+
+def keep_resolving(
+    state: state_lib.State, step: dispatch.Step, request: request_state.Request
+) -> None:
+    """Asks about the starts of an answered request for some time."""
     request.resolve_until_s = step.moment.now_s + RESOLVE_S
     for run in request.starts:
         if run.state in (runs.OPEN, runs.REFUSED):
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -15,14 +15,22 @@
 from dandelionpick import edits
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import forwarding
+from dandelionpick import hedging
 from dandelionpick import job_lookup
 from dandelionpick import jobs
+from dandelionpick import lanes
+from dandelionpick import listing
 from dandelionpick import lookup
 from dandelionpick import membership
 from dandelionpick import operator_reads
+from dandelionpick import quarantine
 from dandelionpick import requests
 from dandelionpick import schedule
+from dandelionpick import shedding
+from dandelionpick import stalls
 from dandelionpick import state as state_lib
+from dandelionpick import targets
 
 Handler = Callable[[state_lib.State, dispatch.Step], None]
 
@@ -31,11 +39,18 @@
 
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
+    listing.tick,
     membership.tick,
     configuration.tick,
     edits.tick,
     claims.tick,
+    targets.tick,
+    quarantine.tick,
+    lanes.tick,
     requests.tick,
+    forwarding.tick,
+    shedding.tick,
+    hedging.tick,
     lookup.tick,
     schedule.tick,
     claim_sweep.tick,
@@ -117,6 +132,7 @@
     if pending is None:
         return
     step.trace = pending.trace
+    membership.note_heard(state, pending.destination, event.moment.now_s)
     dispatch.returned(pending.context, state, step, event.reply)
 
 
@@ -135,7 +151,7 @@
 def _(
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    membership.stalled(state, step, event.stall_s)
+    stalls.stalled(state, step, event.stall_s)
     schedule.stalled(state, step, event.stall_s)
     claims.stalled(state)
 
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -44,6 +44,7 @@
         deadline_ms: Unix milliseconds after which it may not start.
         own: whether this instance sent the start.
         resent: whether the start was sent more than once.
+        reserved: whether it counts in the load of its executor.
         tombstone: whether to leave a tombstone rather than only ask.
         asking: whether a question about the task is under way.
         ask_s: monotonic seconds of the next question.
@@ -55,6 +56,7 @@
     deadline_ms: int
     own: bool = True
     resent: bool = False
+    reserved: bool = False
     state: RunState = RunState.OPEN
     tombstone: bool = False
     asking: bool = False
@@ -75,7 +77,9 @@
         current: the start that the request waits for in phase RUNNING.
         tried: executors that refused or lost a task of this request.
         failures: runs that ended with a failed task.
-        foreign: whether another submission of the key claimed it.
+        losses: runs and forwards whose reply was lost.
+        hops: instances that forwarded the request to this one.
+        foreign: whether another submission or instance may have run it.
         claim: the key's claim as last seen; None for idempotent requests.
         replaceable: the claim that may be replaced, since it did not run.
         key_not_run: whether NOT_RUN holds for every submission of the key.
@@ -100,6 +104,8 @@
     current: Run | None = None
     tried: list[ids.InstanceId] = dataclasses.field(default_factory=list)
     failures: int = 0
+    losses: int = 0
+    hops: int = 0
     foreign: bool = False
     claim: claim_state.ClaimRecord | None = None
     replaceable: claim_state.ClaimRecord | None = None
@@ -113,6 +119,10 @@
         """Returns organisation and key."""
         return (self.submission.organisation, self.submission.key)
 
+    def may_have_run(self) -> bool:
+        """Tells whether anything was sent for the request."""
+        return bool(self.starts) or self.foreign
+
 
 @dataclasses.dataclass(slots=True)
 class TargetLoad:
@@ -122,14 +132,12 @@
         running: tasks that this instance has there.
         free_slots: free slots as last reported, or its slots in the list.
         busy_until_s: do not try before this monotonic time.
-        leaving: the executor said that it leaves.
         incarnation: as last reported, at monotonic heard_s.
     """
 
     running: int = 0
     free_slots: int = 0
     busy_until_s: float = float("-inf")
-    leaving: bool = False
     incarnation: ids.Incarnation = ids.Incarnation("")
     heard_s: float = float("-inf")
 
@@ -148,7 +156,6 @@
     by_name: dict[RequestName, Request] = dataclasses.field(
         default_factory=dict
     )
-    queue: list[RequestName] = dataclasses.field(default_factory=list)
     load: dict[ids.InstanceId, TargetLoad] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -1,5 +1,6 @@
 """Life of a request on the instance that took it."""
 
+from dandelionpick import admission
 from dandelionpick import caller_messages
 from dandelionpick import claimed_requests
 from dandelionpick import dispatch
@@ -8,8 +9,10 @@
 from dandelionpick import executor_messages
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import lanes
 from dandelionpick import list_messages
 from dandelionpick import outcomes
+from dandelionpick import peer_messages
 from dandelionpick import problems
 from dandelionpick import progress
 from dandelionpick import request_checks
@@ -19,6 +22,9 @@
 from dandelionpick import runs
 from dandelionpick import state as state_lib
 
+# The start that these replies are about may still take up a slot.
+OPEN_REPLIES = (executor_messages.TaskRunning, executor_messages.TaskUnknown)
+
 
 @dispatch.receive.register
 def _(
@@ -35,8 +41,17 @@
     step: dispatch.Step,
     message: caller_messages.SubmitRequest,
     exchange_id: ids.ExchangeId,
+    hops: int = 0,
 ) -> None:
-    """Takes a request, or joins the one that has its key."""
+    """Takes a request, or joins the one that has its key.
+
+    Args:
+        state: the reducer's state.
+        step: the current step.
+        message: the submission.
+        exchange_id: the exchange to answer.
+        hops: instances that forwarded the request to this one.
+    """
     name = (message.organisation, message.key)
     digest = executor_messages.digest_of(message.body)
     known = state.requests.by_name.get(name)
@@ -45,32 +60,102 @@
         return
     problem = check(state, step, message)
     if problem is not None:
-        step.respond(exchange_id, outcomes.refusal(message, problem))
+        refuse(step, message, problem, exchange_id, hops)
         return
-    request = admit(state, step, message, digest)
-    await_answer(step, request, message, exchange_id)
+    request = new_request(state, step, message, digest)
+    request.hops = hops
     if known is not None:
         request.starts = known.starts
         request.foreign = known.foreign
+    if known is not None or claimed_requests.must_look_first(request, step):
+        record(state, step, request, exchange_id)
+        resume(state, step, request)
+    else:
+        admit(state, step, request, exchange_id)
+
+
+def resume(
+    state: state_lib.State, step: dispatch.Step, request: request_state.Request
+) -> None:
+    """Looks for an earlier run of the key before the request is queued."""
     if claimed_requests.must_look_first(request, step):
         claimed_requests.look(state, step, request)
+    elif not progress.resume(state, step, request):
+        request_queue.enqueue(state, request)
+        dispatch_queued(state, step)
+
+
+def admit(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    """Queues a new request, or refuses it at the peak."""
+    name = request.name()
+    decision = admission.decide(state, name, request, step.moment.now_s)
+    if decision.problem is not None:
+        message = request.submission
+        refuse(step, message, decision.problem, exchange_id, request.hops)
         return
-    if progress.resume(state, step, request):
-        return
+    if decision.displaced is not None:
+        displace(state, step, decision.displaced, admission.displaced())
+    record(state, step, request, exchange_id)
     request_queue.enqueue(state, request)
+    if decision.offered:
+        state.routing.offers.append(name)
     dispatch_queued(state, step)
 
 
-def admit(
+def refuse(
+    step: dispatch.Step,
+    message: caller_messages.SubmitRequest,
+    problem: errors.Problem,
+    exchange_id: ids.ExchangeId,
+    hops: int,
+) -> None:
+    """Answers a submission that is not taken, to a caller or to a peer."""
+    step.count("refusals_total", problem.kind.value)
+    if hops:
+        step.respond(exchange_id, peer_messages.Refused(problem))
+    else:
+        step.respond(exchange_id, outcomes.refusal(message, problem))
+
+
+def displace(
+    state: state_lib.State,
+    step: dispatch.Step,
+    name: request_state.RequestName,
+    problem: errors.Problem,
+) -> None:
+    """Refuses a queued request that was never sent."""
+    step.count("refusals_total", problem.kind.value)
+    request = state.requests.by_name[name]
+    outcomes.end_without_result(state, step, request, problem)
+
+
+def record(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    """Takes a request: it gets an answer from now on."""
+    state.requests.by_name[request.name()] = request
+    state.requests.unanswered[request.name()] = request
+    await_answer(step, request, request.submission, exchange_id)
+
+
+def new_request(
     state: state_lib.State,
     step: dispatch.Step,
     message: caller_messages.SubmitRequest,
     digest: str,
 ) -> request_state.Request:
-    """Records a new request."""
+    """Builds the state of a new request, which is not taken yet."""
     now_s = step.moment.now_s
     organisation = state.configuration.organisations[message.organisation]
-    request = request_state.Request(
+    return request_state.Request(
         submission=message,
         job_class=organisation.classes[message.job_class],
         digest=digest,
@@ -79,9 +164,6 @@
         deadline_ms=step.moment.unix_ms + int(message.deadline_s * 1000),
         trace=step.trace,
     )
-    state.requests.by_name[request.name()] = request
-    state.requests.unanswered[request.name()] = request
-    return request
 
 
 def await_answer(
@@ -153,22 +235,14 @@
 
 def dispatch_queued(state: state_lib.State, step: dispatch.Step) -> None:
     """Starts queued requests while executors have free slots."""
-    queue = state.requests.queue
-    while queue:
-        request = state.requests.by_name[queue[0]]
-        entry = routing.choose_executor(
-            state, request, step.moment.now_s, step.moment.draw
-        )
-        if entry is None:
-            return
-        name = queue.pop(0)
-        start(state, step, name, request, entry)
+    now_s = step.moment.now_s
+    while chosen := lanes.take_next(state, now_s, step.moment.draw):
+        start(state, step, *chosen)
 
 
 def start(
     state: state_lib.State,
     step: dispatch.Step,
-    name: request_state.RequestName,
     request: request_state.Request,
     entry: list_messages.InstanceEntry,
 ) -> None:
@@ -204,10 +278,12 @@
     step: dispatch.Step,
     reply: executor_messages.TaskReply,
 ) -> None:
-    runs.release(state, context.run.target)
-    runs.heard(state, step, context.run.target, reply)
-    request = runs.holder(state, context.request, context.run)
-    progress.learn(state, step, request, context.run, reply)
+    run = context.run
+    runs.release_run(state, run)
+    runs.heard(state, step, run.target, reply)
+    routing.note_reply(state, step, run.target, run.task_id, reply)
+    request = runs.holder(state, context.request, run)
+    progress.learn(state, step, request, run, reply)
     dispatch_queued(state, step)
 
 
@@ -218,10 +294,14 @@
     step: dispatch.Step,
     reply: executor_messages.TaskReply,
 ) -> None:
-    context.run.asking = False
-    runs.heard(state, step, context.run.target, reply)
-    request = runs.holder(state, context.request, context.run)
-    progress.learn(state, step, request, context.run, reply)
+    run = context.run
+    run.asking = False
+    runs.heard(state, step, run.target, reply)
+    if not isinstance(reply, OPEN_REPLIES):
+        runs.release_run(state, run)
+        routing.note_reply(state, step, run.target, run.task_id, reply)
+    request = runs.holder(state, context.request, run)
+    progress.learn(state, step, request, run, reply)
     dispatch_queued(state, step)
 
 
@@ -234,9 +314,11 @@
 ) -> None:
     run = context.run
     request = runs.holder(state, context.request, run)
-    runs.release(state, run.target)
+    if failure is kinds.CallFailure.NOT_SENT or request.answer is not None:
+        runs.release_run(state, run)
     if run.state is runs.OPEN:
         if failure is kinds.CallFailure.NOT_SENT and not run.resent:
+            routing.note_failure(state, step, run.target, run.task_id)
             progress.back_off(state, step, run, progress.UNREACHABLE_BACKOFF_S)
             progress.close(state, step, request, run, runs.NOT_RUN)
         elif request.answer is None:
@@ -255,11 +337,14 @@
     request = runs.holder(state, context.request, run)
     run.asking = False
     run.ask_s = step.moment.now_s + runs.ASK_PERIOD_S
+    runs.release_run(state, run)
+    routing.note_failure(state, step, run.target, run.task_id)
     if request.answer is None and request.job_class.idempotent:
         progress.back_off(state, step, run, progress.UNREACHABLE_BACKOFF_S)
         if not request.cancelled:
             runs.unfollow(state, run)
-        progress.retry(state, request, run)
+        request.losses += 1
+        progress.retry(state, step, request, run)
     dispatch_queued(state, step)
 
 
--- a/dandelionpick/runs.py
+++ b/dandelionpick/runs.py
@@ -96,10 +96,9 @@
     load = state.requests.load.get(target)
     if load is None:
         return
-    load.free_slots = reply.free_slots
-    load.leaving = reply.leaving
     load.incarnation = reply.incarnation
     load.heard_s = step.moment.now_s
+    routing.hear(state, target, reply, step.moment.now_s)
 
 
 def release(state: state_lib.State, target: ids.InstanceId) -> None:
@@ -109,6 +108,13 @@
         load.running -= 1
 
 
+def release_run(state: state_lib.State, run: request_state.Run) -> None:
+    """Gives back the slot of a start, once."""
+    if run.reserved:
+        run.reserved = False
+        release(state, run.target)
+
+
 def send(
     state: state_lib.State,
     step: dispatch.Step,
@@ -120,7 +126,9 @@
     submission = request.submission
     request.phase = request_state.Phase.RUNNING
     request.current = run
+    run.reserved = True
     request.target = run.target
+    routing.note_start(state, entry, request, run.task_id, step.moment.now_s)
     message = executor_messages.StartTask(
         task_id=run.task_id,
         labels=executor_messages.TaskLabels(
@@ -219,6 +227,8 @@
         request = holder(state, first, run)
         if request.answer is not None and now_s > request.resolve_until_s:
             unfollow(state, run)
+            routing.end(state, run.task_id)
+            release_run(state, run)
         elif now_s >= run.ask_s:
             ask(state, step, request, run)
 
