--- a/dandelionpick/cancel.py
+++ b/dandelionpick/cancel.py
@@ -130,7 +130,12 @@
     }
     if expected is None:
         record = claims.new_record(
-            state, message.organisation, message.key, "", **final
+            state,
+            message.organisation,
+            message.key,
+            "",
+            exclusive=cancellation.proved,
+            **final,
         )
     else:
         record = claim_state.with_fields(expected, **final)
@@ -182,7 +187,7 @@
     request, from the caller, or from an earlier claim of the key.
     """
     problem = problems.cancelled()
-    if not (cancellation.proved or record.task_id):
+    if not (cancellation.proved or claim_answers.is_exclusive(record)):
         answer_unknown(step, cancellation, problem)
         return
     message = cancellation.message
--- a/dandelionpick/claim_answers.py
+++ b/dandelionpick/claim_answers.py
@@ -17,14 +17,23 @@
     )
 
 
+def is_exclusive(record: claim_state.ClaimRecord) -> bool:
+    """Tells whether a claim's key certainly names non-idempotent work."""
+    return record.exclusive or record.task_id != ""
+
+
 def cancelled_answer(
     record: claim_state.ClaimRecord,
 ) -> caller_messages.Answer:
-    """Builds the answer of a claim that keeps the key from running."""
+    """Builds the answer of a claim that keeps the key from being claimed."""
     return caller_messages.Answer(
         organisation=record.organisation,
         key=record.key,
-        outcome=kinds.Outcome.NOT_RUN,
+        outcome=(
+            kinds.Outcome.NOT_RUN
+            if is_exclusive(record)
+            else kinds.Outcome.UNKNOWN
+        ),
         problem=problems.cancelled(),
     )
 
@@ -40,3 +49,17 @@
         digest=record.digest,
         problem=None if record.succeeded else problems.task_failed(),
     )
+
+
+def known_answer(
+    record: claim_state.ClaimRecord,
+) -> caller_messages.Answer:
+    """Builds the answer of a claim that was not cancelled."""
+    if record.body is not None:
+        return answer_of(record)
+    return caller_messages.Answer(
+        organisation=record.organisation,
+        key=record.key,
+        outcome=kinds.Outcome.UNKNOWN,
+        problem=problems.claimed(),
+    )
--- a/dandelionpick/claim_state.py
+++ b/dandelionpick/claim_state.py
@@ -33,6 +33,8 @@
         failure_domain: the failure domain of a job; "" for a request.
         start_deadline_ms: Unix milliseconds after which the target must not
             start the task.
+        exclusive: whether a cancelled key certainly names non-idempotent work;
+            a claim does not keep an idempotent request from running.
         final_ms: Unix milliseconds when the state became final.
         succeeded: False if the task itself failed.
         length: bytes in the response.
@@ -50,6 +52,7 @@
     incarnation: ids.Incarnation = ids.Incarnation("")
     failure_domain: ids.FailureDomain = ids.FailureDomain("")
     start_deadline_ms: int = 0
+    exclusive: bool = False
     final_ms: int = 0
     succeeded: bool = True
     length: int = 0
--- a/dandelionpick/claims.py
+++ b/dandelionpick/claims.py
@@ -81,6 +81,7 @@
     organisation: ids.OrganisationId,
     key: ids.RequestKey,
     body_digest: str,
+    /,
     **fields: Any,
 ) -> claim_state.ClaimRecord:
     """Builds a record with a claim id of its own."""
--- a/dandelionpick/lookup.py
+++ b/dandelionpick/lookup.py
@@ -315,13 +315,13 @@
         if claimed_requests.is_expired(key, step.moment.unix_ms):
             problem = problems.key_expired()
             find(lookup, outcomes.unknown(organisation, key, problem))
-    elif record.state is claim_state.ClaimState.NOT_RUN:
+    elif record.state is not claim_state.ClaimState.NOT_RUN:
+        find(lookup, claim_answers.known_answer(record))
+    elif claim_answers.is_exclusive(record):
         lookup.found = claim_answers.cancelled_answer(record)
         lookup.gap = False
-    elif record.body is not None:
-        find(lookup, claim_answers.answer_of(record))
     else:
-        find(lookup, outcomes.unknown(organisation, key, problems.claimed()))
+        find(lookup, claim_answers.cancelled_answer(record))
     conclude(state, step, lookup)
 
 
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -5,13 +5,35 @@
 """
 
 import dataclasses
+import enum
 import functools
 from typing import Any
 
+import msgspec
+
 from dandelionpick import executor_messages as messages
 from dandelionpick import ids
 from dandelionpick import kinds
 
+FAILURE_OUTPUT = b"the task failed"
+SLOWNESS = 20.0
+
+
+class ExecutorFault(enum.Enum):
+    """How an executor misbehaves.
+
+    SLOW and FAILS_TASKS hold for tasks that start meanwhile. LOSES_REPLIES
+    runs tasks and never answers their starts. TRUNCATES and CROSSES damage
+    results on their way: a part is missing, or it is another task's.
+    """
+
+    NONE = "none"
+    SLOW = "slow"
+    FAILS_TASKS = "fails_tasks"
+    LOSES_REPLIES = "loses_replies"
+    TRUNCATES = "truncates"
+    CROSSES = "crosses"
+
 
 @dataclasses.dataclass
 class Task:
@@ -19,12 +41,14 @@
 
     Attributes:
         end_s: when the task ends, in the model's seconds.
+        failed: whether the task ends with a failure.
     """
 
     labels: messages.TaskLabels | None
     body: bytes
     end_s: float
     tombstone: bool = False
+    failed: bool = False
 
 
 class Executor:
@@ -33,6 +57,7 @@
     Attributes:
         runs: number of starts by task id, for the oracle of tests.
         leaving: refuse new tasks.
+        fault: how the executor misbehaves.
     """
 
     def __init__(self, slots: int, incarnation: str, run_s: float = 0.02):
@@ -40,6 +65,7 @@
         self.incarnation = ids.Incarnation(incarnation)
         self.run_s = run_s
         self.leaving = False
+        self.fault = ExecutorFault.NONE
         self.tasks: dict[ids.TaskId, Task] = {}
         self.runs: dict[ids.TaskId, int] = {}
 
@@ -63,6 +89,24 @@
         """
         return _handle(message, self, now_s, unix_ms)
 
+    def loses_reply(self, message: Any) -> bool:
+        """Tells whether the reply to a message is lost on its way."""
+        lossy = self.fault is ExecutorFault.LOSES_REPLIES
+        return lossy and isinstance(message, messages.StartTask)
+
+    def start(self, message: messages.StartTask, now_s: float) -> None:
+        """Starts a task."""
+        slow = self.fault is ExecutorFault.SLOW
+        run_s = self.run_s * SLOWNESS if slow else self.run_s
+        self.tasks[message.task_id] = Task(
+            message.labels,
+            message.body,
+            now_s + run_s,
+            failed=self.fault is ExecutorFault.FAILS_TASKS,
+        )
+        runs = self.runs.get(message.task_id, 0)
+        self.runs[message.task_id] = runs + 1
+
     def reply(self, reply_type: type, now_s: float, **fields: Any) -> Any:
         """Builds a reply with the fields that every reply has."""
         return reply_type(
@@ -81,17 +125,38 @@
             return self.reply(messages.TaskTombstoned, now_s, task_id=task_id)
         if task.end_s > now_s:
             return self.reply(messages.TaskRunning, now_s, task_id=task_id)
-        output = task.body[::-1]
+        return self.damage(self.result(task_id, task, now_s), now_s)
+
+    def result(
+        self, task_id: ids.TaskId, task: Task, now_s: float
+    ) -> messages.TaskResult:
+        """Builds the whole result of a task that has ended."""
+        output = FAILURE_OUTPUT if task.failed else task.body[::-1]
         return self.reply(
             messages.TaskResult,
             now_s,
             task_id=task_id,
-            succeeded=True,
+            succeeded=not task.failed,
             body=output,
             length=len(output),
             digest=messages.digest_of(output),
         )
 
+    def damage(
+        self, result: messages.TaskResult, now_s: float
+    ) -> messages.TaskResult:
+        """Returns a result as the current fault lets it arrive."""
+        if self.fault is ExecutorFault.TRUNCATES:
+            return msgspec.structs.replace(result, body=result.body[:-1])
+        if self.fault is ExecutorFault.CROSSES:
+            other = ids.TaskId("another-task")
+            for task_id, task in self.tasks.items():
+                ended = not task.tombstone and task.end_s <= now_s
+                if ended and task_id != result.task_id:
+                    return self.result(task_id, task, now_s)
+            return msgspec.structs.replace(result, task_id=other)
+        return result
+
 
 @functools.singledispatch
 def _handle(message: Any, executor: Executor, now_s: float, unix_ms: int):
@@ -111,11 +176,7 @@
             messages.TaskRefused, now_s, task_id=message.task_id, reason=reason
         )
     if message.task_id not in executor.tasks:
-        executor.tasks[message.task_id] = Task(
-            message.labels, message.body, now_s + executor.run_s
-        )
-        runs = executor.runs.get(message.task_id, 0)
-        executor.runs[message.task_id] = runs + 1
+        executor.start(message, now_s)
     return executor.describe(message.task_id, now_s)
 
 
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -103,14 +103,23 @@
 
 
 def build_executor(options: dict[str, Any]) -> Parts:
-    """Builds an executor; a start is answered when the task has ended."""
-    model = executor.Executor(
-        options.get("slots", 8),
-        secrets.token_hex(8),
-        options.get("run_s", 0.02),
-    )
+    """Builds an executor; a start is answered when the task has ended.
+
+    Control: `leaving`, `run_s`, `fault` (a value of ExecutorFault) and
+    `restart`, which ends all tasks and gives a new incarnation.
+    """
+
+    def new_model() -> executor.Executor:
+        return executor.Executor(
+            options.get("slots", 8),
+            secrets.token_hex(8),
+            options.get("run_s", 0.02),
+        )
+
+    current = [new_model()]
 
     async def handle(message: Any) -> Any:
+        model = current[0]
         wait_s = getattr(message, "wait_s", 0.0)
         if isinstance(message, executor_messages.StartTask):
             wait_s = float("inf")
@@ -121,16 +130,27 @@
             )
             running = isinstance(reply, executor_messages.TaskRunning)
             if not running or time.monotonic() >= end_s:
-                return reply
+                break
             task = model.tasks[message.task_id]
             await asyncio.sleep(
                 min(task.end_s, end_s) - time.monotonic() + 0.001
             )
+            if model is not current[0]:
+                raise ConnectionResetError("the executor was restarted")
+        if model.loses_reply(message):
+            raise ConnectionResetError("the reply is lost")
+        return reply
 
     def control(changes: dict[str, Any]) -> None:
+        if changes.get("restart"):
+            current[0] = new_model()
+        model = current[0]
         model.leaving = changes.get("leaving", model.leaving)
         model.run_s = changes.get("run_s", model.run_s)
+        fault = changes.get("fault", model.fault)
+        model.fault = executor.ExecutorFault(fault)
 
+    control({"fault": options.get("fault", "none")})
     return wire.EXECUTOR, handle, control
 
 
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -410,7 +410,13 @@
                 lambda: self._finish_task(call, model, message.task_id, reply),
             )
             return
-        reply(message)
+        if not self._loses_reply(model, call.message):
+            reply(message)
+
+    def _loses_reply(self, model: Any, message: Any) -> bool:
+        """Tells whether a target's fault loses its reply to a message."""
+        loses_reply = getattr(model, "loses_reply", None)
+        return loses_reply is not None and loses_reply(message)
 
     def _finish_task(
         self,
@@ -420,5 +426,7 @@
         reply: Callable[[Any], None],
     ) -> None:
         """Replies to a start when its task has ended on the same target."""
+        if self._loses_reply(model, call.message):
+            return
         if self.targets.get(call.destination.name) is model:
             reply(model.describe(task_id, self.now_s))
