Tell retries of a cancelled key why it was not run

Cause: the fuzzer found a retry that was told not_run with the problem of an earlier deadline, after a cancel had proved not_run for the key.

Change: the retained answer takes the cancel's problem. The fuzzer starts with faults and picks recent keys; executors restart in one step.

--- a/dandelionpick/cancel.py
+++ b/dandelionpick/cancel.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+import msgspec
+
 from dandelionpick import caller_messages
 from dandelionpick import claim_answers
 from dandelionpick import claim_state
@@ -198,7 +200,10 @@
         if known.answer is None:
             outcomes.end_without_result(state, step, known, problem)
         else:
-            progress.revise_if_proved(state, known)
+            told = msgspec.structs.replace(
+                known.answer, outcome=kinds.Outcome.NOT_RUN, problem=problem
+            )
+            outcomes.revise(state, known, told)
     exchange_id = cancellation.exchange_id
     answer(step, message, exchange_id, kinds.Outcome.NOT_RUN, problem)
 
--- a/tests/test_request_fuzz.py
+++ b/tests/test_request_fuzz.py
@@ -19,7 +19,12 @@
 ORGANISATION = ids.OrganisationId("ward")
 HEAL_LIMIT_S = 150.0
 LATENCIES_S = st.sampled_from((0.005, 0.05, 0.4))
+RUNS_S = st.sampled_from((0.01, 0.1, 0.5, 2.0))
 RATES = st.sampled_from((0.0, 0.05, 0.2))
+FAULTS = st.sampled_from(executor_lib.ExecutorFault)
+NETWORKS = st.builds(fabric.Network, st.just(0.001), LATENCIES_S, RATES, RATES)
+# Time that passes after a caller's message, so that faults hit every stage.
+SOON_S = st.sampled_from((0.0, 0.004, 0.02, 0.1, 0.5))
 names = st.sampled_from(INSTANCES)
 executors = st.sampled_from(EXECUTORS)
 picks = st.integers(0, 1_000)
@@ -28,8 +33,14 @@
 class RequestMachine(stateful.RuleBasedStateMachine):
     """Callers, faults and the oracle."""
 
-    @stateful.initialize(seed=st.integers(0, 2**32), slots=st.integers(1, 3))
-    def build(self, seed: int, slots: int) -> None:
+    @stateful.initialize(
+        seed=st.integers(0, 2**32),
+        slots=st.integers(1, 3),
+        run_s=RUNS_S,
+        fault=FAULTS,
+        network=NETWORKS,
+    )
+    def build(self, seed, slots, run_s, fault, network) -> None:
         self.oracle = request_oracle.Oracle()
         self.fabric = built = fabric.Fabric(seed)
         built.store.entries["config/tree"] = store.Entry(1, builders.document())
@@ -38,12 +49,14 @@
         self.sent_to: dict[str, tuple[str, int]] = {}
         self.crashes = dict.fromkeys(INSTANCES, 0)
         for name in EXECUTORS:
-            self.oracle.executors.append(
-                built.add_executor(name, name[0], slots)
-            )
+            model = built.add_executor(name, name[0], slots)
+            model.run_s = run_s
+            model.fault = fault
+            self.oracle.executors.append(model)
         for name in INSTANCES:
             built.add_instance(name, name[0])
         built.run_for(4.0)
+        built.network = network
 
     def _ask(self, name, message, submitted, attempt=0) -> None:
         if self.fabric.instances[name].state is None:
@@ -68,8 +81,9 @@
         self._ask(name, message, submitted, submitted.attempts)
 
     def _pick(self, pick: int) -> request_oracle.Submitted:
-        known = list(self.oracle.submitted.values())
-        return known[pick % len(known)]
+        """Returns one of the latest keys."""
+        latest = list(self.oracle.submitted.values())[-5:]
+        return latest[pick % len(latest)]
 
     @stateful.rule(
         name=names,
@@ -77,8 +91,11 @@
         deadline_s=st.sampled_from((0.5, 3.0, 12.0)),
         wait=st.booleans(),
         times=st.integers(1, 4),
+        soon_s=SOON_S,
     )
-    def submit(self, name, idempotent, deadline_s, wait, times) -> None:
+    def submit(
+        self, name, idempotent, deadline_s, wait, times, soon_s=0.0
+    ) -> None:
         for _ in range(times):
             number = len(self.oracle.submitted)
             unix_ms = fabric.START_UNIX_MS + int(self.fabric.now_s * 1000)
@@ -90,13 +107,18 @@
             )
             self.oracle.submitted[submitted.key] = submitted
             self._submit(name, submitted, deadline_s, wait)
+        self.fabric.run_for(soon_s)
 
     @stateful.precondition(lambda self: self.oracle.submitted)
     @stateful.rule(
-        name=names, pick=picks, deadline_s=st.sampled_from((0.5, 4.0, 15.0))
+        name=names,
+        pick=picks,
+        deadline_s=st.sampled_from((0.5, 4.0, 15.0)),
+        soon_s=SOON_S,
     )
-    def retry(self, name, pick, deadline_s) -> None:
+    def retry(self, name, pick, deadline_s, soon_s) -> None:
         self._submit(name, self._pick(pick), deadline_s, True)
+        self.fabric.run_for(soon_s)
 
     @stateful.precondition(lambda self: self.oracle.submitted)
     @stateful.rule(name=names, pick=picks, named=st.booleans())
@@ -118,12 +140,15 @@
         )
         self._ask(name, message, submitted)
 
-    @stateful.rule(
-        seconds=st.sampled_from((0.003, 0.01, 0.03, 0.2, 1.0, 3.0, 8.0))
-    )
+    # Two rules, so that a good share of the steps lets time pass.
+    @stateful.rule(seconds=st.sampled_from((0.003, 0.01, 0.03, 0.1, 0.3)))
     def advance(self, seconds) -> None:
         self.fabric.run_for(seconds)
 
+    @stateful.rule(seconds=st.sampled_from((0.5, 1.0, 2.0, 4.0, 8.0)))
+    def advance_far(self, seconds) -> None:
+        self.fabric.run_for(seconds)
+
     @stateful.rule(name=names)
     def crash_or_start(self, name) -> None:
         if self.fabric.instances[name].state is None:
@@ -155,29 +180,28 @@
     def break_store(self, fault) -> None:
         self.fabric.store_fault = fault
 
-    @stateful.rule(name=executors, run_s=st.sampled_from((0.01, 0.3, 2.0)))
-    def crash_or_start_executor(self, name, run_s) -> None:
-        if name in self.fabric.targets:
-            del self.fabric.targets[name]
-            return
+    @stateful.rule(name=executors)
+    def crash_executor(self, name) -> None:
+        self.fabric.targets.pop(name, None)
+
+    @stateful.rule(name=executors, run_s=RUNS_S, fault=FAULTS)
+    def restart_executor(self, name, run_s, fault) -> None:
         model = executor_lib.Executor(
             self.slots, self.fabric.new_incarnation(), run_s
         )
+        model.fault = fault
         self.oracle.executors.append(model)
         self.fabric.targets[name] = model
 
-    @stateful.rule(
-        name=executors, fault=st.sampled_from(executor_lib.ExecutorFault)
-    )
-    def break_executor(self, name, fault) -> None:
+    @stateful.rule(name=executors, fault=FAULTS, leaving=st.booleans())
+    def change_executor(self, name, fault, leaving) -> None:
         if name in self.fabric.targets:
             self.fabric.targets[name].fault = fault
+            self.fabric.targets[name].leaving = leaving
 
-    @stateful.rule(drop=RATES, duplicate=RATES, max_delay_s=LATENCIES_S)
-    def change_network(self, drop, duplicate, max_delay_s) -> None:
-        self.fabric.network = fabric.Network(
-            0.001, max_delay_s, drop, duplicate
-        )
+    @stateful.rule(network=NETWORKS)
+    def change_network(self, network) -> None:
+        self.fabric.network = network
 
     @stateful.invariant()
     def promises_are_kept(self) -> None:
@@ -202,8 +226,11 @@
         self.fabric.network = fabric.Network()
         for name in EXECUTORS:
             if name not in self.fabric.targets:
-                self.crash_or_start_executor(name, 0.02)
+                self.restart_executor(
+                    name, 0.02, executor_lib.ExecutorFault.NONE
+                )
             self.fabric.targets[name].fault = executor_lib.ExecutorFault.NONE
+            self.fabric.targets[name].leaving = False
         for name in INSTANCES:
             if self.fabric.instances[name].paused:
                 self.fabric.resume(name)
