Add contract tests for executors and tests of claims

Cause: the stand-in's faults and the store protocol of claims were tested only through whole requests.

--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,188 @@
+"""Tests of claims: group commit, conflicts, lost replies, sizes, sweep."""
+
+import dataclasses
+import unittest
+
+import msgspec
+
+from dandelionpick import claim_buckets
+from dandelionpick import claim_state
+from dandelionpick import claims
+from dandelionpick import dispatch
+from dandelionpick import kinds
+from dandelionpick import state as state_lib
+from standins import store as store_lib
+from tests import builders
+from tests import cases
+from tests import fabric
+
+DAY_MS = 24 * 3600 * 1000
+VERDICTS: list[claims.Verdict] = []
+
+
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """Context of the claims of this test."""
+
+
+@claims.decided.register
+def _(
+    context: Asked,
+    state: state_lib.State,
+    step: dispatch.Step,
+    verdict: claims.Verdict,
+) -> None:
+    VERDICTS.append(verdict)
+
+
+def record_of(state, key, **fields) -> claim_state.ClaimRecord:
+    """Builds the claim of a job."""
+    return claims.new_record(
+        state, "ward", key, "digest", failure_domain="a", **fields
+    )
+
+
+class ClaimTest(unittest.TestCase):
+    """A claim is confirmed only if the store holds exactly that record."""
+
+    def setUp(self):
+        VERDICTS.clear()
+        self.built = cases.small_fabric(executors=0)
+        self.key = builders.uuid7(1, self.built.moment().unix_ms)
+
+    def state(self, name="entry-1") -> state_lib.State:
+        return self.built.instances[name].state
+
+    def claim(self, record, name="entry-1", **fields) -> None:
+        state = self.state(name)
+        step = dispatch.Step(self.built.moment())
+        claims.claim(state, step, record, Asked(), timeout_s=2.0, **fields)
+        for effect in step.emitted:
+            self.built._call(name, state, effect)
+
+    def read(self, name="entry-1") -> None:
+        state = self.state(name)
+        step = dispatch.Step(self.built.moment())
+        claims.read(state, step, ("ward", self.key), Asked(), timeout_s=2.0)
+        for effect in step.emitted:
+            self.built._call(name, state, effect)
+
+    def statuses(self) -> list[str]:
+        return [verdict.status.value for verdict in VERDICTS]
+
+    def test_the_first_of_two_claims_wins_and_the_other_learns_it(self):
+        first = record_of(self.state(), self.key)
+        second = record_of(self.state("entry-2"), self.key)
+        self.claim(first)
+        self.claim(second, "entry-2")
+        self.built.run_for(1.0)
+        self.assertEqual(sorted(self.statuses()), ["confirmed", "exists"])
+        self.assertEqual(VERDICTS[0].record, VERDICTS[1].record)
+
+    def test_a_claim_is_replaced_only_if_it_is_the_expected_one(self):
+        first = record_of(self.state(), self.key)
+        self.claim(first)
+        self.built.run_for(1.0)
+        other = record_of(self.state(), self.key)
+        self.claim(other, expected=record_of(self.state(), self.key))
+        self.built.run_for(1.0)
+        self.claim(other, "entry-2", expected=first)
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["confirmed", "exists", "confirmed"])
+
+    def test_a_lost_reply_is_resolved_by_reading(self):
+        self.built.store_fault = fabric.StoreFault.LOSES_REPLIES
+        self.claim(record_of(self.state(), self.key))
+        self.built.run_for(0.5)
+        self.built.heal()
+        writes = self.built.store.calls["Write"]
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["confirmed"])
+        self.assertEqual(self.built.store.calls["Write"], writes)
+
+    def test_no_verdict_in_time_is_unavailable(self):
+        self.built.store_fault = fabric.StoreFault.SILENT
+        self.claim(record_of(self.state(), self.key))
+        self.built.run_for(3.0)
+        self.assertEqual(self.statuses(), ["unavailable"])
+
+    def test_a_read_tells_absence(self):
+        self.read()
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["absent"])
+
+    def test_claims_that_arrive_during_a_write_share_the_next_one(self):
+        records = [record_of(self.state(), self.key)]
+        bucket = claim_buckets.bucket_key("ward", self.key)
+        number = 1
+        while len(records) < 20:
+            number += 1
+            key = builders.uuid7(number, self.built.moment().unix_ms)
+            if claim_buckets.bucket_key("ward", key) == bucket:
+                records.append(record_of(self.state(), key))
+        for record in records:
+            self.claim(record)
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["confirmed"] * 20)
+        self.assertEqual(self.built.store.calls["Write"], 2)
+
+    def test_a_full_bucket_keeps_digests_without_responses(self):
+        big = record_of(self.state(), self.key, body=b"x" * 900_000)
+        self.claim(big)
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["confirmed"])
+        self.assertIsNone(VERDICTS[0].record.body)
+
+
+class SweepTest(unittest.TestCase):
+    """Old buckets are deleted, but none that still says something."""
+
+    def test_only_finished_buckets_are_deleted(self):
+        built = cases.small_fabric(executors=0)
+        now_ms = built.moment().unix_ms
+        final = claim_state.ClaimState.COMPLETED
+        table = [
+            (2, final, now_ms - 2 * DAY_MS, True),
+            (2, final, now_ms - DAY_MS // 2, False),
+            (2, claim_state.ClaimState.CLAIMED, 0, False),
+            (15, final, now_ms - 15 * DAY_MS, False),
+        ]
+        expected = {}
+        for number, (days, state, final_ms, deleted) in enumerate(table):
+            # The sweep of the next minute reads this bucket.
+            time_ms = now_ms + 60_000 - days * DAY_MS
+            key = builders.uuid7(number, time_ms)
+            record = claim_state.ClaimRecord(
+                organisation="ward",
+                key=key,
+                body_digest="",
+                claim_id="",
+                state=state,
+                final_ms=final_ms,
+            )
+            bucket = claim_buckets.bucket_key("ward", key)
+            self.assertNotIn(bucket, expected)
+            expected[bucket] = deleted
+            text = msgspec.json.encode([record]).decode()
+            built.store.entries[bucket] = store_lib.Entry(1, text)
+        built.run_for(125.0)
+        for bucket, deleted in expected.items():
+            self.assertEqual(bucket not in built.store.entries, deleted)
+
+
+class TaskFailureTest(unittest.TestCase):
+    """The claim keeps the failure of a task for later retries."""
+
+    def test_a_retry_is_told_the_failure(self):
+        built = cases.small_fabric(executors=1)
+        built.targets["executor-1"].fault = built.targets[
+            "executor-1"
+        ].fault.FAILS_TASKS
+        message = cases.exclusive(built)
+        built.ask("entry-1", message)
+        built.run_for(1.0)
+        built.crash("entry-1")
+        built.targets.clear()
+        told = built.ask("entry-2", cases.fetch(message.key))
+        self.assertIs(told.outcome, kinds.Outcome.COMPLETED)
+        self.assertEqual(told.problem.kind.value, "task_failed")
--- /dev/null
+++ b/tests/test_executor_contract.py
@@ -0,0 +1,287 @@
+"""The contract of an executor, for the model, over HTTP, or a real one."""
+
+import abc
+import asyncio
+import dataclasses
+import functools
+import pathlib
+import tempfile
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Success
+
+from dandelionpick import effects
+from dandelionpick import executor_messages as messages
+from dandelionpick import http_client
+from dandelionpick import ids
+from dandelionpick import kinds
+from standins import deployment
+from standins import executor
+
+RUN_S = 0.05
+LABELS = messages.TaskLabels("ward", "confirmation", "key", 1)
+LOST = kinds.CallFailure.LOST
+
+
+class Driver(abc.ABC):
+    """How the contract reaches an executor with one slot."""
+
+    @abc.abstractmethod
+    def send(self, message: Any) -> Any:
+        """Returns the reply, or LOST."""
+
+    @abc.abstractmethod
+    def control(self, **changes: Any) -> None:
+        """Changes the executor's behaviour."""
+
+    @abc.abstractmethod
+    def unix_ms(self) -> int:
+        """Returns the executor's clock."""
+
+    def start(self, task_id: str, **fields: Any) -> Any:
+        """Sends a start with a deadline in a minute."""
+        deadline_ms = self.unix_ms() + fields.pop("deadline_in_ms", 60_000)
+        body = fields.pop("body", b"abc")
+        message = messages.StartTask(
+            ids.TaskId(task_id), LABELS, body, deadline_ms, **fields
+        )
+        return self.send(message)
+
+    def query(self, task_id: str) -> Any:
+        """Asks for a task."""
+        return self.send(messages.QueryTask(ids.TaskId(task_id)))
+
+    def cancel(self, task_id: str) -> Any:
+        """Leaves a tombstone."""
+        return self.send(messages.CancelTask(ids.TaskId(task_id)))
+
+
+class ModelDriver(Driver):
+    """Drives the model in virtual time."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.model = executor.Executor(1, "first", RUN_S)
+
+    def send(self, message: Any) -> Any:
+        reply = self.model.handle(message, self.now_s, self.unix_ms())
+        start = isinstance(message, messages.StartTask)
+        if start and isinstance(reply, messages.TaskRunning):
+            self.now_s = self.model.tasks[message.task_id].end_s + 0.001
+            reply = self.model.describe(message.task_id, self.now_s)
+        return LOST if self.model.loses_reply(message) else reply
+
+    def control(self, **changes: Any) -> None:
+        if changes.get("restart"):
+            self.model = executor.Executor(1, "second", RUN_S)
+        if "leaving" in changes:
+            self.model.leaving = changes["leaving"]
+        if "fault" in changes:
+            self.model.fault = executor.ExecutorFault(changes["fault"])
+
+    def unix_ms(self) -> int:
+        return int(self.now_s * 1000) + 1_000_000
+
+
+class HttpDriver(Driver):
+    """Drives an executor that serves HTTP."""
+
+    def __init__(self, address: str):
+        self.address = address
+
+    def send(self, message: Any) -> Any:
+        return asyncio.run(self._send(message))
+
+    async def _send(self, message: Any) -> Any:
+        destination = effects.Destination(
+            kinds.Service.EXECUTOR, "executor", self.address
+        )
+        call = effects.Call(ids.CallId("1"), destination, message, 10.0)
+        async with http_client.open_session(1) as session:
+            result = await http_client.send(session, call)
+        return result.unwrap() if isinstance(result, Success) else LOST
+
+    def control(self, **changes: Any) -> None:
+        deployment.control(self.address, changes)
+
+    def unix_ms(self) -> int:
+        return time.time_ns() // 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """What an executor replies in the end, after some messages.
+
+    Attributes:
+        act: sends the messages and returns the last reply.
+        expected: type of the reply, reason of a refusal, or LOST.
+    """
+
+    name: str
+    act: Callable[[Driver], Any]
+    expected: Any
+
+
+def after(*steps: Callable[[Driver], Any]) -> Callable[[Driver], Any]:
+    """Runs steps in turn and returns the last one's reply."""
+
+    def act(driver: Driver) -> Any:
+        return [step(driver) for step in steps][-1]
+
+    return act
+
+
+def call(name: str, *args: Any, **fields: Any) -> Callable[[Driver], Any]:
+    """Builds a step that calls a method of the driver."""
+    return lambda driver: getattr(driver, name)(*args, **fields)
+
+
+start = functools.partial(call, "start", "t")
+query = functools.partial(call, "query", "t")
+cancel = functools.partial(call, "cancel", "t")
+control = functools.partial(call, "control")
+REFUSAL = kinds.TaskRefusal
+CASES = (
+    Case("a start runs", start(), messages.TaskResult),
+    Case("a start joins", after(start(), start()), messages.TaskResult),
+    Case("a query finds", after(start(), query()), messages.TaskResult),
+    Case("a query of nothing", query(), messages.TaskUnknown),
+    Case("a cancel buries", cancel(), messages.TaskTombstoned),
+    Case("a late cancel", after(start(), cancel()), messages.TaskResult),
+    Case(
+        "a tombstone outlasts starts",
+        after(cancel(), start()),
+        REFUSAL.TOMBSTONED,
+    ),
+    Case(
+        "a tombstone precedes a passed deadline",
+        after(cancel(), start(deadline_in_ms=-10)),
+        REFUSAL.TOMBSTONED,
+    ),
+    Case(
+        "a passed deadline", start(deadline_in_ms=-10), REFUSAL.DEADLINE_PASSED
+    ),
+    Case(
+        "a passed deadline joins",
+        after(start(), start(deadline_in_ms=-10)),
+        messages.TaskResult,
+    ),
+    Case(
+        "another incarnation",
+        start(incarnation=ids.Incarnation("other")),
+        REFUSAL.WRONG_INCARNATION,
+    ),
+    Case("leaving", after(control(leaving=True), start()), REFUSAL.LEAVING),
+    Case(
+        "leaving joins",
+        after(start(), control(leaving=True), start()),
+        messages.TaskResult,
+    ),
+    Case(
+        "a restart forgets",
+        after(start(), control(restart=True), query()),
+        messages.TaskUnknown,
+    ),
+    Case("a lost reply", after(control(fault="loses_replies"), start()), LOST),
+    Case(
+        "a lost reply is found by a query",
+        after(control(fault="loses_replies"), start(), query()),
+        messages.TaskResult,
+    ),
+)
+DAMAGE_CASES = ("truncates", "crosses")
+
+
+class ExecutorContract:
+    """The cases; a subclass tells how to reach a fresh executor."""
+
+    def new_driver(self) -> Driver:
+        raise NotImplementedError
+
+    def test_replies(self):
+        for case in CASES:
+            with self.subTest(case.name):
+                reply = case.act(self.new_driver())
+                if isinstance(case.expected, kinds.TaskRefusal):
+                    self.assertIs(reply.reason, case.expected)
+                elif case.expected is LOST:
+                    self.assertIs(reply, LOST)
+                else:
+                    self.assertIsInstance(reply, case.expected)
+
+    def test_a_result_is_whole_and_for_its_own_body(self):
+        driver = self.new_driver()
+        for number, body in enumerate((b"", b"abc", bytes(range(256)))):
+            task_id = ids.TaskId(f"t{number}")
+            reply = driver.start(task_id, body=body)
+            self.assertTrue(messages.is_whole(reply, task_id))
+            self.assertTrue(reply.succeeded)
+
+    def test_a_damaged_result_is_recognised(self):
+        for fault in DAMAGE_CASES:
+            with self.subTest(fault):
+                driver = self.new_driver()
+                driver.start("other", body=b"longer than the first")
+                driver.control(fault=fault)
+                reply = driver.start("t")
+                self.assertFalse(messages.is_whole(reply, ids.TaskId("t")))
+
+    def test_a_failing_task_says_so(self):
+        driver = self.new_driver()
+        driver.control(fault="fails_tasks")
+        self.assertFalse(driver.start("t").succeeded)
+
+    def test_a_restart_changes_the_incarnation(self):
+        driver = self.new_driver()
+        before = driver.query("t").incarnation
+        driver.control(restart=True)
+        self.assertNotEqual(driver.query("t").incarnation, before)
+
+    def test_a_list_names_the_tasks_of_a_key_but_no_tombstone(self):
+        driver = self.new_driver()
+        driver.start("t1")
+        driver.cancel("t2")
+        reply = driver.send(messages.ListTasks("ward", "key"))
+        self.assertEqual(reply.task_ids, ["t1"])
+        self.assertEqual(
+            driver.send(messages.ListTasks("ward", "k")).task_ids, []
+        )
+
+
+class ModelContractTest(ExecutorContract, unittest.TestCase):
+    """The model in virtual time keeps the contract."""
+
+    def new_driver(self) -> Driver:
+        return ModelDriver()
+
+    def test_a_full_executor_is_busy(self):
+        model = executor.Executor(1, "first", RUN_S)
+        model.handle(
+            messages.StartTask("t1", LABELS, b"", 10**9), 0.0, 1_000_000
+        )
+        reply = model.handle(
+            messages.StartTask("t2", LABELS, b"", 10**9), 0.0, 1_000_000
+        )
+        self.assertIs(reply.reason, REFUSAL.BUSY)
+
+
+class HttpContractTest(ExecutorContract, unittest.TestCase):
+    """The stand-in behind HTTP keeps the contract."""
+
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        running = deployment.Deployment(pathlib.Path(folder.name))
+        cls.addClassCleanup(running.stop)
+        cls.process = running.start_standin(
+            "executor", "executor", {"slots": 1, "run_s": RUN_S}, {}
+        )
+
+    def new_driver(self) -> Driver:
+        driver = HttpDriver(self.process.address)
+        driver.control(restart=True)
+        return driver
--- a/tests/test_request_fuzz.py
+++ b/tests/test_request_fuzz.py
@@ -255,7 +255,7 @@
             assert answer.outcome is kinds.Outcome.COMPLETED, answer
 
 
-SETTINGS = fuzzing.profile("requests", examples=60, steps=40)
+SETTINGS = fuzzing.profile("requests", examples=150, steps=40)
 RequestFuzzTest = fuzzing.seeded(RequestMachine).TestCase
 RequestFuzzTest.settings = SETTINGS
 
