--- a/dandelionpick/cancel.py
+++ b/dandelionpick/cancel.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+import msgspec
+
 from dandelionpick import caller_messages
 from dandelionpick import claim_answers
 from dandelionpick import claim_state
@@ -130,7 +132,12 @@
     }
     if expected is None:
         record = claims.new_record(
-            state, message.organisation, message.key, "", **final
+            state,
+            message.organisation,
+            message.key,
+            "",
+            exclusive=cancellation.proved,
+            **final,
         )
     else:
         record = claim_state.with_fields(expected, **final)
@@ -182,7 +189,7 @@
     request, from the caller, or from an earlier claim of the key.
     """
     problem = problems.cancelled()
-    if not (cancellation.proved or record.task_id):
+    if not (cancellation.proved or claim_answers.is_exclusive(record)):
         answer_unknown(step, cancellation, problem)
         return
     message = cancellation.message
@@ -193,7 +200,10 @@
         if known.answer is None:
             outcomes.end_without_result(state, step, known, problem)
         else:
-            progress.revise_if_proved(state, known)
+            told = msgspec.structs.replace(
+                known.answer, outcome=kinds.Outcome.NOT_RUN, problem=problem
+            )
+            outcomes.revise(state, known, told)
     exchange_id = cancellation.exchange_id
     answer(step, message, exchange_id, kinds.Outcome.NOT_RUN, problem)
 
