Estimate waits by the mean run time and charge undelivered retries less

Cause: the median understates the wait behind a class with two kinds of tasks, so that overtaken requests were not shed; requests whose message was not delivered used up the retry budget when all executors of a failure domain vanished, and were not forwarded before their deadline. Ruled out: free retries of undelivered messages (every retry is charged). Change: queue work and waits use the mean; a retry after an undelivered message costs a tenth of a token.

--- a/dandelionpick/admission.py
+++ b/dandelionpick/admission.py
@@ -57,7 +57,8 @@
     item = lanes.item_of(state, name, request)
     ahead_s = expected_wait_s(state, item, now_s)
     offered = ahead_s >= FORWARD_WAIT_S
-    late = ahead_s > 0 and ahead_s + item.cost_s > left_s
+    usual_s = known.quantile(0.5) if known else 0.0
+    late = ahead_s > 0 and ahead_s + usual_s > left_s
     if late and not forward_choice.has_room(state, request, now_s):
         return Decision(too_busy(ahead_s, left_s))
     if len(state.routing.queue) < state.limits.max_queued_requests:
--- a/dandelionpick/estimates.py
+++ b/dandelionpick/estimates.py
@@ -68,6 +68,20 @@
                 return SMALLEST_S * GROWTH ** (bucket + 0.5)
         return 0.0
 
+    def mean(self) -> float:
+        """Returns the mean run time; stragglers count in full.
+
+        Waiting times are sums of run times, which a median understates.
+        """
+        if not self.total:
+            return 0.0
+        sum_s = sum(
+            count * SMALLEST_S * GROWTH ** (bucket + 0.5)
+            for bucket, count in enumerate(self.counts)
+            if count
+        )
+        return sum_s / self.total
+
     def fastest(self) -> float:
         """Returns a lower bound of every run time that still counts."""
         for bucket, count in enumerate(self.counts):
@@ -124,7 +138,7 @@
         return histogram
 
     def expected_s(self, key: ClassKey, declared_s: float) -> float:
-        """Returns the median run time of a class.
+        """Returns the mean run time of a class.
 
         For a class without observations it is the declared run time, but not
         above the mean of all classes, because declarations can be far off and
@@ -132,7 +146,7 @@
         """
         histogram = self.classes.get(key)
         if histogram is not None and histogram.total:
-            return histogram.quantile(0.5)
+            return histogram.mean()
         return min(declared_s, self.mean_s)
 
     def is_short(
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -46,15 +46,7 @@
     exchange_id: ids.ExchangeId,
     hops: int = 0,
 ) -> None:
-    """Takes a request, or joins the one that has its key.
-
-    Args:
-        state: the reducer's state.
-        step: the current step.
-        message: the submission.
-        exchange_id: the exchange to answer.
-        hops: instances that forwarded the request to this one.
-    """
+    """Takes a request that passed `hops` instances, or joins its key's."""
     name = (message.organisation, message.key)
     digest = executor_messages.digest_of(message.body)
     known = state.requests.by_name.get(name)
@@ -270,10 +262,7 @@
     routing.note_failure(state, step, context.target, context.task_id)
     request = state.requests.by_name.get(context.name)
     if request is not None and request.answer is None:
-        # A message that was certainly not delivered says nothing about what
-        # the request does to executors.
-        request.failures += failure is kinds.CallFailure.LOST
-        retry(state, step, context, request)
+        retry(state, step, context, request, failure)
     dispatch_queued(state, step)
 
 
@@ -294,15 +283,18 @@
     step: dispatch.Step,
     context: TaskStarted,
     request: request_state.Request,
+    failure: kinds.CallFailure = kinds.CallFailure.LOST,
 ) -> None:
     """Tries a request again whose task was lost or failed.
 
     A request that has another task in progress, a hedge, waits for that.
     """
     request.tried.append(context.target)
-    if routing.has_run(state, context.name):
-        return
-    try_again(state, step, context.name, request)
+    lost = failure is kinds.CallFailure.LOST
+    request.failures += lost
+    if not routing.has_run(state, context.name):
+        price = 1.0 if lost else retries.NOT_SENT_PRICE
+        try_again(state, step, context.name, request, price)
 
 
 def try_again(
@@ -310,11 +302,13 @@
     step: dispatch.Step,
     name: request_state.RequestName,
     request: request_state.Request,
+    price: float = 1.0,
 ) -> None:
     """Queues a request for another try, or gives up after too many."""
     request.phase = request_state.Phase.QUEUED
-    moment = step.moment
-    if not retries.schedule(state, name, request, moment.now_s, moment.draw):
+    now_s = step.moment.now_s
+    draw = step.moment.draw
+    if not retries.schedule(state, name, request, now_s, draw, price):
         finish(step, request, retries.lost(request))
 
 
@@ -333,7 +327,6 @@
     again = request.job_class.idempotent and not request.failures
     whole = executor_messages.is_whole(result, context.task_id)
     if not whole or (again and not result.succeeded):
-        request.failures += 1
         retry(state, step, context, request)
         return
     answer = caller_messages.Answer(
--- a/dandelionpick/retries.py
+++ b/dandelionpick/retries.py
@@ -18,6 +18,8 @@
 TOKENS_PER_START = 0.1
 # A request that was lost this often may itself be what ends its executors.
 MAX_FAILURES = 4
+# A message that was not delivered has cost the executor nothing.
+NOT_SENT_PRICE = 0.1
 # Slightly above the largest hash, so that the quotient stays below 1.
 HASH_RANGE = float(1 << 64) * (1 + 1e-12)
 
@@ -64,24 +66,36 @@
     request: request_state.Request,
     now_s: float,
     draw: float,
+    price: float = 1.0,
 ) -> bool:
     """Lets a failed request wait before it is tried again.
 
+    Args:
+        state: the reducer's state.
+        name: the request's organisation and key.
+        request: the request.
+        now_s: monotonic seconds.
+        draw: the draw of the event's moment.
+        price: tokens that the next try costs.
+
     Returns:
         False if the request was lost too often to be tried again.
     """
     if request.failures >= MAX_FAILURES:
         return False
     wait_s = backoff_s(max(1, len(request.tried)), derive(draw, *name))
-    _delay(state, name, now_s + wait_s)
+    _delay(state, name, now_s + wait_s, price)
     return True
 
 
 def _delay(
-    state: state_lib.State, name: request_state.RequestName, until_s: float
+    state: state_lib.State,
+    name: request_state.RequestName,
+    until_s: float,
+    price: float,
 ) -> None:
     state.calls_made += 1
-    item = (until_s, state.calls_made, name)
+    item = (until_s, state.calls_made, name, price)
     heapq.heappush(state.routing.delayed, item)
 
 
@@ -90,23 +104,23 @@
 ) -> list[request_state.RequestName]:
     """Removes and returns the requests that may be tried again now.
 
-    Each costs a token of the budget. Without one the request waits on, so
-    that a burst of failures does not become a burst of retries.
+    Each costs its price. While the budget can't pay it the request waits on,
+    so that a burst of failures does not become a burst of retries.
     """
     delayed = state.routing.delayed
     ready = []
     while delayed and delayed[0][0] <= now_s:
-        name = heapq.heappop(delayed)[2]
+        _, _, name, price = heapq.heappop(delayed)
         request = state.requests.by_name.get(name)
         if request is None or request.answer is not None:
             continue
         if request.phase is not request_state.Phase.QUEUED:
             continue
-        if pay(state, now_s):
+        if state.routing.retry_budget.spend(price, now_s):
             ready.append(name)
         else:
             wait_s = NO_TOKEN_WAIT_S * (0.5 + derive(draw, *name))
-            _delay(state, name, now_s + wait_s)
+            _delay(state, name, now_s + wait_s, price)
     return ready
 
 
--- a/dandelionpick/routing_state.py
+++ b/dandelionpick/routing_state.py
@@ -131,7 +131,8 @@
         limit_set_s: when long_limit was computed.
         short_streak: short starts in a row while long work could start.
         offers: queued requests that a peer may serve sooner.
-        delayed: requests that wait before their next try, by time.
+        delayed: requests that wait before their next try, by time, with the
+            tokens that it costs.
         forwards: requests that a peer serves for this instance.
         forwards_to: how many of them each peer serves.
         retry_budget: pays for retries and hedges.
@@ -152,8 +153,8 @@
     limit_set_s: float = float("-inf")
     short_streak: int = 0
     offers: list[queueing.RequestName] = dataclasses.field(default_factory=list)
-    delayed: list[tuple[float, int, queueing.RequestName]] = dataclasses.field(
-        default_factory=list
+    delayed: list[tuple[float, int, queueing.RequestName, float]] = (
+        dataclasses.field(default_factory=list)
     )
     health: dict[ids.InstanceId, Health] = dataclasses.field(
         default_factory=dict
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -68,6 +68,23 @@
         answer = built.response(exchange_id)
         self.assertEqual(answer.problem.kind.value, "deadline_passed")
 
+    def test_leaves_when_every_executor_vanishes(self):
+        """Guards against retrying where nothing answers, with a stale list."""
+        built = cases.build({"a": (1, 4), "b": (1, 4)})
+        built.list.lag_s = 1000.0
+        gone = {n: built.targets.pop(n) for n in list(built.targets)[:4]}
+        sent = cases.send_many(built, "a-entry-1", "k", 40)
+        built.run_for(4.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertGreater(cases.runs_of(built, "b-executor-1"), 0)
+        built.targets.update(gone)
+        built.run_for(2.5)
+        before = cases.runs_of(built, "b-executor-1")
+        sent = cases.send_many(built, "a-entry-1", "again", 40)
+        built.run_for(2.0)
+        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        self.assertEqual(cases.runs_of(built, "b-executor-1"), before)
+
     def test_second_hop_is_refused(self):
         """Guards against a peer of another version that forwards again."""
         built = cases.build({"a": (1, 1)})
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -135,6 +135,26 @@
         self.assertEqual(answer.outcome, kinds.Outcome.NOT_RUN)
         self.assertEqual(cases.started(built, "k"), 0)
 
+    def test_sheds_what_more_valuable_work_overtook(self):
+        """Guards against waiting for a deadline that can't be met any more."""
+        built = cases.build({"a": (1, 1)}, slots=2)
+        cases.send_many(built, "a-entry-1", "warm", 20)
+        built.run_for(2.0)
+        for target in built.targets.values():
+            target.seconds = {"confirmation": 1.0, "reconciliation": 0.02}
+        low = {"job_class": "reconciliation", "deadline_s": 8.0}
+        cases.send_many(built, "a-entry-1", "warmer", 20, deadline_s=60.0)
+        built.run_for(15.0)
+        overtaken = cases.send_many(built, "a-entry-1", "low", 30, **low)
+        cases.send_many(built, "a-entry-1", "high", 60, deadline_s=60.0)
+        built.run_for(2.0)
+        count = collections.Counter(cases.outcomes(built, overtaken))
+        self.assertGreater(count["overloaded"], 0)
+        for answer in map(built.response, overtaken):
+            if answer is not None and answer.problem is not None:
+                self.assertEqual(answer.outcome, kinds.Outcome.NOT_RUN)
+                self.assertNotIn(answer.key, cases.started_keys(built))
+
     def test_full_queue_refuses_the_least_valuable(self):
         """Guards against worthless work keeping valuable work out."""
         limits = state_lib.Limits(max_queued_requests=10)
