Blame an executor for requests that succeed elsewhere after failing there

Cause: three failing executors of four hid each other, because the share of successes elsewhere was below 80 % and a request that failed twice was no evidence, although it succeeded on the fourth.

--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -1,8 +1,9 @@
 """Takes failing and slow executors out of use, and tries them again.
 
 A failure may be the target's or the job's. It counts against an executor only
-if different requests fail there while other executors complete requests of the
-same classes; a request that failed on another executor too proves nothing.
+if different requests fail there while other executors complete the same
+requests, or others of the same classes. A request that failed on another
+executor too, and succeeded nowhere, proves nothing.
 """
 
 import statistics
@@ -139,15 +140,27 @@
     state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> bool:
     elsewhere = _elsewhere(state, target, now_s)
-    failed_elsewhere = {o.name for o in elsewhere if not o.succeeded}
+    proved = {o.name for o in elsewhere if o.succeeded}
+    job_fails = {o.name for o in elsewhere if not o.succeeded} - proved
     here = _recent(health_of(state, target), now_s)
-    here = [o for o in here if o.name not in failed_elsewhere]
+    here = [o for o in here if o.name not in job_fails]
     here = here[-LATEST_OUTCOMES:]
     failed = [o for o in here if not o.succeeded]
-    if len({o.name for o in failed}) < MIN_FAILED_REQUESTS:
+    names = {o.name for o in failed}
+    if len(names) < MIN_FAILED_REQUESTS:
         return False
     if len(failed) < FAILED_SHARE * len(here):
         return False
+    if len(names & proved) >= MIN_FAILED_REQUESTS:
+        return True
+    return _same_classes_succeed(failed, elsewhere)
+
+
+def _same_classes_succeed(
+    failed: list[routing_state.TaskOutcome],
+    elsewhere: list[routing_state.TaskOutcome],
+) -> bool:
+    """Tells whether tasks of the failed ones' classes succeed elsewhere."""
     classes = {o.class_key for o in failed}
     comparable = [o for o in elsewhere if o.class_key in classes]
     succeeded = sum(o.succeeded for o in comparable)
