--- a/dandelionpick/admission.py
+++ b/dandelionpick/admission.py
@@ -91,7 +91,7 @@
         usable = max(state.routing.open_slots / instances, running)
     ahead_s = state.routing.queue.work_ahead(item)
     if running >= usable:
-        ahead_s += left_in_progress_s(state, item.lane, now_s)
+        ahead_s += state.routing.left_s[item.lane]
     wait_s = ahead_s / usable
     if item.lane is queueing.Lane.NORMAL:
         wait_s += short_ahead_s(state) * instances / slots
@@ -112,17 +112,6 @@
     return short.work_s * min(1.0, most / short.size)
 
 
-def left_in_progress_s(
-    state: state_lib.State, lane: queueing.Lane, now_s: float
-) -> float:
-    """Returns the expected remaining run time of a lane's running tasks."""
-    return sum(
-        max(0.0, task.expected_s - now_s + task.started_s)
-        for task in state.routing.running.values()
-        if task.lane is lane
-    )
-
-
 def too_short(left_s: float, fastest_s: float) -> errors.Problem:
     """Builds the problem of a deadline that can't be met."""
     return errors.Problem(
--- a/dandelionpick/estimates.py
+++ b/dandelionpick/estimates.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Callable
 
 from dandelionpick import ids
 
@@ -25,6 +26,11 @@
 FRESH_S = 60.0
 SHORT_QUANTILE = 0.9
 LANE_MEAN_WEIGHT = 0.02
+# Figures of well-known classes are computed again after so many observations;
+# computing them for each request took half of the reducer's time.
+REFRESH_OBSERVATIONS = 8
+WELL_KNOWN_SAMPLES = 64
+MEAN = -1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +40,9 @@
     Attributes:
         total: sum of counts.
         observed_s: monotonic seconds of the last observation.
+        changes: observations added or taken back so far.
+        figures: quantiles, and the mean under MEAN, with the number of changes
+            that they were computed after.
         demoted: the class was declared short and its tasks run long.
     """
 
@@ -41,11 +50,16 @@
     total: int = 0
     observed_s: float = float("-inf")
     demoted: bool = False
+    changes: int = 0
+    figures: dict[float, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, elapsed_s: float, now_s: float) -> None:
         """Records a run time."""
         self.counts[bucket_of(elapsed_s)] += 1
         self.total += 1
+        self.changes += 1
         self.observed_s = now_s
         if self.total >= HALVE_AT:
             self.counts = [count // 2 for count in self.counts]
@@ -57,9 +71,31 @@
         if self.counts[bucket] > 0:
             self.counts[bucket] -= 1
             self.total -= 1
+            self.changes += 1
 
     def quantile(self, share: float) -> float:
         """Returns the run time that a share of the tasks does not exceed."""
+        return self._figure(share, self._quantile)
+
+    def mean(self) -> float:
+        """Returns the mean run time; stragglers count in full.
+
+        Waiting times are sums of run times, which a median understates.
+        """
+        return self._figure(MEAN, self._mean)
+
+    def _figure(self, name: float, compute: Callable[[float], float]) -> float:
+        held = self.figures.get(name)
+        if held is not None:
+            age = self.changes - held[0]
+            well_known = self.total >= WELL_KNOWN_SAMPLES
+            if age == 0 or (well_known and age < REFRESH_OBSERVATIONS):
+                return held[1]
+        value = compute(name)
+        self.figures[name] = (self.changes, value)
+        return value
+
+    def _quantile(self, share: float) -> float:
         rank = max(1, math.ceil(share * self.total))
         seen = 0
         for bucket, count in enumerate(self.counts):
@@ -68,11 +104,7 @@
                 return SMALLEST_S * GROWTH ** (bucket + 0.5)
         return 0.0
 
-    def mean(self) -> float:
-        """Returns the mean run time; stragglers count in full.
-
-        Waiting times are sums of run times, which a median understates.
-        """
+    def _mean(self, name: float) -> float:
         if not self.total:
             return 0.0
         sum_s = sum(
--- a/dandelionpick/lanes.py
+++ b/dandelionpick/lanes.py
@@ -78,7 +78,7 @@
     Returns:
         None if nothing is queued that an executor could take now.
     """
-    if state.routing.hold:
+    if state.routing.hold or state.routing.full:
         return None
     release_delayed(state, now_s, draw)
     lanes = [queueing.Lane.SHORT, queueing.Lane.NORMAL]
@@ -108,6 +108,7 @@
     request = state.requests.by_name[item.name]
     entry = routing.choose_executor(state, request, now_s, draw)
     if entry is None:
+        state.routing.full = True
         return None
     state.routing.queue.start(item)
     if lane is queueing.Lane.SHORT:
@@ -158,7 +159,9 @@
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Recounts long work and renews this instance's limit on it."""
     now_s = step.moment.now_s
+    state.routing.full = False
     _note_long_tasks(state, now_s)
+    state.routing.left_s = left_in_progress_s(state, now_s)
     renewed_s = state.routing.limit_set_s
     slots, open_to_long = open_slots(state)
     state.routing.slots = slots
@@ -185,6 +188,16 @@
     state.routing.long_limit = own + math.ceil(left / count)
 
 
+def left_in_progress_s(
+    state: state_lib.State, now_s: float
+) -> dict[queueing.Lane, float]:
+    """Returns the expected remaining run time of the running tasks."""
+    left_s = dict.fromkeys(queueing.Lane, 0.0)
+    for task in state.routing.running.values():
+        left_s[task.lane] += max(0.0, task.expected_s - now_s + task.started_s)
+    return left_s
+
+
 def _note_long_tasks(state: state_lib.State, now_s: float) -> None:
     """Counts tasks that outlast short work as long before they end.
 
--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -18,6 +18,8 @@
 from dandelionpick import state as state_lib
 
 EVIDENCE_S = 60.0
+# Judging after each task took a third of the reducer's time.
+JUDGE_PERIOD_S = 0.5
 # Only the latest outcomes count, so that an executor that begins to fail is
 # not protected by what it completed before.
 LATEST_OUTCOMES = 8
@@ -47,8 +49,7 @@
 
 def is_quarantined(state: state_lib.State, target: ids.InstanceId) -> bool:
     """Tells whether an executor is out of use, also while it is probed."""
-    health = state.routing.health.get(target)
-    return health is not None and health.quarantined_until_s is not None
+    return target in state.routing.quarantined
 
 
 def is_probe_due(
@@ -71,7 +72,10 @@
     Few failures count as none: an executor that is avoided because of them
     would never give enough evidence to be quarantined and probed.
     """
-    outcomes = _recent(health_of(state, target), now_s)[-LATEST_OUTCOMES:]
+    health = health_of(state, target)
+    if now_s - health.failed_s > EVIDENCE_S:
+        return 0.0
+    outcomes = _recent(health, now_s)[-LATEST_OUTCOMES:]
     failed = sum(not o.succeeded for o in outcomes)
     share = failed / max(1, len(outcomes))
     if failed < MIN_FAILED_REQUESTS or share < FAILED_SHARE:
@@ -102,10 +106,7 @@
     task: routing_state.Running,
     succeeded: bool,
 ) -> None:
-    """Records how a task ended and judges its executor.
-
-    Failures are judged by `tick`.
-    """
+    """Records how a task ended, and judges the executor if it is probed."""
     now_s = step.moment.now_s
     if task.stalled:
         return
@@ -115,25 +116,30 @@
     )
     health = health_of(state, task.target)
     health.outcomes.append(outcome)
+    if not succeeded:
+        health.failed_s = now_s
     if health.quarantined_until_s is not None:
         _judge_probe(state, step, task.target, outcome)
-    elif succeeded and _is_slow(state, task.target, task.class_key, now_s):
-        _quarantine(state, step, task.target, "it is slower than the others")
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Judges executors that fail.
+    """Judges the executors in use.
 
     They are judged again and again, because the evidence from elsewhere may
     come after the failures, when they are already avoided.
     """
     now_s = step.moment.now_s
+    if now_s - state.routing.judged_s < JUDGE_PERIOD_S:
+        return
+    state.routing.judged_s = now_s
     for entry in membership.targets(state, kinds.Role.EXECUTOR):
         if is_quarantined(state, entry.id):
             continue
-        failing = failed_share(state, entry.id, now_s) > 0
-        if failing and _fails(state, entry.id, now_s):
-            _quarantine(state, step, entry.id, "requests fail there only")
+        if failed_share(state, entry.id, now_s) > 0:
+            if _fails(state, entry.id, now_s):
+                _quarantine(state, step, entry.id, "requests fail there only")
+        elif _is_slow(state, entry.id, now_s):
+            _quarantine(state, step, entry.id, "it is slower than the others")
 
 
 def _fails(
@@ -170,19 +176,21 @@
 
 
 def _is_slow(
-    state: state_lib.State,
-    target: ids.InstanceId,
-    class_key: estimates.ClassKey,
-    now_s: float,
+    state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> bool:
-    here = _times(_recent(health_of(state, target), now_s), class_key)
-    if len(here) < MIN_TIMED:
-        return False
-    elsewhere = _times(_elsewhere(state, target, now_s), class_key)
-    if len(elsewhere) < MIN_TIMED:
-        return False
-    usual_s = statistics.median(elsewhere)
-    return statistics.median(here) > SLOW_FACTOR * usual_s
+    """Tells whether tasks of a class take much longer than elsewhere."""
+    recent = _recent(health_of(state, target), now_s)
+    for class_key in {o.class_key for o in recent}:
+        here = _times(recent, class_key)
+        if len(here) < MIN_TIMED:
+            continue
+        elsewhere = _times(_elsewhere(state, target, now_s), class_key)
+        if len(elsewhere) < MIN_TIMED:
+            continue
+        usual_s = statistics.median(elsewhere)
+        if statistics.median(here) > SLOW_FACTOR * usual_s:
+            return True
+    return False
 
 
 def _times(
@@ -209,6 +217,7 @@
         return
     health = health_of(state, target)
     _extend(health, step.moment.now_s)
+    state.routing.quarantined.add(target)
     step.note(
         effects.Part.ROUTING,
         f"executor {target} is quarantined: {reason}",
@@ -247,12 +256,14 @@
         return
     health.probes_passed += 1
     if health.probes_passed >= PROBES_TO_RECOVER:
-        release(health)
+        release(state, target)
         step.note(effects.Part.ROUTING, f"executor {target} is in use again")
 
 
-def release(health: routing_state.Health) -> None:
+def release(state: state_lib.State, target: ids.InstanceId) -> None:
     """Ends a quarantine and drops the evidence."""
+    state.routing.quarantined.discard(target)
+    health = health_of(state, target)
     health.quarantined_until_s = None
     health.quarantines = 0
     health.probes_passed = 0
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -35,31 +35,36 @@
     return load
 
 
-def is_leaving(
+def is_unreachable(state: state_lib.State, target: ids.InstanceId) -> bool:
+    """Tells whether the last starts on an executor all got no reply."""
+    health = state.routing.health.get(target)
+    return health is not None and health.unanswered >= MAX_UNANSWERED
+
+
+def is_available(
     state: state_lib.State, entry: list_messages.InstanceEntry
 ) -> bool:
-    """Tells whether the list or the executor itself said that it leaves."""
+    """Tells whether an executor can be reached and does not leave.
+
+    It leaves if the list or the executor itself said so.
+    """
     if entry.state is kinds.Liveness.LEAVING:
+        return False
+    health = state.routing.health.get(entry.id)
+    if health is None:
         return True
-    return bool(quarantine.health_of(state, entry.id).leaving)
-
-
-def is_unreachable(state: state_lib.State, target: ids.InstanceId) -> bool:
-    """Tells whether the last starts on an executor all got no reply."""
-    health = quarantine.health_of(state, target)
-    return health.unanswered >= MAX_UNANSWERED
+    return not health.leaving and health.unanswered < MAX_UNANSWERED
 
 
 def executors_in_use(
     state: state_lib.State,
 ) -> list[list_messages.InstanceEntry]:
     """Returns the executors that take new work, busy or not."""
+    quarantined = state.routing.quarantined
     return [
         entry
         for entry in membership.targets(state, kinds.Role.EXECUTOR)
-        if not is_leaving(state, entry)
-        and not is_unreachable(state, entry.id)
-        and not quarantine.is_quarantined(state, entry.id)
+        if entry.id not in quarantined and is_available(state, entry)
     ]
 
 
@@ -79,12 +84,13 @@
     state: state_lib.State, now_s: float
 ) -> list[list_messages.InstanceEntry]:
     """Returns the quarantined executors that may be probed now."""
+    if not state.routing.quarantined:
+        return []
     return [
         entry
         for entry in membership.targets(state, kinds.Role.EXECUTOR)
         if quarantine.is_probe_due(state, entry.id, now_s)
-        and not is_leaving(state, entry)
-        and not is_unreachable(state, entry.id)
+        and is_available(state, entry)
     ]
 
 
@@ -168,6 +174,7 @@
     expected_s = state.routing.run_times.expected_s(
         key, request.job_class.run_s
     )
+    state.routing.left_s[lane] += expected_s
     state.routing.running[task_id] = routing_state.Running(
         name, key, entry.id, now_s, expected_s, lane
     )
@@ -262,6 +269,7 @@
     health = quarantine.health_of(state, target)
     health.replied_s = now_s
     health.unanswered = 0
+    state.routing.full = False
     if reply.incarnation != health.incarnation:
         if health.incarnation:
             quarantine.restarted(health)
@@ -292,6 +300,7 @@
     state: state_lib.State, task_id: ids.TaskId
 ) -> routing_state.Running | None:
     """Takes a task out of the running ones."""
+    state.routing.full = False
     task = state.routing.running.pop(task_id, None)
     if task is None:
         return None
--- a/dandelionpick/routing_state.py
+++ b/dandelionpick/routing_state.py
@@ -100,6 +100,7 @@
         busy_streak: refusals for want of a slot without a start in between.
         incarnation: incarnation of the last reply.
         leaving: incarnation that said that it leaves, or "".
+        failed_s: when a task last failed.
         unanswered: starts in a row that got no reply.
         asked_s: when an executor out of use was last asked for its state.
         replied_s: when the executor last replied to anything.
@@ -114,6 +115,7 @@
     busy_streak: int = 0
     incarnation: str = ""
     leaving: str = ""
+    failed_s: float = float("-inf")
     unanswered: int = 0
     asked_s: float = float("-inf")
     replied_s: float = float("-inf")
@@ -124,6 +126,9 @@
     """Everything about where requests go and in which order.
 
     Attributes:
+        left_s: expected remaining run time of the running tasks by lane, at
+            the last tick, plus that of the tasks started since.
+        full: no executor could take a task, and nothing has changed since.
         slots: slots of the executors in use.
         open_slots: those of them that are open to long work.
         long_running: own tasks that count as long.
@@ -133,6 +138,8 @@
         offers: queued requests that a peer may serve sooner.
         delayed: requests that wait before their next try, by time, with the
             tokens that it costs.
+        quarantined: executors that are out of use for their health.
+        judged_s: when the executors were last judged.
         forwards: requests that a peer serves for this instance.
         forwards_to: how many of them each peer serves.
         retry_budget: pays for retries and hedges.
@@ -146,6 +153,10 @@
         default_factory=estimates.Estimates
     )
     running: dict[ids.TaskId, Running] = dataclasses.field(default_factory=dict)
+    left_s: dict[queueing.Lane, float] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(queueing.Lane, 0.0)
+    )
+    full: bool = False
     slots: int = 0
     open_slots: int = 0
     long_running: int = 0
@@ -159,6 +170,8 @@
     health: dict[ids.InstanceId, Health] = dataclasses.field(
         default_factory=dict
     )
+    quarantined: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    judged_s: float = float("-inf")
     forwards: dict[queueing.RequestName, ids.InstanceId] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/targets.py
+++ b/dandelionpick/targets.py
@@ -103,3 +103,4 @@
         members.heard.pop(name, None)
         loads.pop(name, None)
         state.routing.health.pop(name, None)
+        state.routing.quarantined.discard(name)
