Refuse forwards without an executor; keep hedges off quarantined executors

Cause: a forwarded request waited at a peer that had no executor in use until its deadline; a hedge could be the probe of a quarantined executor; a probe that was refused as busy was repeated at once. Change: the peer refuses such a forward, so that the sender can go elsewhere; hedges never probe; a probe waits for the end of the busy backoff.

--- a/dandelionpick/forwarding.py
+++ b/dandelionpick/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards requests once to an instance of another failure domain."""
 
 import dataclasses
+import itertools
 from typing import Any
 
 import msgspec
@@ -23,6 +24,8 @@
 from dandelionpick import state as state_lib
 
 FORWARD_WAIT_OTHER_REGION_S = 1.0
+# Bounds the work of a tick with a long queue and no executor.
+MAX_PER_TICK = 100
 # Base64 in JSON takes 4/3 of the body; the rest is headers and fields.
 BODY_FACTOR = 4 / 3
 OVERHEAD_BYTES = 1024
@@ -49,7 +52,8 @@
     if state.routing.hold:
         return
     if not routing.executors_in_use(state):
-        for name in list(state.routing.queue.items):
+        names = itertools.islice(state.routing.queue.items, MAX_PER_TICK)
+        for name in list(names):
             _forward_to_any(state, step, name)
         return
     for name in offers:
@@ -322,4 +326,10 @@
             "The request was already forwarded.",
             "Forward the request to another instance.",
         )
+    if not routing.executors_in_use(state):
+        return errors.Problem(
+            errors.ProblemKind.NO_TARGET,
+            "This failure domain has no executor in use.",
+            "Forward the request to another failure domain.",
+        )
     return None
--- a/dandelionpick/hedging.py
+++ b/dandelionpick/hedging.py
@@ -55,7 +55,9 @@
         return
     if not request.job_class.idempotent:
         return
-    entry = routing.choose_executor(state, request, now_s, step.moment.draw)
+    entry = routing.choose_executor(
+        state, request, now_s, step.moment.draw, may_probe=False
+    )
     if entry is None or entry.id == task.target:
         return
     if not retries.pay(state, now_s):
--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -59,9 +59,10 @@
     health = health_of(state, target)
     if health.quarantined_until_s is None:
         return False
+    if now_s < health.quarantined_until_s:
+        return False
     load = state.requests.load.get(target)
-    idle = load is None or load.running == 0
-    return idle and now_s >= health.quarantined_until_s
+    return load is None or not (load.running or now_s < load.busy_until_s)
 
 
 def failed_share(
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -99,13 +99,15 @@
     request: request_state.Request,
     now_s: float,
     draw: float,
+    may_probe: bool = True,
 ) -> list_messages.InstanceEntry | None:
     """Returns the less loaded of two random executors, or None.
 
     Executors that already failed the request are used only if no other is
-    usable. A quarantined executor whose probe is due goes first.
+    usable. A quarantined executor whose probe is due goes first, if the
+    request can be tried elsewhere when the probe fails.
     """
-    if request.job_class.idempotent and not request.failures:
+    if may_probe and request.job_class.idempotent and not request.failures:
         for entry in probes_due(state, now_s):
             return entry
     usable = usable_executors(state, now_s)
@@ -276,7 +278,8 @@
         health.incarnation = reply.incarnation
         if health.leaving != reply.incarnation:
             health.leaving = ""
-    if reply.leaving:
+    refused = isinstance(reply, executor_messages.TaskRefused)
+    if reply.leaving or (refused and reply.reason is kinds.TaskRefusal.LEAVING):
         health.leaving = reply.incarnation
     if load is not None:
         load.leaving = bool(health.leaving)
--- a/tests/routing_cases.py
+++ b/tests/routing_cases.py
@@ -1,17 +1,20 @@
 """Builds fabrics and faulty executors for the tests of routing."""
 
 import dataclasses
+import unittest
 
 import msgspec
 
 from dandelionpick import executor_messages
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import peer_messages
 from standins import executor
 from standins import store
 from tests import builders
 from tests import fabric
 
+LONG = {"job_class": "assessment", "deadline_s": 60.0}
 SECONDS_OF_CLASS = {"confirmation": 0.02, "assessment": 1.0}
 
 
@@ -106,8 +109,12 @@
     built.list_entry(entry)
 
 
-def send_many(
-    built: fabric.Fabric, instance: str, prefix: str, count: int, **fields
+def send(
+    built: fabric.Fabric,
+    prefix: str,
+    count: int,
+    instance: str = "a-entry-1",
+    **fields,
 ) -> list[str]:
     """Sends numbered requests at one moment; returns their exchange ids."""
     return [
@@ -116,6 +123,13 @@
     ]
 
 
+def assert_completed(
+    test: unittest.TestCase, built: fabric.Fabric, exchange_ids: list[str]
+) -> None:
+    """Checks that every exchange has been answered with a result."""
+    test.assertEqual(set(outcomes(built, exchange_ids)), {"completed"})
+
+
 def outcomes(built: fabric.Fabric, exchange_ids: list[str]) -> list[str]:
     """Returns the outcome, or the problem's kind, of each exchange."""
     found = []
@@ -148,3 +162,26 @@
 def started(built: fabric.Fabric, prefix: str) -> int:
     """Returns how many tasks executors started for keys with a prefix."""
     return sum(key.startswith(prefix) for key in started_keys(built))
+
+
+def stop_executors(built: fabric.Fabric, domain: str) -> None:
+    """Removes the executors of a failure domain, from the list too."""
+    for name in list(built.targets):
+        if name.startswith(f"{domain}-"):
+            del built.targets[name]
+            set_state(built, name, kinds.Liveness.LEAVING)
+    built.run_for(3.0)
+
+
+def watch_forwards(built: fabric.Fabric) -> list:
+    """Returns a list that fills with (receiver, message, timeout_s)."""
+    seen = []
+    original = built._call
+
+    def call(name, state, made):
+        if isinstance(made.message, peer_messages.ForwardRequest):
+            seen.append((made.destination.name, made.message, made.timeout_s))
+        original(name, state, made)
+
+    built._call = call
+    return seen
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,7 +7,6 @@
 from dandelionpick import drain
 from dandelionpick import events
 from dandelionpick import kinds
-from dandelionpick import peer_messages
 from dandelionpick import state as state_lib
 from tests import builders
 from tests import routing_cases as cases
@@ -56,30 +55,20 @@
     def test_peers_stop_using_it_at_once(self):
         """Guards against new work for a leaving instance."""
         built = cases.build({"a": (1, 1), "b": (2, 1)})
-        for name in ("a-executor-1",):
-            cases.set_state(built, name, kinds.Liveness.LEAVING)
-        built.run_for(3.0)
+        cases.stop_executors(built, "a")
         stop(built, "b-entry-1")
         built.run_for(0.05)
-        forwarded = []
-        original = built._call
-
-        def call(name, state, made):
-            if isinstance(made.message, peer_messages.ForwardRequest):
-                forwarded.append(made.destination.name)
-            original(name, state, made)
-
-        built._call = call
-        cases.send_many(built, "a-entry-1", "k", 20)
+        seen = cases.watch_forwards(built)
+        cases.send(built, "k", 20)
         built.run_for(2.0)
-        self.assertEqual(set(forwarded), {"b-entry-2"})
+        self.assertEqual({name for name, _, _ in seen}, {"b-entry-2"})
 
     def test_exits_in_bounded_time_with_true_answers(self):
         """Guards against a stop that waits for ever for a silent executor."""
         limits = state_lib.Limits(drain_limit_s=10.0)
         built = cases.build({"a": (1, 1)}, limits=limits, slots=2)
         built.targets["a-executor-1"].factor = 1e6
-        sent = cases.send_many(built, "a-entry-1", "k", 3, deadline_s=900.0)
+        sent = cases.send(built, "k", 3, deadline_s=900.0)
         built.run_for(1.0)
         stop(built, "a-entry-1")
         built.run_for(9.0)
@@ -103,7 +92,3 @@
             done.append(True)
             built.run_for(0.5)
             self.assertTrue(built.instances["a-entry-1"].exited)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,29 +12,6 @@
 from tests import routing_cases as cases
 
 
-def stop_executors(built, domain):
-    """Removes the executors of a failure domain, from the list too."""
-    for name in list(built.targets):
-        if name.startswith(f"{domain}-"):
-            del built.targets[name]
-            cases.set_state(built, name, kinds.Liveness.LEAVING)
-    built.run_for(3.0)
-
-
-def watch_forwards(built):
-    """Returns a list that fills with (receiver, message, timeout_s)."""
-    seen = []
-    original = built._call
-
-    def call(name, state, made):
-        if isinstance(made.message, peer_messages.ForwardRequest):
-            seen.append((made.destination.name, made.message, made.timeout_s))
-        original(name, state, made)
-
-    built._call = call
-    return seen
-
-
 class ForwardTest(unittest.TestCase):
     def test_goes_to_the_same_region_first(self):
         """Guards against using the billed link without need."""
@@ -42,19 +19,19 @@
             {"a": (1, 1), "b": (1, 1), "c": (1, 1)},
             regions={"b": "region-2"},
         )
-        stop_executors(built, "a")
-        seen = watch_forwards(built)
-        sent = cases.send_many(built, "a-entry-1", "k", 20)
+        cases.stop_executors(built, "a")
+        seen = cases.watch_forwards(built)
+        sent = cases.send(built, "k", 20)
         built.run_for(2.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         self.assertEqual({receiver for receiver, _, _ in seen}, {"c-entry-1"})
 
     def test_carries_the_remaining_time_and_is_not_passed_on(self):
         """Guards against loops, and against a deadline that starts anew."""
         built = cases.build({"a": (1, 1), "b": (1, 1)})
-        stop_executors(built, "b")
-        stop_executors(built, "a")
-        seen = watch_forwards(built)
+        cases.stop_executors(built, "b")
+        cases.stop_executors(built, "a")
+        seen = cases.watch_forwards(built)
         exchange_id = built.send(
             "a-entry-1", builders.request("k", deadline_s=4.0)
         )
@@ -73,50 +50,47 @@
         built = cases.build({"a": (1, 4), "b": (1, 4)})
         built.list.lag_s = 1000.0
         gone = {n: built.targets.pop(n) for n in list(built.targets)[:4]}
-        sent = cases.send_many(built, "a-entry-1", "k", 40)
+        sent = cases.send(built, "k", 40)
         built.run_for(4.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         self.assertGreater(cases.runs_of(built, "b-executor-1"), 0)
         built.targets.update(gone)
         built.run_for(2.5)
         before = cases.runs_of(built, "b-executor-1")
-        sent = cases.send_many(built, "a-entry-1", "again", 40)
+        sent = cases.send(built, "again", 40)
         built.run_for(2.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         self.assertEqual(cases.runs_of(built, "b-executor-1"), before)
 
-    def test_second_hop_is_refused(self):
-        """Guards against a peer of another version that forwards again."""
-        built = cases.build({"a": (1, 1)})
-        message = peer_messages.ForwardRequest(
-            request=builders.request("k"), hops=2
-        )
-        refused = built.ask("a-entry-1", message)
-        self.assertIsInstance(refused, peer_messages.Refused)
-
-    def test_same_key_at_both_instances_does_not_wait_in_a_circle(self):
-        """Guards against two instances that wait for each other's answer."""
-        built = cases.build({"a": (1, 1), "b": (1, 1)})
-        stop_executors(built, "a")
-        stop_executors(built, "b")
-        request = builders.request("k", "reconciliation", deadline_s=20.0)
-        first = built.send("a-entry-1", request)
-        built.send("b-entry-1", request)
-        built.run_for(1.0)
-        built.add_executor("a-executor-9", "a")
-        built.run_for(4.0)
-        self.assertEqual(cases.outcomes(built, [first]), ["completed"])
+    def test_refuses_what_would_go_in_circles(self):
+        """Guards against loops, and instances that wait for each other."""
+        built = cases.build({"a": (1, 1), "b": (1, 0)})
+        forwards = built.instances["a-entry-1"].state.routing.forwards
+        forwards["ward", "known"] = "b-entry-1"
+        table = [
+            ("a-entry-1", "second hop", 2, False),
+            ("a-entry-1", "known", 1, False),
+            ("b-entry-1", "no executor", 1, False),
+            ("a-entry-1", "fresh", 1, True),
+        ]
+        for receiver, key, hops, taken in table:
+            with self.subTest(key):
+                message = peer_messages.ForwardRequest(
+                    request=builders.request(key), hops=hops
+                )
+                reply = built.ask(receiver, message)
+                refused = isinstance(reply, peer_messages.Refused)
+                self.assertNotEqual(refused, taken)
 
     def test_long_wait_is_shared_with_an_idle_failure_domain(self):
         """Guards against a queue in one failure domain while another idles."""
         built = cases.build({"a": (1, 1), "b": (1, 1)})
-        long = {"job_class": "assessment", "deadline_s": 60.0}
-        cases.send_many(built, "a-entry-1", "warm", 6, **long)
+        cases.send(built, "warm", 6, **cases.LONG)
         built.run_for(6.0)
-        seen = watch_forwards(built)
-        sent = cases.send_many(built, "a-entry-1", "k", 30, **long)
+        seen = cases.watch_forwards(built)
+        sent = cases.send(built, "k", 30, **cases.LONG)
         built.run_for(10.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         self.assertGreater(len(seen), 0)
         # Not more than the peer had reported as free.
         self.assertLessEqual(len(seen), 8)
@@ -127,11 +101,9 @@
         built = cases.build(
             {"a": (1, 1), "b": (1, 2)}, regions={"b": "region-2"}, limits=limits
         )
-        stop_executors(built, "a")
-        seen = watch_forwards(built)
-        sent = cases.send_many(
-            built, "a-entry-1", "k", 60, body=b"x" * 6000, deadline_s=10.0
-        )
+        cases.stop_executors(built, "a")
+        seen = cases.watch_forwards(built)
+        sent = cases.send(built, "k", 60, body=b"x" * 6000, deadline_s=10.0)
         built.run_for(12.0)
         # A request takes 9 KB on the link, and so does its response.
         size = 6000 * 4 / 3 + 1024
@@ -153,10 +125,10 @@
         sent = []
         for number in range(30):
             name = f"a-entry-{number % 2 + 1}"
-            sent += cases.send_many(built, name, f"k{number}-", 4)
+            sent += cases.send(built, f"k{number}-", 4, name)
             built.run_for(1.0)
         built.run_for(3.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
 
 
 class LostForwardTest(unittest.TestCase):
@@ -171,7 +143,7 @@
         for job_class, expected, runs in table:
             with self.subTest(job_class):
                 built = cases.build({"a": (1, 1), "b": (1, 1), "c": (1, 1)})
-                stop_executors(built, "a")
+                cases.stop_executors(built, "a")
                 for name in ("b-entry-1", "c-entry-1"):
                     self.lose_first(built, name)
                 exchange_id = built.send(
@@ -203,7 +175,7 @@
     def test_refused_forward_stays_not_run(self):
         """Guards against `unknown` for what a leaving peer refused."""
         built = cases.build({"a": (1, 1), "b": (1, 1)})
-        stop_executors(built, "a")
+        cases.stop_executors(built, "a")
         built.instances["b-entry-1"].state.drain.requested_s = built.now_s
         exchange_id = built.send(
             "a-entry-1",
@@ -217,7 +189,7 @@
     def test_damaged_answer_is_treated_as_lost(self):
         """Guards against passing on a crossed or cut response."""
         built = cases.build({"a": (1, 1), "b": (1, 1), "c": (1, 1)})
-        stop_executors(built, "a")
+        cases.stop_executors(built, "a")
         original = built._arrive
         damaged = []
 
@@ -235,7 +207,3 @@
         answer = built.ask("a-entry-1", builders.request("k"))
         self.assertEqual(answer.body, b"body of k"[::-1])
         self.assertEqual(len(damaged), 1)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,14 +4,11 @@
 
 import msgspec
 
-from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import kinds
-from dandelionpick import list_messages
 from dandelionpick import listing
 from dandelionpick import membership
 from dandelionpick import peer_messages
-from dandelionpick import reducer
 from tests import builders
 from tests import fabric
 from tests import routing_cases as cases
@@ -83,10 +80,10 @@
         built.run_for(5.0)
         self.assertEqual(preferred(built, "a-entry-1"), "a-entry-1")
         self.assertEqual(preferred(built, "a-entry-2"), "a-entry-2")
-        sent = cases.send_many(built, "a-entry-1", "x", 50)
-        sent += cases.send_many(built, "a-entry-2", "y", 50)
+        sent = cases.send(built, "x", 50)
+        sent += cases.send(built, "y", 50, "a-entry-2")
         built.run_for(5.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
 
     def test_leaving_in_the_list_counts_at_once(self):
         """Guards against waiting for a heartbeat of what is listed."""
@@ -96,7 +93,7 @@
         built.run_for(built.list.lag_s + 1.5)
         self.assertEqual(live(built, "a-entry-1"), ["a-entry-1"])
         before = cases.runs_of(built, "a-executor-1")
-        cases.send_many(built, "a-entry-1", "k", 20)
+        cases.send(built, "k", 20)
         built.run_for(3.0)
         self.assertEqual(cases.runs_of(built, "a-executor-1"), before)
 
@@ -106,9 +103,9 @@
         built.cut("a", fabric.PLATFORM)
         built.run_for(60.0)
         self.assertEqual(live(built, "a-entry-1"), ["a-entry-1", "a-entry-2"])
-        sent = cases.send_many(built, "a-entry-1", "k", 20)
+        sent = cases.send(built, "k", 20)
         built.run_for(3.0)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
 
 
 class ShrunkenListTest(unittest.TestCase):
@@ -133,7 +130,7 @@
                 self.entries(built, keep)
                 built.run_for(listing.RETAIN_S * 3)
                 self.assertEqual(len(live(built, "a-entry-1")), 4)
-                sent = cases.send_many(built, "a-entry-1", "k", 20)
+                sent = cases.send(built, "k", 20)
                 built.run_for(3.0)
                 outcomes = set(cases.outcomes(built, sent))
                 self.assertEqual(outcomes, {"completed"})
@@ -191,9 +188,9 @@
     def test_stall_is_no_evidence_against_executors(self):
         """Guards against blaming executors for the instance's own pause."""
         built = cases.build({"a": (1, 4)})
-        cases.send_many(built, "a-entry-1", "warm", 40)
+        cases.send(built, "warm", 40)
         built.run_for(3.0)
-        cases.send_many(built, "a-entry-1", "k", 30)
+        cases.send(built, "k", 30)
         built.run_for(0.01)
         built.pause("a-entry-1")
         built.run_for(20.0)
@@ -253,22 +250,8 @@
     def test_new_instance_is_blind_until_it_heard_its_peers(self):
         """Guards against a new instance that considers itself preferred."""
         built = fabric.Fabric(1)
+        built.list.lag_s = 0.0
         built.add_instance("entry-1", "a")
-        own = built.instances["entry-1"].state
-        moment = built.moment()
-        found = reducer.reduce(own, events.Tick(moment))
-        self.assertEqual(membership.preferred_instance(own, 0.0), "")
-        read = next(
-            effect
-            for effect in found
-            if isinstance(effect, effects.Call)
-            and isinstance(effect.message, list_messages.ReadInstances)
-        )
-        entries = [builders.instance_entry("entry-1", "a")]
-        reply = list_messages.Instances(entries)
-        reducer.reduce(own, events.Returned(moment, read.call_id, reply))
-        self.assertEqual(membership.preferred_instance(own, 0.0), "entry-1")
-
-
-if __name__ == "__main__":
-    unittest.main()
+        self.assertEqual(preferred(built, "entry-1"), "")
+        built.run_for(0.3)
+        self.assertEqual(preferred(built, "entry-1"), "entry-1")
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -151,7 +151,3 @@
             self.assertTrue(0.8 <= ratio <= 1.25, ratio)
         self.assertLessEqual(histogram.fastest(), 0.01)
         self.assertIsNone(known.known(self.key, 1.0 + estimates.FRESH_S + 1))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,27 +15,16 @@
 FAILING = cases.FailingExecutor
 
 
-class SlowExecutor(cases.ClassedExecutor):
-    factor = 10.0
-
-
 class BurstTest(unittest.TestCase):
     """Ten times the load of two executors with 8 slots arrives at once."""
 
     def test_short_work_does_not_wait_behind_long_work(self):
         """Guards against head-of-line blocking in every slot."""
         built = cases.build({"a": (1, 2)})
-        cases.send_many(
-            built,
-            "a-entry-1",
-            "long",
-            160,
-            job_class="assessment",
-            deadline_s=60.0,
-        )
+        cases.send(built, "long", 160, **cases.LONG)
         built.run_for(2.0)
         self.assertLessEqual(self.running(built, "long"), 12)
-        short = cases.send_many(built, "a-entry-1", "short", 40)
+        short = cases.send(built, "short", 40)
         # Four closed slots take 40 tasks of 20 ms in ten rounds of about
         # 40 ms with the network; a long task takes 1 s.
         built.run_for(0.8)
@@ -54,14 +43,8 @@
         """Guards against each instance using all open slots for long work."""
         built = cases.build({"a": (3, 2)})
         for number in (1, 2, 3):
-            cases.send_many(
-                built,
-                f"a-entry-{number}",
-                f"long{number}-",
-                30,
-                job_class="assessment",
-                deadline_s=60.0,
-            )
+            name = f"a-entry-{number}"
+            cases.send(built, f"long{number}-", 30, name, **cases.LONG)
         most = 0
         for _ in range(60):
             built.run_for(0.1)
@@ -72,20 +55,18 @@
     def test_long_work_is_not_starved(self):
         """Guards against a steady flow of short work stopping long work."""
         built = cases.build({"a": (1, 1)}, slots=2)
-        long = cases.send_many(
-            built, "a-entry-1", "long", 3, job_class="assessment"
-        )
+        long = cases.send(built, "long", 3, job_class="assessment")
         for number in range(40):
-            cases.send_many(built, "a-entry-1", f"s{number}-", 10)
+            cases.send(built, f"s{number}-", 10)
             built.run_for(0.1)
-        self.assertEqual(set(cases.outcomes(built, long)), {"completed"})
+        cases.assert_completed(self, built, long)
 
     def test_class_declared_short_loses_the_closed_slots(self):
         """Guards against trusting a declaration that is far off."""
         built = cases.build({"a": (1, 2)})
         for target in built.targets.values():
             target.seconds = {"confirmation": 4.0}
-        cases.send_many(built, "a-entry-1", "k", 60, deadline_s=60.0)
+        cases.send(built, "k", 60, deadline_s=60.0)
         # No task has ended yet: the time that they have run is enough.
         built.run_for(1.0)
         state = built.instances["a-entry-1"].state
@@ -103,17 +84,11 @@
         itself takes 1 s. The refusal is true: nothing was started.
         """
         built = cases.build({"a": (1, 1)}, slots=4)
-        warm = {"job_class": "assessment", "deadline_s": 60.0}
-        cases.send_many(built, "a-entry-1", "warm", 8, **warm)
+        cases.send(built, "warm", 8, **cases.LONG)
         built.run_for(10.0)
-        cases.send_many(built, "a-entry-1", "long", 12, **warm)
-        late = cases.send_many(
-            built,
-            "a-entry-1",
-            "late",
-            5,
-            job_class="assessment",
-            deadline_s=1.5,
+        cases.send(built, "long", 12, **cases.LONG)
+        late = cases.send(
+            built, "late", 5, job_class="assessment", deadline_s=1.5
         )
         built.run_for(0.1)
         self.assertEqual(set(cases.outcomes(built, late)), {"overloaded"})
@@ -125,8 +100,7 @@
     def test_refuses_a_deadline_below_the_fastest_run(self):
         """Guards against starting work that can't end in time."""
         built = cases.build({"a": (1, 1)})
-        request = {"job_class": "assessment", "deadline_s": 9.0}
-        cases.send_many(built, "a-entry-1", "warm", 12, **request)
+        cases.send(built, "warm", 12, **cases.LONG)
         built.run_for(5.0)
         answer = built.ask(
             "a-entry-1",
@@ -139,15 +113,15 @@
     def test_sheds_what_more_valuable_work_overtook(self):
         """Guards against waiting for a deadline that can't be met any more."""
         built = cases.build({"a": (1, 1)}, slots=2)
-        cases.send_many(built, "a-entry-1", "warm", 20)
+        cases.send(built, "warm", 20)
         built.run_for(2.0)
         for target in built.targets.values():
             target.seconds = {"confirmation": 1.0, "reconciliation": 0.02}
         low = {"job_class": "reconciliation", "deadline_s": 8.0}
-        cases.send_many(built, "a-entry-1", "warmer", 20, deadline_s=60.0)
+        cases.send(built, "warmer", 20, deadline_s=60.0)
         built.run_for(15.0)
-        overtaken = cases.send_many(built, "a-entry-1", "low", 30, **low)
-        cases.send_many(built, "a-entry-1", "high", 60, deadline_s=60.0)
+        overtaken = cases.send(built, "low", 30, **low)
+        cases.send(built, "high", 60, deadline_s=60.0)
         built.run_for(2.0)
         count = collections.Counter(cases.outcomes(built, overtaken))
         self.assertGreater(count["overloaded"], 0)
@@ -160,13 +134,9 @@
         """Guards against worthless work keeping valuable work out."""
         limits = state_lib.Limits(max_queued_requests=10)
         built = cases.build({"a": (1, 0)}, limits=limits)
-        low = cases.send_many(
-            built, "a-entry-1", "low", 10, job_class="assessment"
-        )
-        high = cases.send_many(built, "a-entry-1", "high", 4)
-        more = cases.send_many(
-            built, "a-entry-1", "more", 3, job_class="assessment"
-        )
+        low = cases.send(built, "low", 10, job_class="assessment")
+        high = cases.send(built, "high", 4)
+        more = cases.send(built, "more", 3, job_class="assessment")
         count = collections.Counter(cases.outcomes(built, low))
         self.assertEqual(count, {"overloaded": 4, "none": 6})
         self.assertEqual(set(cases.outcomes(built, high)), {"none"})
@@ -181,7 +151,7 @@
         sent = []
         for number in range(rounds):
             keys = f"{prefix}{number}-"
-            sent += cases.send_many(built, "a-entry-1", keys, 4, **fields)
+            sent += cases.send(built, keys, 4, **fields)
             built.run_for(0.1)
         built.run_for(6.0)
         return sent
@@ -252,9 +222,9 @@
         before = cases.runs_of(built, "a-executor-1")
         sent = []
         for number in range(10):
-            sent += cases.send_many(built, "a-entry-1", f"k{number}-", 8)
+            sent += cases.send(built, f"k{number}-", 8)
             built.run_for(0.4)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         taken = cases.runs_of(built, "a-executor-1") - before
         self.assertLess(taken, 8)
 
@@ -262,11 +232,11 @@
         """Guards against a second run of non-idempotent work."""
         built = cases.build({"a": (1, 2)})
         fields = {"job_class": "reconciliation", "deadline_s": 20.0}
-        cases.send_many(built, "a-entry-1", "warm", 20, **fields)
+        cases.send(built, "warm", 20, **fields)
         built.run_for(2.0)
-        for name in built.targets:
-            cases.replace_executor(built, name, SlowExecutor).factor = 100.0
-        cases.send_many(built, "a-entry-1", "k", 2, **fields)
+        for target in built.targets.values():
+            target.factor = 100.0
+        cases.send(built, "k", 2, **fields)
         built.run_for(5.0)
         self.assertEqual(cases.started(built, "k"), 2)
 
@@ -287,7 +257,7 @@
             original(message, *rest),
         )[1]
         sent = self.steady(built, 20)
-        self.assertEqual(set(cases.outcomes(built, sent)), {"completed"})
+        cases.assert_completed(self, built, sent)
         self.assertEqual(cases.runs_of(built, "a-executor-1"), before)
         self.assertNotIn(executor_messages.StartTask, handled)
         cases.replace_executor(built, "a-executor-1", cases.ClassedExecutor)
@@ -298,7 +268,7 @@
     def test_late_reply_does_not_end_leaving(self):
         """Guards against replies that arrive out of order."""
         built = cases.build({"a": (1, 2)})
-        cases.send_many(built, "a-entry-1", "k", 6, job_class="assessment")
+        cases.send(built, "k", 6, job_class="assessment")
         built.run_for(0.5)
         state = built.instances["a-entry-1"].state
         name = "a-executor-1"
@@ -315,7 +285,7 @@
         built = cases.build({"a": (1, 2)})
         for name in built.targets:
             cases.replace_executor(built, name, FAILING)
-        sent = cases.send_many(built, "a-entry-1", "k", 300, deadline_s=20.0)
+        sent = cases.send(built, "k", 300, deadline_s=20.0)
         built.run_for(25.0)
         self.assertNotIn("none", cases.outcomes(built, sent))
         # 10 tokens at first, 1 a second, and a tenth for each first start.
@@ -339,7 +309,3 @@
         self.assertTrue(bucket.spend(25.0, 0.0, debt=True))
         self.assertFalse(bucket.spend(1.0, 1.0, debt=True))
         self.assertTrue(bucket.spend(1.0, 2.0))
-
-
-if __name__ == "__main__":
-    unittest.main()
