Deliver a stall before the event that shows it

Cause: after a pause the event loop serves ready connections before timers, so that replies and requests were handled with knowledge from before the pause; only the next tick told of the stall. Change: every event is checked for the time since the last one, and Stalled is delivered first.

--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -33,6 +33,7 @@
     Attributes:
         state: the reducer's state.
         exited: set when the reducer asks the process to exit.
+        alive_s: monotonic seconds of the last event.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.exited = asyncio.Event()
         self.exchanges: dict[ids.ExchangeId, asyncio.Future] = {}
         self.calls: set[asyncio.Task] = set()
+        self.alive_s = time.monotonic()
         self.random = random.Random()
         self.numbers = itertools.count(1)
 
@@ -59,7 +61,19 @@
         )
 
     def deliver(self, event: events.Event) -> None:
-        """Applies an event and performs its effects."""
+        """Applies an event and performs its effects.
+
+        A stall of the event loop is delivered first. After a pause the loop
+        serves ready connections before timers, so that the next tick would
+        tell of the stall too late.
+        """
+        stall_s = event.moment.now_s - self.alive_s - TICK_S
+        self.alive_s = event.moment.now_s
+        if stall_s > STALL_S:
+            self._apply(events.Stalled(event.moment, stall_s))
+        self._apply(event)
+
+    def _apply(self, event: events.Event) -> None:
         for effect in reducer.reduce(self.state, event):
             _perform(effect, self)
 
@@ -77,15 +91,9 @@
             self.exchanges.pop(exchange_id, None)
 
     async def run_ticks(self) -> None:
-        """Delivers ticks, and a stall event when the loop did not run."""
-        last_s = time.monotonic()
+        """Delivers ticks."""
         while not self.exited.is_set():
             await asyncio.sleep(TICK_S)
-            now_s = time.monotonic()
-            stall_s = now_s - last_s - TICK_S
-            last_s = now_s
-            if stall_s > STALL_S:
-                self.deliver(events.Stalled(self.moment(), stall_s))
             self.deliver(events.Tick(self.moment()))
 
     async def perform_call(self, call: effects.Call) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Tests of the live set under lagging lists, cuts, restarts and stalls."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -9,6 +10,7 @@
 from dandelionpick import listing
 from dandelionpick import membership
 from dandelionpick import peer_messages
+from dandelionpick import runtime
 from tests import builders
 from tests import fabric
 from tests import routing_cases as cases
@@ -185,6 +187,18 @@
         answer = built.ask("a-entry-1", builders.request("k"), 5.0)
         self.assertEqual(answer.outcome, kinds.Outcome.COMPLETED)
 
+    def test_stall_is_delivered_before_the_event_that_shows_it(self):
+        """Guards against acting on a message that waited out a pause."""
+        state = cases.build({"a": (1, 1)}).instances["a-entry-1"].state
+        driver = runtime.Runtime(state, mock.Mock(), mock.Mock())
+        now_s = driver.alive_s + 20.0
+        with mock.patch.object(runtime, "_perform"):
+            request = builders.request("k")
+            moment = events.Moment(now_s, fabric.START_UNIX_MS, 0.5)
+            driver.deliver(events.Received(moment, "x1", request))
+        self.assertEqual(state.members.stalls, 1)
+        self.assertEqual(len(state.routing.queue), 1)
+
     def test_stall_is_no_evidence_against_executors(self):
         """Guards against blaming executors for the instance's own pause."""
         built = cases.build({"a": (1, 4)})
