--- a/dandelionpick/admission.py
+++ b/dandelionpick/admission.py
@@ -57,7 +57,8 @@
     item = lanes.item_of(state, name, request)
     ahead_s = expected_wait_s(state, item, now_s)
     offered = ahead_s >= FORWARD_WAIT_S
-    late = ahead_s > 0 and ahead_s + item.cost_s > left_s
+    usual_s = known.quantile(0.5) if known else 0.0
+    late = ahead_s > 0 and ahead_s + usual_s > left_s
     if late and not forward_choice.has_room(state, request, now_s):
         return Decision(too_busy(ahead_s, left_s))
     if len(state.routing.queue) < state.limits.max_queued_requests:
@@ -90,7 +91,7 @@
         usable = max(state.routing.open_slots / instances, running)
     ahead_s = state.routing.queue.work_ahead(item)
     if running >= usable:
-        ahead_s += left_in_progress_s(state, item.lane, now_s)
+        ahead_s += state.routing.left_s[item.lane]
     wait_s = ahead_s / usable
     if item.lane is queueing.Lane.NORMAL:
         wait_s += short_ahead_s(state) * instances / slots
@@ -111,17 +112,6 @@
     return short.work_s * min(1.0, most / short.size)
 
 
-def left_in_progress_s(
-    state: state_lib.State, lane: queueing.Lane, now_s: float
-) -> float:
-    """Returns the expected remaining run time of a lane's running tasks."""
-    return sum(
-        max(0.0, task.expected_s - now_s + task.started_s)
-        for task in state.routing.running.values()
-        if task.lane is lane
-    )
-
-
 def too_short(left_s: float, fastest_s: float) -> errors.Problem:
     """Builds the problem of a deadline that can't be met."""
     return errors.Problem(
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -150,7 +150,9 @@
     elif request.cancelled and request.job_class.idempotent:
         finish_if_cancelled(state, step, request)
     elif request.job_class.idempotent:
-        retry(state, step, request, run)
+        sent = proved is not runs.NOT_RUN
+        price = 1.0 if sent else retries.NOT_SENT_PRICE
+        retry(state, step, request, run, price)
     else:
         claimed_requests.closed(state, step, request, run)
 
@@ -202,6 +204,7 @@
     step: dispatch.Step,
     request: request_state.Request,
     run: request_state.Run,
+    price: float = 1.0,
 ) -> None:
     """Tries a request again after a delay, charged to the retry budget.
 
@@ -211,18 +214,21 @@
         return
     request.tried.append(run.target)
     if not wait_for_hedge(state, request, run):
-        try_again(state, step, request)
+        try_again(state, step, request, price)
 
 
 def try_again(
-    state: state_lib.State, step: dispatch.Step, request: request_state.Request
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: request_state.Request,
+    price: float = 1.0,
 ) -> None:
     """Schedules another try, or gives up after too many losses."""
     request.phase = request_state.Phase.QUEUED
     request.current = None
-    moment = step.moment
-    name = request.name()
-    if retries.schedule(state, name, request, moment.now_s, moment.draw):
+    now_s = step.moment.now_s
+    draw = step.moment.draw
+    if retries.schedule(state, request.name(), request, now_s, draw, price):
         return
     outcomes.end_without_result(state, step, request, problems.target_lost())
     keep_resolving(state, step, request)
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -43,15 +43,7 @@
     exchange_id: ids.ExchangeId,
     hops: int = 0,
 ) -> None:
-    """Takes a request, or joins the one that has its key.
-
-    Args:
-        state: the reducer's state.
-        step: the current step.
-        message: the submission.
-        exchange_id: the exchange to answer.
-        hops: instances that forwarded the request to this one.
-    """
+    """Takes a request that passed `hops` instances, or joins its key's."""
     name = (message.organisation, message.key)
     digest = executor_messages.digest_of(message.body)
     known = state.requests.by_name.get(name)
