--- a/tests/test_configuration_fuzz.py
+++ b/tests/test_configuration_fuzz.py
@@ -189,13 +189,26 @@
             and not any(i.paused for i in self.built.instances.values())
         )
     )
-    @stateful.rule(racers=strategies.lists(names, max_size=2))
-    def restore_store(self, racers):
+    @stateful.rule(
+        racers=strategies.lists(names, max_size=2),
+        restarted=strategies.sets(names, max_size=3),
+    )
+    def restore_store(self, racers, restarted):
         text = self.built.store.value("config/tree").value
         newest = adoption.revision_of(text)
         held = max((self.revision_of(i) for i in self.running()), default=0)
-        if held < newest:
+        holders = {
+            name
+            for name, instance in self.built.instances.items()
+            if instance.state and self.revision_of(instance) == held
+        }
+        if held < newest or not holders - restarted:
             return
+        # A new instance that races with the repair knows neither the newest
+        # revision nor its peers.
+        for name in restarted:
+            self.built.crash(name)
+            self.built.start_instance(name)
         for name in racers:
             self.submit_new(name, "worth", None)
         self.built.store.restore(self.backup)
