Confirm a write before an edit is accepted

A store restored while the reply to a write was under way made an instance accept an edit that another one replaced. The write is now confirmed after the document is in force, at the cost of one call for each edit.

--- a/dandelionpick/configuration.py
+++ b/dandelionpick/configuration.py
@@ -12,6 +12,7 @@
 from dandelionpick import effects
 from dandelionpick import kinds
 from dandelionpick import membership
+from dandelionpick import proposals
 from dandelionpick import relay
 from dandelionpick import state as state_lib
 from dandelionpick import store_messages
@@ -172,6 +173,26 @@
     _confirm(state, step, step.moment.now_s)
 
 
+def adopt_written(
+    state: state_lib.State,
+    step: dispatch.Step,
+    proposal: proposals.Proposal,
+    version: int,
+) -> None:
+    """Puts an edited document in force that was written to the store."""
+    revision = proposal.document.revision
+    if revision > state.configuration.document.revision:
+        adoption.put_in_force(
+            state,
+            step,
+            proposal.document,
+            proposal.text,
+            proposal.organisations,
+            adoption.STORE,
+        )
+    recorded_write(state, step, version, revision)
+
+
 def repair_if_lower(state: state_lib.State, step: dispatch.Step) -> None:
     """Writes this instance's document back if the store has a lower revision.
 
--- a/dandelionpick/edit_state.py
+++ b/dandelionpick/edit_state.py
@@ -14,6 +14,7 @@
     READING = "reading"
     COMPARING = "comparing"
     WRITING = "writing"
+    CONFIRMING = "confirming"
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandelionpick/edits.py
+++ b/dandelionpick/edits.py
@@ -5,6 +5,8 @@
 with the version that was read. The peers are compared after the read: a
 restore of the store from an older copy before the read is noticed because a
 peer has a higher revision, and one after the read makes the write conflict.
+The edit is accepted when the store still has the write after this instance
+put it in force, so that a peer that compares revisions later finds it.
 """
 
 import dataclasses
@@ -15,8 +17,8 @@
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import edit_problems
+from dandelionpick import edit_queue
 from dandelionpick import edit_state
-from dandelionpick import errors
 from dandelionpick import ids
 from dandelionpick import in_force
 from dandelionpick import kinds
@@ -58,17 +60,35 @@
     """Context of an attempt's write of the edited document.
 
     Attributes:
+        revision: the revision under which the edit is accepted.
         maybe_before: the edit's maybe_version before this write.
     """
 
     edit: edit_state.PendingEdit
     attempt: int
     proposal: proposals.Proposal
+    revision: int
     maybe_before: int | None
     sent_s: float
 
 
-AttemptCall = DocumentRead | PeerCompared | DocumentWritten
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteConfirmed:
+    """Context of the check that the store still has an attempt's write."""
+
+    edit: edit_state.PendingEdit
+    attempt: int
+    revision: int
+
+
+AttemptCall = DocumentRead | PeerCompared | DocumentWritten | WriteConfirmed
+
+
+def _is_current(
+    state: state_lib.State, context: AttemptCall, phase: Phase
+) -> bool:
+    """Tells whether an attempt still waits for the reply to a call."""
+    return edit_queue.is_current(state, context.edit, context.attempt, phase)
 
 
 @dispatch.receive.register
@@ -98,7 +118,9 @@
     now_s = step.moment.now_s
     for edit in list(state.edits.queue):
         if now_s >= edit.deadline_s:
-            _refuse(state, step, edit, edit_problems.overdue(state, edit))
+            edit_queue.refuse(
+                state, step, edit, edit_problems.overdue(state, edit)
+            )
     _start_next(state, step)
     in_force.answer_accepted(state, step)
 
@@ -125,27 +147,6 @@
     )
 
 
-def _is_current(
-    state: state_lib.State, context: AttemptCall, phase: Phase
-) -> bool:
-    """Tells whether an attempt still waits for the reply to a call."""
-    edit = context.edit
-    queue = state.edits.queue
-    return (
-        bool(queue)
-        and queue[0] is edit
-        and edit.attempt == context.attempt
-        and edit.phase is phase
-    )
-
-
-def _retry(
-    step: dispatch.Step, edit: edit_state.PendingEdit, delay_s: float
-) -> None:
-    edit.phase = Phase.WAITING
-    edit.retry_s = step.moment.now_s + delay_s * (0.5 + step.moment.draw)
-
-
 @dispatch.returned.register
 def _(
     context: DocumentRead,
@@ -165,7 +166,7 @@
     failure: kinds.CallFailure,
 ) -> None:
     if _is_current(state, context, Phase.READING):
-        _retry(step, context.edit, RETRY_S)
+        edit_queue.retry(step, context.edit, RETRY_S)
 
 
 def _compare(
@@ -206,7 +207,7 @@
         return
     edit = context.edit
     if reply.revision > state.configuration.document.revision:
-        _refuse(
+        edit_queue.refuse(
             state,
             step,
             edit,
@@ -239,12 +240,19 @@
     known = state.configuration
     if known.store_revision > known.document.revision:
         problem = edit_problems.unreadable(adoption.STORE, known.store_revision)
-        _refuse(state, step, edit, problem)
+        edit_queue.refuse(state, step, edit, problem)
         _start_next(state, step)
         return
     done = proposals.find_edit(known.document, edit.message)
+    if done is not None and known.store_revision < known.document.revision:
+        held = proposals.Proposal(
+            known.document, known.text, known.organisations
+        )
+        _write(state, step, edit, held, done.revision)
+        return
     if done is not None:
-        _accept(state, step, edit, done.revision)
+        edit_queue.accept(state, step, edit, done.revision)
+        _start_next(state, step)
         return
     if edit.maybe_version != edit.read_version:
         # The version moved on without the edit, so no write can take effect.
@@ -253,10 +261,11 @@
     result = proposals.propose(known.document, edit.message, entries)
     if isinstance(result, Failure):
         problem = edit_problems.with_doubt(edit, result.failure())
-        _refuse(state, step, edit, problem)
+        edit_queue.refuse(state, step, edit, problem)
         _start_next(state, step)
         return
-    _write(state, step, edit, result.unwrap())
+    proposal = result.unwrap()
+    _write(state, step, edit, proposal, proposal.document.revision)
 
 
 def _write(
@@ -264,10 +273,16 @@
     step: dispatch.Step,
     edit: edit_state.PendingEdit,
     proposal: proposals.Proposal,
+    revision: int,
 ) -> None:
     edit.phase = Phase.WRITING
     context = DocumentWritten(
-        edit, edit.attempt, proposal, edit.maybe_version, step.moment.now_s
+        edit,
+        edit.attempt,
+        proposal,
+        revision,
+        edit.maybe_version,
+        step.moment.now_s,
     )
     edit.wrote = True
     edit.maybe_version = edit.read_version
@@ -301,82 +316,78 @@
         # The reply waited in a paused process; the store may have been
         # restored from an older copy since, so that it proves nothing.
         if current:
-            _retry(step, edit, 0.0)
+            edit_queue.retry(step, edit, 0.0)
         return
     if isinstance(reply, store_messages.Written):
-        _put_written_in_force(state, step, context, reply.version)
+        configuration.adopt_written(
+            state, step, context.proposal, reply.version
+        )
         if current:
-            _accept(state, step, edit, context.proposal.document.revision)
+            _confirm(state, step, context, reply.version)
     elif current:
         edit.attempt += 1
         _compare(state, step, edit, reply, context.sent_s)
 
 
-def _put_written_in_force(
+def _confirm(
     state: state_lib.State,
     step: dispatch.Step,
     context: DocumentWritten,
     version: int,
 ) -> None:
-    proposal = context.proposal
-    revision = proposal.document.revision
-    if revision > state.configuration.document.revision:
-        adoption.put_in_force(
-            state,
-            step,
-            proposal.document,
-            proposal.text,
-            proposal.organisations,
-            adoption.STORE,
-        )
-    configuration.recorded_write(state, step, version, revision)
+    """Asks whether the store still has the write, now that it is in force.
 
+    If the store was restored from an older copy while the reply was under
+    way, another instance may have compared revisions with this one before it
+    had this one, and its edit would replace this one.
+    """
+    context.edit.phase = Phase.CONFIRMING
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Watch(configuration.DOCUMENT_KEY, version, 0.0),
+        WriteConfirmed(context.edit, context.attempt, context.revision),
+        state.limits.call_timeout_s,
+    )
 
-@dispatch.failed.register
+
+@dispatch.returned.register
 def _(
-    context: DocumentWritten,
+    context: WriteConfirmed,
     state: state_lib.State,
     step: dispatch.Step,
-    failure: kinds.CallFailure,
+    reply: store_messages.Value | store_messages.Unchanged,
 ) -> None:
-    if not _is_current(state, context, Phase.WRITING):
+    if not _is_current(state, context, Phase.CONFIRMING):
         return
-    if failure is kinds.CallFailure.NOT_SENT:
-        context.edit.maybe_version = context.maybe_before
-    _retry(step, context.edit, RETRY_S)
+    if isinstance(reply, store_messages.Unchanged):
+        edit_queue.accept(state, step, context.edit, context.revision)
+    else:
+        edit_queue.retry(step, context.edit, 0.0)
+    _start_next(state, step)
 
 
-def _accept(
+@dispatch.failed.register
+def _(
+    context: WriteConfirmed,
     state: state_lib.State,
     step: dispatch.Step,
-    edit: edit_state.PendingEdit,
-    revision: int,
+    failure: kinds.CallFailure,
 ) -> None:
-    state.edits.queue.remove(edit)
-    state.edits.accepted.append(
-        edit_state.AcceptedEdit(
-            exchange_id=edit.exchange_id,
-            edit_id=edit.message.edit_id,
-            revision=revision,
-            answer_s=step.moment.now_s + in_force.IN_FORCE_WAIT_S,
-            repeated=not edit.wrote,
-        )
-    )
-    in_force.answer_accepted(state, step)
-    _start_next(state, step)
+    if _is_current(state, context, Phase.CONFIRMING):
+        edit_queue.retry(step, context.edit, RETRY_S)
 
 
-def _refuse(
+@dispatch.failed.register
+def _(
+    context: DocumentWritten,
     state: state_lib.State,
     step: dispatch.Step,
-    edit: edit_state.PendingEdit,
-    problem: errors.Problem,
+    failure: kinds.CallFailure,
 ) -> None:
-    state.edits.queue.remove(edit)
-    refused = operator_messages.EditRefused(
-        edit_id=edit.message.edit_id,
-        problem=problem,
-        revision=state.configuration.document.revision,
-        unknown=edit.maybe_version is not None,
-    )
-    step.respond(edit.exchange_id, refused)
+    if not _is_current(state, context, Phase.WRITING):
+        return
+    if failure is kinds.CallFailure.NOT_SENT:
+        context.edit.maybe_version = context.maybe_before
+    edit_queue.retry(step, context.edit, RETRY_S)
--- a/tests/test_configuration_fuzz.py
+++ b/tests/test_configuration_fuzz.py
@@ -174,6 +174,17 @@
     def set_list_reachable(self, reachable):
         self.built.list_reachable = reachable
 
+    @stateful.rule(
+        drop=strategies.sampled_from((0.0, 0.2)),
+        duplicate=strategies.sampled_from((0.0, 0.2)),
+        max_delay_s=strategies.sampled_from((0.005, 0.05, 1.0)),
+    )
+    def set_network(self, drop, duplicate, max_delay_s):
+        network = self.built.network
+        network.drop = drop
+        network.duplicate = duplicate
+        network.max_delay_s = max_delay_s
+
     @stateful.rule()
     def back_up_store(self):
         self.backup = self.built.store.copy_entries()
@@ -225,6 +236,7 @@
     def heal(self):
         """Ends every fault and expects one tree within the stated time."""
         self.built.heal()
+        self.built.network = fabric.Network()
         for name, instance in self.built.instances.items():
             if instance.state is None:
                 self.built.start_instance(name)
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -262,6 +262,23 @@
         else:
             self.assertTrue(reply.unknown)
 
+    def test_a_restore_before_the_reply_to_a_write_loses_no_edit(self):
+        """Guards against an acceptance of a write that is no longer there."""
+        built = small_fabric()
+        backup = built.store.copy_entries()
+        first = built.send("a1", edit("e1", WORTH))
+        run_until_writing(built, "a1")
+        built.network = fabric.Network(min_delay_s=1.0, max_delay_s=1.0)
+        while built.store.calls.get("Write", 0) == 0:
+            built.run_for(0.0005)
+        built.network = fabric.Network()
+        built.store.restore(backup)
+        second = built.send("b1", edit("e2"))
+        replies = [await_response(built, first), await_response(built, second)]
+        self.assertEqual({reply.revision for reply in replies}, {2, 3})
+        applied = {record.edit_id for record in stored(built).edits}
+        self.assertEqual(applied, {"e1", "e2"})
+
     def test_refuses_to_edit_before_the_instance_list_was_read(self):
         built = small_fabric()
         built.list_reachable = False
@@ -306,6 +323,27 @@
             self.assertEqual(stored(built).revision, 2)
             self.assertEqual(revisions(built), {2})
 
+    def test_a_lost_edit_is_logged_when_two_histories_meet(self):
+        """The limit of 2.6: nobody who saw the edit could be reached."""
+        built = small_fabric()
+        backup = built.store.copy_entries()
+        for domain in ("b", "c"):
+            built.cut("a", domain)
+            built.cut(domain, fabric.PLATFORM)
+        built.ask("a1", edit("e1", operator="mori"))
+        built.heal()
+        for other in (fabric.PLATFORM, "b", "c"):
+            built.cut("a", other)
+        built.store.restore(backup)
+        for number in (2, 3):
+            reply = built.ask("b1", edit(f"e{number}"))
+            self.assertEqual(reply.revision, number)
+        built.heal()
+        built.run_for(8.0)
+        self.assertEqual(revisions(built), {3})
+        lost = [note for note in built.notes if "e1 of mori" in note]
+        self.assertEqual({note[:2] for note in lost}, {"a1", "a2"})
+
     def test_a_failed_repair_is_repeated(self):
         built = small_fabric()
         backup = built.store.copy_entries()
