--- a/tests/test_configuration_fuzz.py
+++ b/tests/test_configuration_fuzz.py
@@ -174,6 +174,17 @@
     def set_list_reachable(self, reachable):
         self.built.list_reachable = reachable
 
+    @stateful.rule(
+        drop=strategies.sampled_from((0.0, 0.2)),
+        duplicate=strategies.sampled_from((0.0, 0.2)),
+        max_delay_s=strategies.sampled_from((0.005, 0.05, 1.0)),
+    )
+    def set_network(self, drop, duplicate, max_delay_s):
+        network = self.built.network
+        network.drop = drop
+        network.duplicate = duplicate
+        network.max_delay_s = max_delay_s
+
     @stateful.rule()
     def back_up_store(self):
         self.backup = self.built.store.copy_entries()
@@ -189,13 +200,26 @@
             and not any(i.paused for i in self.built.instances.values())
         )
     )
-    @stateful.rule(racers=strategies.lists(names, max_size=2))
-    def restore_store(self, racers):
+    @stateful.rule(
+        racers=strategies.lists(names, max_size=2),
+        restarted=strategies.sets(names, max_size=3),
+    )
+    def restore_store(self, racers, restarted):
         text = self.built.store.value("config/tree").value
         newest = adoption.revision_of(text)
         held = max((self.revision_of(i) for i in self.running()), default=0)
-        if held < newest:
+        holders = {
+            name
+            for name, instance in self.built.instances.items()
+            if instance.state and self.revision_of(instance) == held
+        }
+        if held < newest or not holders - restarted:
             return
+        # A new instance that races with the repair knows neither the newest
+        # revision nor its peers.
+        for name in restarted:
+            self.built.crash(name)
+            self.built.start_instance(name)
         for name in racers:
             self.submit_new(name, "worth", None)
         self.built.store.restore(self.backup)
@@ -212,6 +236,7 @@
     def heal(self):
         """Ends every fault and expects one tree within the stated time."""
         self.built.heal()
+        self.built.network = fabric.Network()
         for name, instance in self.built.instances.items():
             if instance.state is None:
                 self.built.start_instance(name)
