--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,24 +1,38 @@
 """Runs both users' deployments in small with a short mixed load.
 
+Usage: python -m standins.demo [FOLDER], where FOLDER gets logs and settings.
 Ends with a table of outcomes, and with status 0 only if every promise that
-the demo checks was kept.
+the demo checks was kept. Ctrl-C stops every process that it started.
 """
 
 import asyncio
-import base64
 import collections
+import contextlib
 import dataclasses
+import itertools
 import pathlib
+import signal
 import sys
 import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
 
-import aiohttp
+import msgspec
+from returns import pipeline
 
+from dandelionpick import caller_messages as caller
+from dandelionpick import client as client_lib
+from dandelionpick import executor_messages
+from dandelionpick import kinds
 from standins import deployment
 
-FOLDER = pathlib.Path("build/demo")
-REQUESTS = 60
+FOLDER = "build/demo"
+CALLERS = 8
+REQUESTS_PER_CALLER = 25
 DEADLINE_S = 10.0
+MAX_ATTEMPTS = 4
+INTERRUPTED = 130
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,7 +66,7 @@
 )
 
 
-def tree_of(user: User) -> dict:
+def tree_of(user: User) -> dict[str, Any]:
     """Builds a user's first tree."""
     return {
         "classes": {
@@ -63,59 +77,155 @@
     }
 
 
-async def submit(
-    session: aiohttp.ClientSession, address: str, user: User, number: int
-) -> str:
-    """Submits one request and tells what became of it."""
-    body = f"{user.name} request {number}".encode()
-    message = {
-        "organisation": user.organisations[number % len(user.organisations)],
-        "job_class": ("confirmation", "assessment")[number % 2],
-        "key": f"demo-{number}",
-        "body": base64.b64encode(body).decode(),
-        "deadline_s": DEADLINE_S,
-    }
-    url = f"http://{address}/v1/requests"
-    async with session.post(url, json=message) as response:
-        answer = await response.json()
-    if answer["outcome"] != "completed":
-        return answer["outcome"]
-    if base64.b64decode(answer["body"]) != body[::-1]:
-        return "wrong answer"
-    return "completed"
-
-
-async def run_load(user: User, addresses: list[str]) -> collections.Counter:
-    """Submits the load of one user and counts the outcomes."""
-    async with aiohttp.ClientSession() as session:
-        outcomes = await asyncio.gather(
-            *(
-                submit(session, addresses[n % len(addresses)], user, n)
-                for n in range(REQUESTS)
-            )
+@dataclasses.dataclass
+class Report:
+    """What became of a user's work.
+
+    Attributes:
+        outcomes: number of pieces of work by kind and outcome.
+        broken: promises that were broken, one line each.
+    """
+
+    outcomes: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Run:
+    """A user's running deployment.
+
+    Attributes:
+        clients: one client for each entry instance.
+    """
+
+    user: User
+    clients: list[client_lib.Client]
+    report: Report = dataclasses.field(default_factory=Report)
+
+
+async def send_anywhere(run: Run, first: int, submission: Any) -> Any:
+    """Submits work to one instance after another until one replies.
+
+    Args:
+        run: the user's running deployment.
+        first: index of the first instance.
+        submission: a message with the field `attempt`.
+
+    Returns:
+        The reply, or None if no instance replied.
+    """
+    for attempt in range(1, MAX_ATTEMPTS + 1):
+        client = run.clients[(first + attempt) % len(run.clients)]
+        message = msgspec.structs.replace(submission, attempt=attempt)
+        result = await client.send(message)
+        if pipeline.is_successful(result):
+            return result.unwrap()
+    return None
+
+
+async def request_load(run: Run) -> None:
+    """Submits idempotent requests of several callers, each in turn."""
+    await asyncio.gather(*(call(run, number) for number in range(CALLERS)))
+
+
+async def call(run: Run, caller_number: int) -> None:
+    """Submits the requests of one caller."""
+    for number in range(REQUESTS_PER_CALLER):
+        request = request_of(run.user, f"{caller_number}-{number}", number)
+        reply = await send_anywhere(run, caller_number + number, request)
+        check_answer(run.report, request, reply)
+
+
+def request_of(user: User, name: str, number: int) -> caller.SubmitRequest:
+    """Builds the first submission of a request."""
+    return caller.SubmitRequest(
+        organisation=user.organisations[number % len(user.organisations)],
+        job_class=("confirmation", "assessment")[number % 2],
+        key=f"demo-{name}",
+        body=f"{user.name} request {name}".encode(),
+        deadline_s=DEADLINE_S,
+    )
+
+
+def check_answer(
+    report: Report, request: caller.SubmitRequest, reply: Any
+) -> None:
+    """Counts an answer and compares it with what the executor computes."""
+    outcome = getattr(reply, "outcome", None)
+    label = "no reply" if outcome is None else outcome.value
+    report.outcomes["request", label] += 1
+    if outcome is not kinds.Outcome.COMPLETED:
+        # No fault is injected, so there is no reason for another outcome.
+        report.broken.append(f"request {request.key}: {label}")
+        return
+    output = request.body[::-1]
+    digest = executor_messages.digest_of(output)
+    if (reply.key, reply.body, reply.digest) != (request.key, output, digest):
+        report.broken.append(f"request {request.key}: wrong answer")
+
+
+# Kinds of work that run at the same time for each user. A load counts its
+# outcomes in run.report and adds the promises that it saw broken.
+LOADS: tuple[Callable[[Run], Awaitable[None]], ...] = (request_load,)
+
+
+async def run_user(user: User, running: deployment.Deployment) -> Report:
+    """Starts a user's deployment and runs every load on it."""
+    await running.start_together(list(user.domains), tree_of(user))
+    print(f"{user.name}: {len(running.processes)} processes", flush=True)
+    async with contextlib.AsyncExitStack() as stack:
+        clients = [
+            await stack.enter_async_context(client_lib.connect(address))
+            for address in running.entry_addresses()
+        ]
+        run = Run(user, clients)
+        await asyncio.gather(*(load(run) for load in LOADS))
+    return run.report
+
+
+def show(user: User, report: Report) -> None:
+    """Prints the outcomes and broken promises of a user."""
+    for (kind, outcome), count in sorted(report.outcomes.items()):
+        print(f"{user.name:<12}{kind:<12}{outcome:<16}{count:>6}")
+    for line in itertools.islice(report.broken, 10):
+        print(f"{user.name}: broken: {line}")
+
+
+async def run_all(folder: pathlib.Path) -> bool:
+    """Runs both users at once; tells whether every promise was kept."""
+    loop = asyncio.get_running_loop()
+    this_task = asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        # Cancellation takes effect between two steps, so no process can be
+        # started without being recorded in its deployment.
+        loop.add_signal_handler(number, this_task.cancel)
+    deployments = [deployment.Deployment(folder / u.name) for u in USERS]
+    try:
+        reports = await asyncio.gather(
+            *(run_user(u, d) for u, d in zip(USERS, deployments, strict=True))
         )
-    return collections.Counter(outcomes)
+    finally:
+        deployment.stop_all(deployments)
+    for user, report in zip(USERS, reports, strict=True):
+        show(user, report)
+    return not any(report.broken for report in reports)
 
 
-def run_user(user: User) -> bool:
-    """Runs one user's deployment; tells whether every promise was kept."""
+def main(args: list[str]) -> int:
+    """Runs the demo and returns its exit status."""
     started_s = time.monotonic()
-    with deployment.Deployment(FOLDER / user.name) as running:
-        running.start(list(user.domains), tree_of(user))
-        print(f"{user.name}: {len(running.processes)} processes", flush=True)
-        outcomes = asyncio.run(run_load(user, running.entry_addresses()))
-    for outcome, count in sorted(outcomes.items()):
-        print(f"{user.name:<12}{'request':<12}{outcome:<16}{count:>6}")
-    print(f"{user.name}: {time.monotonic() - started_s:.1f} s", flush=True)
-    return outcomes == {"completed": REQUESTS}
-
-
-def main() -> int:
-    """Runs every user's deployment in turn."""
-    kept = [run_user(user) for user in USERS]
-    print("every promise was kept" if all(kept) else "a promise was broken")
-    return 0 if all(kept) else 1
+    folder = pathlib.Path(args[0] if args else FOLDER)
+    try:
+        kept = asyncio.run(run_all(folder))
+    except asyncio.CancelledError:
+        print("interrupted; every process was stopped")
+        return INTERRUPTED
+    print(f"{time.monotonic() - started_s:.1f} s")
+    print("every promise was kept" if kept else "a promise was broken")
+    return 0 if kept else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,7 +1,8 @@
 """Starts the processes of a user's deployment on loopback and stops them."""
 
+import asyncio
+import configparser
 import dataclasses
-import itertools
 import json
 import pathlib
 import subprocess
@@ -12,18 +13,24 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
+PROBE_TIMEOUT_S = 2.0
 LISTENING = "listening on "
 
 
 @dataclasses.dataclass(frozen=True)
 class DomainPlan:
-    """How many processes of each kind a failure domain gets."""
+    """How many processes of each kind a failure domain gets.
+
+    Attributes:
+        run_s: run time of the executors' tasks in seconds.
+    """
 
     name: str
     region: str
     entries: int = 2
     executors: int = 2
     workers: int = 2
+    run_s: float = 0.02
 
 
 @dataclasses.dataclass
@@ -47,13 +54,27 @@
 
     Attributes:
         folder: where logs and settings files are written.
+        settings: more sections of the entry instances' settings files.
         processes: started processes by name.
+        store_address: what entry instances use as the store, such as a relay.
+        listed_addresses: what the instance list shows in place of a
+            process's own address, by name.
     """
 
-    def __init__(self, folder: pathlib.Path, sampled_share: float = 1.0):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        sampled_share: float = 1.0,
+        settings: dict[str, dict[str, Any]] | None = None,
+    ):
         self.folder = folder
-        self.sampled_share = sampled_share
+        self.settings = {
+            **(settings or {}),
+            "tracing": {"sampled_share": sampled_share},
+        }
         self.processes: dict[str, Process] = {}
+        self.store_address = ""
+        self.listed_addresses: dict[str, str] = {}
         folder.mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> "Deployment":
@@ -64,34 +85,52 @@
 
     def start(self, domains: list[DomainPlan], tree: dict[str, Any]) -> None:
         """Starts everything and waits until every entry instance is ready."""
+        asyncio.run(self.start_together(domains, tree))
+
+    async def start_together(
+        self, domains: list[DomainPlan], tree: dict[str, Any]
+    ) -> None:
+        """Starts everything in parallel; see start."""
+        await self.start_platform(domains, tree)
+        await self.start_entries(domains)
+
+    async def start_platform(
+        self, domains: list[DomainPlan], tree: dict[str, Any]
+    ) -> None:
+        """Starts the store, the instance list and all targets."""
         document = {"revision": 1, "tree": tree, "edits": []}
         values = {"config/tree": json.dumps(document)}
-        self.start_standin("store", "store", {"values": values}, {})
-        self.start_standin(
+        self.launch_standin("store", "store", {"values": values}, {})
+        self.launch_standin(
             "instance-list", "instance_list", {"entries": [], "lag_s": 1.0}, {}
         )
         for domain in domains:
-            self._start_targets(domain)
+            self._launch_targets(domain)
+        await self.addresses()
+
+    async def start_entries(self, domains: list[DomainPlan]) -> None:
+        """Starts the entry instances and waits until they are ready."""
         for domain in domains:
             for number in range(1, domain.entries + 1):
-                self.start_entry(f"{domain.name}-entry-{number}", domain)
+                self.launch_entry(f"{domain.name}-entry-{number}", domain)
+        await self.addresses()
         self.publish()
         for process in self.of_role("entry"):
-            wait_until_ready(process.address)
+            await until_ready(process.address)
 
-    def _start_targets(self, domain: DomainPlan) -> None:
+    def _launch_targets(self, domain: DomainPlan) -> None:
         place = {"failure_domain": domain.name, "region": domain.region}
         for number in range(1, domain.executors + 1):
-            self.start_standin(
+            self.launch_standin(
                 f"{domain.name}-executor-{number}",
                 "executor",
-                {"slots": 8},
+                {"slots": 8, "run_s": domain.run_s},
                 {**place, "slots": 8},
             )
         for number in range(1, domain.workers + 1):
             rack = f"{domain.name}-rack-{(number - 1) // 8 + 1}"
             size = {"accelerators": 8, "cores": 64, "memory_gb": 128}
-            self.start_standin(
+            self.launch_standin(
                 f"{domain.name}-worker-{number}",
                 "worker",
                 {"accelerators": 8},
@@ -106,6 +145,18 @@
         listing: dict[str, Any],
     ) -> Process:
         """Starts a stand-in and reads its address."""
+        process = self.launch_standin(name, role, options, listing)
+        asyncio.run(self.addresses())
+        return process
+
+    def launch_standin(
+        self,
+        name: str,
+        role: str,
+        options: dict[str, Any],
+        listing: dict[str, Any],
+    ) -> Process:
+        """Starts a stand-in without waiting for its address."""
         command = [
             sys.executable,
             "-m",
@@ -116,20 +167,31 @@
         return self._spawn(name, role, command, listing)
 
     def start_entry(self, name: str, domain: DomainPlan) -> Process:
-        """Writes an entry instance's settings and starts it."""
+        """Writes an entry instance's settings, starts it, reads its address."""
+        process = self.launch_entry(name, domain)
+        asyncio.run(self.addresses())
+        return process
+
+    def launch_entry(self, name: str, domain: DomainPlan) -> Process:
+        """Starts an entry instance without waiting for its address."""
+        sections = {
+            "instance": {
+                "name": name,
+                "failure_domain": domain.name,
+                "region": domain.region,
+                "listen": "127.0.0.1:0",
+            },
+            "platform": {
+                "store": self.store_address or self.processes["store"].address,
+                "instance_list": self.processes["instance-list"].address,
+            },
+            **self.settings,
+        }
         path = self.folder / f"{name}.ini"
-        path.write_text(
-            "[instance]\n"
-            f"name = {name}\n"
-            f"failure_domain = {domain.name}\n"
-            f"region = {domain.region}\n"
-            "listen = 127.0.0.1:0\n"
-            "[platform]\n"
-            f"store = {self.processes['store'].address}\n"
-            f"instance_list = {self.processes['instance-list'].address}\n"
-            "[tracing]\n"
-            f"sampled_share = {self.sampled_share}\n"
-        )
+        parser = configparser.ConfigParser()
+        parser.read_dict(sections)
+        with path.open("w") as file:
+            parser.write(file)
         command = [sys.executable, "-m", "dandelionpick", "run", str(path)]
         listing = {"failure_domain": domain.name, "region": domain.region}
         return self._spawn(name, "entry", command, listing)
@@ -143,6 +205,8 @@
     ) -> Process:
         log_path = self.folder / f"{name}.log"
         with log_path.open("wb") as log:
+            # In a session of its own, the process gets no Ctrl-C of a
+            # terminal: the planned stop is up to `stop`.
             child = subprocess.Popen(
                 command,
                 stdout=log,
@@ -152,21 +216,20 @@
             )
         process = Process(name, role, "", child, log_path, listing)
         self.processes[name] = process
-        process.address = self._await_address(process)
         return process
 
-    def _await_address(self, process: Process) -> str:
+    async def addresses(self) -> None:
+        """Waits until every started process has told its address."""
         end_s = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < end_s:
-            for line in process.log_path.read_text().splitlines():
-                if LISTENING in line:
-                    return line.split(LISTENING, 1)[1].strip()
-            if process.process.poll() is not None:
-                break
-            time.sleep(0.02)
-        raise RuntimeError(
-            f"{process.name} did not start; see {process.log_path}"
-        )
+        for process in self.processes.values():
+            while not process.address:
+                process.address = _address_in(process.log_path)
+                ended = process.process.poll() is not None
+                if not process.address and (ended or time.monotonic() >= end_s):
+                    raise RuntimeError(
+                        f"{process.name} did not start; see {process.log_path}"
+                    )
+                await asyncio.sleep(0.02)
 
     def of_role(self, role: str) -> list[Process]:
         """Returns the processes of a role, in the order of their start."""
@@ -182,7 +245,9 @@
             {
                 "id": process.name,
                 "role": process.role,
-                "address": process.address,
+                "address": self.listed_addresses.get(
+                    process.name, process.address
+                ),
                 "state": "leaving" if process.name in leaving else "live",
                 **process.listing,
             }
@@ -193,18 +258,46 @@
 
     def stop(self) -> None:
         """Stops every process: entry instances first, then the rest."""
-        entries = self.of_role("entry")
-        others = [p for p in self.processes.values() if p.role != "entry"]
-        for group in (entries, others):
-            for process in group:
-                if process.process.poll() is None:
-                    process.process.terminate()
-            end_s = time.monotonic() + STOP_TIMEOUT_S
-            for process in group:
-                _reap(process.process, end_s)
+        stop_all([self])
+
+    def kill(self) -> None:
+        """Ends every process at once."""
+        for process in self.processes.values():
+            process.process.kill()
+        for process in self.processes.values():
+            process.process.wait()
         self.processes.clear()
 
 
+def stop_all(deployments: list[Deployment]) -> None:
+    """Stops several deployments at once."""
+    running = [p for d in deployments for p in d.processes.values()]
+    entries = [p for p in running if p.role == "entry"]
+    others = [p for p in running if p.role != "entry"]
+    try:
+        _stop_group(entries)
+        _stop_group(others)
+    finally:
+        for deployment in deployments:
+            deployment.kill()
+
+
+def _stop_group(group: list[Process]) -> None:
+    for process in group:
+        if process.process.poll() is None:
+            process.process.terminate()
+    end_s = time.monotonic() + STOP_TIMEOUT_S
+    for process in group:
+        _reap(process.process, end_s)
+
+
+def _address_in(log_path: pathlib.Path) -> str:
+    for line in log_path.read_text().splitlines(keepends=True):
+        if LISTENING in line and line.endswith("\n"):
+            return line.split(LISTENING, 1)[1].strip()
+    return ""
+
+
 def _reap(child: subprocess.Popen, end_s: float) -> None:
     try:
         child.wait(max(0.1, end_s - time.monotonic()))
@@ -215,27 +308,47 @@
 
 def control(address: str, options: dict[str, Any]) -> None:
     """Changes the options of a running stand-in."""
-    body = json.dumps(options).encode()
-    request = urllib.request.Request(
-        f"http://{address}/control", data=body, method="POST"
-    )
-    urllib.request.urlopen(request, timeout=START_TIMEOUT_S).close()
+    post(f"http://{address}/control", json.dumps(options).encode())
+
 
+def post(url: str, body: bytes) -> bytes:
+    """Posts a body and returns the body of the response."""
+    request = urllib.request.Request(url, data=body, method="POST")
+    with urllib.request.urlopen(request, timeout=START_TIMEOUT_S) as response:
+        return response.read()
 
-def wait_until_ready(address: str) -> None:
+
+async def until_ready(address: str) -> None:
     """Waits until an entry instance says that it is ready.
 
     Raises:
         RuntimeError: it did not become ready in time.
     """
     end_s = time.monotonic() + START_TIMEOUT_S
-    for _ in itertools.count():
-        try:
-            urllib.request.urlopen(
-                f"http://{address}/readyz", timeout=START_TIMEOUT_S
-            ).close()
-            return
-        except OSError:
-            if time.monotonic() >= end_s:
-                raise RuntimeError(f"{address} is not ready") from None
-            time.sleep(0.05)
+    while not is_ready(address):
+        if time.monotonic() >= end_s:
+            raise RuntimeError(f"{address} is not ready")
+        await asyncio.sleep(0.05)
+
+
+def is_ready(address: str) -> bool:
+    """Tells whether an entry instance says that it is ready."""
+    try:
+        urllib.request.urlopen(
+            f"http://{address}/readyz", timeout=PROBE_TIMEOUT_S
+        ).close()
+    except OSError:
+        return False
+    return True
+
+
+def metric(address: str, name: str) -> float:
+    """Returns the sum of a metric's samples on an entry instance."""
+    url = f"http://{address}/metrics"
+    with urllib.request.urlopen(url, timeout=START_TIMEOUT_S) as response:
+        lines = response.read().decode().splitlines()
+    return sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in lines
+        if line.split("{")[0].split(" ")[0] == name
+    )
