--- a/tests/fake_server.py
+++ b/tests/fake_server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from dandelionpick import api
 from dandelionpick import wire
 
 
@@ -60,5 +61,7 @@
         if isinstance(reply, bytes):
             return web.Response(body=reply)
         return web.Response(
-            body=wire.encode(reply), content_type="application/json"
+            body=wire.encode(reply),
+            content_type="application/json",
+            status=api.status_of(reply),
         )
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,290 @@
+"""Tests of the HTTP interface: limits, errors and the end of connections."""
+
+import asyncio
+import contextlib
+import unittest
+from unittest import mock
+
+import prometheus_client
+
+from dandelionpick import dispatch
+from dandelionpick import drain
+from dandelionpick import events
+from dandelionpick import reducer
+from dandelionpick import wire
+from tests import builders
+from tests import http_instance
+
+LIMIT_S = 30.0
+REQUEST = wire.encode(builders.request("k1"))
+
+
+def sample(name: str, **labels: str) -> float:
+    """Returns the value of a metric in this process."""
+    registry = prometheus_client.REGISTRY
+    return registry.get_sample_value(f"dandelionpick_{name}", labels) or 0.0
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    """A runtime whose calls reach nothing, behind HTTP."""
+
+    async def asyncSetUp(self):
+        self.runtime = http_instance.runtime_with()
+        await self.enterAsyncContext(asyncio.timeout(LIMIT_S))
+
+    async def serve(self, **limits: float) -> http_instance.HttpInstance:
+        return await self.enterAsyncContext(
+            http_instance.serve(self.runtime, **limits)
+        )
+
+
+class LimitsTest(HttpTest):
+    """No client can take up memory or connections without limit."""
+
+    async def test_oversized_bodies_get_a_typed_problem(self):
+        served = await self.serve()
+        size = self.runtime.state.limits.max_body_bytes * 2
+        chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+        head = b"POST /v1/requests HTTP/1.1\r\nhost: t\r\n"
+        requests = {
+            "length": (http_instance.post("/v1/requests", b"x" * size),),
+            "chunked": (
+                head + b"transfer-encoding: chunked\r\n\r\n",
+                chunk,
+                b"0\r\n\r\n",
+            ),
+        }
+        for name, parts in requests.items():
+            with self.subTest(name):
+                status, _, body = await served.converse(*parts)
+                self.assertEqual(status, 413)
+                self.assertEqual(body["problem"]["kind"], "body_too_large")
+
+    async def test_oversized_headers_get_a_typed_problem(self):
+        served = await self.serve(max_header_bytes=1_000)
+        long_header = b"x: " + b"y" * 2_000
+        requests = {
+            "whole": (b"GET /livez HTTP/1.1\r\n" + long_header + b"\r\n\r\n",),
+            "long path": (http_instance.get("/" + "x" * 2_000),),
+        }
+        for name, parts in requests.items():
+            with self.subTest(name):
+                status, _, body = await served.converse(*parts)
+                self.assertEqual(status, 431)
+                self.assertEqual(body["problem"]["kind"], "malformed")
+
+    async def test_headers_without_end_are_refused(self):
+        served = await self.serve(max_header_bytes=1_000)
+        reader, writer = await served.connect()
+        writer.write(b"GET /livez HTTP/1.1\r\n")
+        reading = asyncio.ensure_future(http_instance.read_response(reader))
+        while not reading.done():
+            writer.write(b"x: y\r\n" * 100)
+            await asyncio.sleep(0.01)
+        status, _, _ = await reading
+        self.assertEqual(status, 431)
+        writer.transport.abort()
+
+    async def test_connections_above_the_limit_are_refused(self):
+        served = await self.serve(max_connections=2)
+        kept = [await served.connect() for _ in range(2)]
+        for reader, writer in kept:
+            writer.write(http_instance.get("/livez"))
+            await http_instance.read_response(reader)
+        status, headers, body = await served.converse(
+            http_instance.get("/livez")
+        )
+        self.assertEqual((status, headers["connection"]), (503, "close"))
+        self.assertEqual(body["problem"]["kind"], "overloaded")
+        for _, writer in kept:
+            writer.transport.abort()
+
+    async def test_slow_headers_and_bodies_are_given_up(self):
+        served = await self.serve(header_timeout_s=0.2, body_timeout_s=0.2)
+        part = http_instance.post("/v1/requests", REQUEST)
+        for name, sent in (("head", part[:30]), ("body", part[:-5])):
+            with self.subTest(name):
+                status, headers, body = await served.converse(sent)
+                self.assertEqual(
+                    (status, headers["connection"]), (408, "close")
+                )
+                self.assertEqual(body["problem"]["kind"], "too_slow")
+
+    async def test_silent_connections_are_closed(self):
+        served = await self.serve(header_timeout_s=0.2)
+        reader, writer = await served.connect()
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+
+class ErrorsTest(HttpTest):
+    """Every error is typed, names the field, and leaves the process alive."""
+
+    async def test_malformed_messages_name_the_field(self):
+        served = await self.serve()
+        valid = REQUEST.decode()
+        cases = {
+            "{": "truncated",
+            "\xff": "JSON",
+            "[]": "object",
+            "{}": "organisation",
+            valid.replace('"deadline_s":5.0', '"deadline_s":"x"'): "deadline_s",
+            valid.replace('"attempt"', '"atempt"'): "atempt",
+            valid.replace('"body":"', '"body":"?'): "body",
+        }
+        for text, named in cases.items():
+            with self.subTest(text):
+                body = text.encode("latin-1")
+                status, _, reply = await served.converse(
+                    http_instance.post("/v1/requests", body)
+                )
+                self.assertEqual(status, 400)
+                self.assertEqual(reply["problem"]["kind"], "malformed")
+                self.assertIn(named, reply["problem"]["message"])
+
+    async def test_malformed_queries_name_the_field(self):
+        served = await self.serve()
+        for query, named in (("wait_s=x", "wait_s"), ("wait=1", "wait")):
+            with self.subTest(query):
+                status, _, reply = await served.converse(
+                    http_instance.get(f"/v1/requests/ward/k1?{query}")
+                )
+                self.assertEqual(status, 400)
+                message = reply["problem"]["message"]
+                self.assertRegex(message, rf"[`.]{named}`")
+
+    async def test_unknown_paths_and_methods_get_a_typed_problem(self):
+        served = await self.serve()
+        for request, expected in (
+            (http_instance.get("/v2"), 404),
+            (http_instance.get("/v1/requests"), 405),
+            (b"nonsense\r\n\r\n", 400),
+        ):
+            with self.subTest(request):
+                status, _, reply = await served.converse(request)
+                self.assertEqual(status, expected)
+                self.assertIn("remedy", reply["problem"])
+
+    async def test_fault_of_a_handler_gets_a_typed_problem(self):
+        served = await self.serve()
+        before = sample("faults_total", place="event")
+        with mock.patch.object(dispatch, "receive", side_effect=KeyError("x")):
+            status, _, reply = await served.converse(
+                http_instance.post("/v1/requests", REQUEST)
+            )
+        self.assertEqual(status, 500)
+        self.assertEqual(reply["problem"]["kind"], "internal")
+        self.assertEqual(sample("faults_total", place="event"), before + 1)
+        status, _, _ = await served.converse(http_instance.get("/livez"))
+        self.assertEqual(status, 200)
+
+    async def test_fault_of_one_tick_handler_does_not_stop_the_others(self):
+        def broken(state, step):
+            raise ValueError("broken")
+
+        self.runtime.state.limits.drain_notice_s = 0.0
+        ticks = (broken, drain.tick)
+        with mock.patch.object(reducer, "TICKS", ticks):
+            now = self.runtime.moment()
+            self.runtime.deliver(events.StopRequested(now))
+            self.runtime.deliver(events.Tick(self.runtime.moment()))
+        self.assertTrue(self.runtime.exited.is_set())
+
+    async def test_fault_of_a_call_counts_as_a_lost_call(self):
+        async def broken(call):
+            raise RuntimeError("broken")
+
+        self.runtime.send = broken
+        self.runtime.deliver(events.Tick(self.runtime.moment()))
+        self.assertTrue(self.runtime.calls)
+        await asyncio.gather(*self.runtime.calls)
+        self.assertEqual(self.runtime.state.calls, {})
+
+    async def test_stall_is_applied_before_the_event_that_follows_it(self):
+        before = sample("stalls_total")
+        self.runtime.ticked_s -= 10.0
+        seen = []
+
+        def record(state, event):
+            seen.append(type(event))
+            return reducer.Reduction([], [])
+
+        with mock.patch.object(reducer, "reduce_guarded", record):
+            self.runtime.deliver(events.Tick(self.runtime.moment()))
+        self.assertEqual(seen, [events.Stalled, events.Tick])
+        self.assertEqual(sample("stalls_total"), before + 1)
+
+
+class EndOfConnectionTest(HttpTest):
+    """A planned stop resets no connection while a request is being sent."""
+
+    async def leave(self) -> None:
+        self.runtime.deliver(events.StopRequested(self.runtime.moment()))
+
+    async def test_responses_end_the_connection_while_leaving(self):
+        served = await self.serve()
+        _, headers, _ = await served.converse(http_instance.get("/livez"))
+        self.assertNotIn("connection", headers)
+        await self.leave()
+        _, headers, _ = await served.converse(http_instance.get("/livez"))
+        self.assertEqual(headers["connection"], "close")
+        status, _, _ = await served.converse(http_instance.get("/readyz"))
+        self.assertEqual(status, 503)
+
+    async def test_idle_connection_is_closed_without_a_reset(self):
+        served = await self.serve()
+        reader, writer = await served.connect()
+        writer.write(http_instance.get("/livez"))
+        await http_instance.read_response(reader)
+        self.runtime.exited.set()
+        self.assertEqual(await reader.read(), b"")
+        # A request that crosses the end of the connection causes no reset.
+        writer.write(http_instance.get("/livez"))
+        await writer.drain()
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        await writer.wait_closed()
+
+    async def test_request_that_is_being_sent_at_the_exit_is_answered(self):
+        served = await self.serve()
+        reader, writer = await served.connect()
+        request = http_instance.get("/livez")
+        writer.write(request[:10])
+        # The instance answers on another connection, so it runs its loop.
+        await served.converse(http_instance.get("/livez"))
+        self.runtime.exited.set()
+        await self.until_not_listening(served)
+        writer.write(request[10:])
+        status, headers, _ = await http_instance.read_response(reader)
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        writer.close()
+
+    async def until_not_listening(self, served) -> None:
+        with contextlib.suppress(ConnectionError):
+            while True:
+                _, writer = await served.connect()
+                writer.transport.abort()
+                await asyncio.sleep(0.01)
+
+    async def test_large_response_reaches_a_slow_client_whole(self):
+        served = await self.serve()
+        await self.leave()
+        size = 8_000_000
+        with mock.patch(
+            "dandelionpick.metrics.render", lambda: (b"x" * size, "text/plain")
+        ):
+            reader, writer = await served.connect()
+            writer.write(http_instance.get("/metrics"))
+            received = 0
+            # Longer than the time that an ended connection lingers.
+            for _ in range(15):
+                received += len(await reader.read(10_000))
+                await asyncio.sleep(0.1)
+            while data := await reader.read(1_000_000):
+                received += len(data)
+        self.assertGreater(received, size)
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
