Describe the interface and the operation of instances

Cause: paths, problems, settings, metrics and exit statuses were only in the code.

Change: docs/api.md and docs/operations.md, with tests that every problem, operation, metric, section and exit status is listed. The sections for limits are derived from the dataclasses that use them. The same fault is logged at most every 10 s. Two metrics that nothing recorded are gone; responses_total and response_seconds replace them.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -37,6 +37,7 @@
     errors.ProblemKind.UNKNOWN_ORGANISATION: 404,
     errors.ProblemKind.UNKNOWN_CLASS: 404,
     errors.ProblemKind.UNKNOWN_KEY: 404,
+    errors.ProblemKind.UNKNOWN_PATH: 404,
     errors.ProblemKind.KEY_REUSED: 409,
     errors.ProblemKind.EDIT_CONFLICT: 409,
     errors.ProblemKind.GUARANTEES_DO_NOT_FIT: 409,
@@ -235,7 +236,7 @@
     request: http.Request, error: Exception
 ) -> responses.Response:
     """Answers an exception that no handler expected."""
-    runtime_lib.report_fault("route", request.url.path, error)
+    runtime_lib.report_fault("route", request.method, error)
     return respond(runtime_lib.INTERNAL)
 
 
--- a/dandelionpick/client.py
+++ b/dandelionpick/client.py
@@ -104,14 +104,8 @@
         self.server = server
         self.session = session
 
-    async def send(
-        self, message: Any, trace: str = ""
-    ) -> Result[Any, ClientFailure]:
-        """Sends a message.
-
-        Args:
-            message: a message that callers or operators send.
-            trace: W3C traceparent of the caller, or "".
+    async def send(self, message: Any) -> Result[Any, ClientFailure]:
+        """Sends a message of a caller or operator.
 
         Returns:
             The reply, or why there is none.
@@ -120,13 +114,12 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_s_of(message), sock_connect=CONNECT_TIMEOUT_S
         )
-        headers = {"traceparent": trace} if trace else {}
         try:
             async with self.session.request(
                 operation.method,
                 f"http://{self.server}{target_of(operation, message)}",
                 data=wire.encode(message) if operation.posted else None,
-                headers={**JSON_HEADERS, **headers},
+                headers=JSON_HEADERS,
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
--- a/dandelionpick/http_client.py
+++ b/dandelionpick/http_client.py
@@ -34,7 +34,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolLimits:
-    """Limits on the connections to each address."""
+    """Limits on the connections to each address.
+
+    Attributes:
+        connections_per_host: an executor allows 64, shared by up to nine
+            instances.
+        idle_connection_s: how long an idle connection is kept for reuse.
+        connect_timeout_s: how long a new connection may take.
+    """
 
     connections_per_host: int = 7
     idle_connection_s: float = 15.0
--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -22,7 +22,17 @@
 
 @dataclasses.dataclass(slots=True)
 class InboundLimits:
-    """Limits on inbound connections; see settings.ServerSection."""
+    """Limits on inbound connections.
+
+    Attributes:
+        max_connections: connections above this get `overloaded`.
+        max_header_bytes: request line and headers of one request.
+        header_timeout_s: from the start of a connection or of a request to
+            the end of the headers.
+        body_timeout_s: from the headers to the end of the body.
+        keep_alive_s: how long an idle connection stays open; clients should
+            close theirs earlier.
+    """
 
     max_connections: int = 2_000
     max_header_bytes: int = 16_384
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -3,11 +3,6 @@
 import prometheus_client
 
 COUNTERS = {
-    "requests_total": prometheus_client.Counter(
-        "dandelionpick_requests_total",
-        "Requests answered, by outcome.",
-        ["outcome"],
-    ),
     "responses_total": prometheus_client.Counter(
         "dandelionpick_responses_total",
         "Responses to callers, operators and peers, by message and outcome.",
@@ -34,11 +29,6 @@
     ),
 }
 HISTOGRAMS = {
-    "request_seconds": prometheus_client.Histogram(
-        "dandelionpick_request_seconds",
-        "Seconds from receipt of a request to its answer, by class.",
-        ["job_class"],
-    ),
     "response_seconds": prometheus_client.Histogram(
         "dandelionpick_response_seconds",
         "Seconds from receipt of work to its response, by message and class.",
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -26,6 +26,10 @@
 
 TICK_S = 0.1
 STALL_S = 1.0
+# A handler that fails on each tick would write ten tracebacks a second.
+FAULT_LOG_PERIOD_S = 10.0
+
+_fault_logged_s: dict[tuple[str, str, type], float] = {}
 
 INTERNAL = peer_messages.Refused(
     errors.Problem(
@@ -171,8 +175,13 @@
 
 
 def report_fault(place: str, name: str, error: Exception) -> None:
-    """Logs and counts an exception that the code did not expect."""
+    """Counts an unexpected exception and logs it, but not on every tick."""
     metrics.add("faults_total", (place,), 1.0)
+    fault = (place, name, type(error))
+    now_s = time.monotonic()
+    if now_s - _fault_logged_s.get(fault, float("-inf")) < FAULT_LOG_PERIOD_S:
+        return
+    _fault_logged_s[fault] = now_s
     logging.error(
         "runtime: %s %s failed: %r",
         place,
--- a/dandelionpick/settings.py
+++ b/dandelionpick/settings.py
@@ -13,6 +13,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from dandelionpick import http_client
+from dandelionpick import http_protocol
 from dandelionpick import state as state_lib
 
 MAX_SECONDS = 365 * 86_400.0
@@ -79,55 +81,25 @@
 
 
 def _type_of_limit(field: dataclasses.Field) -> Any:
-    if field.type in (bool, "bool"):
+    if field.type is bool:
         return Flag
-    if field.type in (int, "int"):
+    if field.type is int:
         return Positive
     return Share if field.name.endswith(SHARE_SUFFIXES) else Seconds
 
 
-# Built from state.Limits, so that every limit of the reducer is a setting.
-LimitsSection = msgspec.defstruct(
-    "LimitsSection",
-    [
+def _section_of(limits: type) -> type:
+    """Builds the section of a dataclass of limits; each one is a setting."""
+    fields = [
         (field.name, _type_of_limit(field), field.default)
-        for field in dataclasses.fields(state_lib.Limits)
-    ],
-    frozen=True,
-)
+        for field in dataclasses.fields(limits)
+    ]
+    return msgspec.defstruct(f"{limits.__name__}Section", fields, frozen=True)
 
 
-class ServerSection(msgspec.Struct, frozen=True):
-    """Limits on inbound connections.
-
-    Attributes:
-        max_connections: connections above this get `overloaded`.
-        max_header_bytes: request line and headers of one request.
-        header_timeout_s: from a connection's start, or from the first byte of
-            a request, to the end of its headers.
-        body_timeout_s: from the headers to the end of the body.
-        keep_alive_s: how long an idle connection stays open.
-    """
-
-    max_connections: Positive = 2_000
-    max_header_bytes: Positive = 16_384
-    header_timeout_s: Seconds = 10.0
-    body_timeout_s: Seconds = 10.0
-    keep_alive_s: Seconds = 60.0
-
-
-class ClientSection(msgspec.Struct, frozen=True):
-    """Limits on outbound connections.
-
-    Attributes:
-        connections_per_host: an executor allows 64, shared by all instances.
-        idle_connection_s: how long an idle connection is kept for reuse.
-        connect_timeout_s: how long a new connection may take.
-    """
-
-    connections_per_host: Positive = 7
-    idle_connection_s: Seconds = 15.0
-    connect_timeout_s: Seconds = 1.0
+LimitsSection = _section_of(state_lib.Limits)
+ServerSection = _section_of(http_protocol.InboundLimits)
+ClientSection = _section_of(http_client.PoolLimits)
 
 
 class TracingSection(msgspec.Struct, frozen=True):
@@ -295,3 +267,14 @@
 def limits_of(settings: Settings) -> state_lib.Limits:
     """Returns the reducer's limits."""
     return state_lib.Limits(**msgspec.structs.asdict(settings.limits))
+
+
+def inbound_limits_of(settings: Settings) -> http_protocol.InboundLimits:
+    """Returns the limits on inbound connections."""
+    values = msgspec.structs.asdict(settings.server)
+    return http_protocol.InboundLimits(**values)
+
+
+def pool_limits_of(settings: Settings) -> http_client.PoolLimits:
+    """Returns the limits on outgoing connections."""
+    return http_client.PoolLimits(**msgspec.structs.asdict(settings.client))
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -4,13 +4,11 @@
 import functools
 import secrets
 
-import msgspec
 from absl import logging
 
 from dandelionpick import api
 from dandelionpick import events
 from dandelionpick import http_client
-from dandelionpick import http_protocol
 from dandelionpick import ids
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
@@ -42,10 +40,8 @@
     tracer = tracing.Tracer(
         settings.instance.name, settings.tracing.sampled_share
     )
-    inbound = http_protocol.InboundLimits(
-        **msgspec.structs.asdict(settings.server)
-    )
-    outbound = http_client.PoolLimits(**msgspec.structs.asdict(settings.client))
+    inbound = settings_lib.inbound_limits_of(settings)
+    outbound = settings_lib.pool_limits_of(settings)
     async with http_client.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings),
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,62 @@
+"""Tests that the pages for callers and operators stay complete."""
+
+import pathlib
+import re
+import unittest
+
+from dandelionpick import api
+from dandelionpick import client
+from dandelionpick import errors
+from dandelionpick import metrics
+from dandelionpick import settings
+from dandelionpick.status import ExitStatus
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+
+
+def page(name: str) -> str:
+    """Returns the text of a page."""
+    return (DOCS / name).read_text()
+
+
+class ApiPageTest(unittest.TestCase):
+    """A caller finds every problem and path on the page."""
+
+    def test_every_problem_kind_is_listed_with_its_status(self):
+        listed: dict[str, set[int]] = {}
+        for line in page("api.md").splitlines():
+            row = re.match(r"\| (\d{3}) \| (.*) \|$", line)
+            for kind in re.findall(r"`(\w+)`", row[2]) if row else ():
+                listed.setdefault(kind, set()).add(int(row[1]))
+        for kind in errors.ProblemKind:
+            with self.subTest(kind):
+                default = api.DEFAULT_PROBLEM_STATUS
+                status = api.STATUS_OF_PROBLEM.get(kind, default)
+                self.assertIn(status, listed.get(kind.value, ()))
+
+    def test_every_operation_is_listed(self):
+        text = page("api.md")
+        for operation in client.OPERATIONS.values():
+            with self.subTest(operation.path):
+                self.assertIn(operation.path, text)
+
+
+class OperationsPageTest(unittest.TestCase):
+    """An operator finds every metric, section and exit status."""
+
+    def test_metrics_sections_and_exit_statuses_are_listed(self):
+        text = page("operations.md")
+        names = [
+            *(f"`{name}`" for name in metrics.COUNTERS),
+            *(f"`{name}`" for name in metrics.HISTOGRAMS),
+            *(f"`{name}`" for name in metrics.GAUGES),
+            *(f"`[{name}]`" for name in settings.SECTION_TYPES),
+            *(f"\n| {status.value} |" for status in ExitStatus),
+        ]
+        for name in names:
+            with self.subTest(name):
+                self.assertIn(name, text)
+
+
+if __name__ == "__main__":
+    unittest.main()
