Give tests of processes and connections a hard limit that works

Cause: a timeout that asyncSetUp enters does not cover the test method, which runs in a task of its own; a test that looped ran for 200 s.

The served runtime reads tree and instance list through its calls.

--- a/tests/http_instance.py
+++ b/tests/http_instance.py
@@ -3,22 +3,25 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
 from dandelionpick import api
-from dandelionpick import configuration
-from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick import events
 from dandelionpick import http_protocol
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import list_messages
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import state as state_lib
+from dandelionpick import store_messages
 from dandelionpick import tracing
 from tests import builders
 
@@ -30,15 +33,50 @@
     return Failure(kinds.CallFailure.NOT_SENT)
 
 
-def runtime_with(send: runtime_lib.Sender = unreachable) -> runtime_lib.Runtime:
-    """Builds a runtime that holds the test tree."""
+class Platform:
+    """Answers reads of the store and the instance list, passes on the rest.
+
+    Attributes:
+        entries: what the instance list shows.
+    """
+
+    def __init__(
+        self,
+        send: runtime_lib.Sender,
+        entries: list[list_messages.InstanceEntry],
+    ):
+        self.pass_on = send
+        self.entries = entries
+
+    async def send(self, call: effects.Call) -> Result[Any, kinds.CallFailure]:
+        """Performs a call."""
+        service = call.destination.service
+        if service is kinds.Service.INSTANCE_LIST:
+            return Success(list_messages.Instances(self.entries))
+        if isinstance(call.message, store_messages.Read | store_messages.Watch):
+            key = call.message.key
+            return Success(store_messages.Value(key, 1, builders.document()))
+        return await self.pass_on(call)
+
+
+def new_runtime(send: runtime_lib.Sender) -> runtime_lib.Runtime:
+    """Builds a runtime that has read nothing."""
     state = state_lib.State(
         builders.identity("entry-1", "a"), ids.Incarnation("i1")
     )
-    runtime = runtime_lib.Runtime(state, send, tracing.Tracer("entry-1", 1.0))
-    configuration.adopt(
-        state, dispatch.Step(runtime.moment()), builders.document()
-    )
+    return runtime_lib.Runtime(state, send, tracing.Tracer("entry-1", 1.0))
+
+
+async def runtime_with(
+    send: runtime_lib.Sender = unreachable,
+    entries: Sequence[list_messages.InstanceEntry] = (),
+) -> runtime_lib.Runtime:
+    """Builds a runtime that has read the test tree and the instance list."""
+    runtime = new_runtime(Platform(send, list(entries)).send)
+    state = runtime.state
+    while state.configuration.document.revision == 0:
+        runtime.deliver(events.Tick(runtime.moment()))
+        await asyncio.gather(*runtime.calls)
     return runtime
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -21,8 +21,8 @@
 from standins import relay
 from tests import builders
 from tests import fake_server
+from tests import limited
 
-LIMIT_S = 30.0
 TIMEOUT_S = 0.3
 VALUE = store_messages.Value("k", 1, "v")
 READ = store_messages.Read("k")
@@ -59,18 +59,18 @@
     address: str,
     message: Any,
     service: kinds.Service = kinds.Service.STORE,
-    timeout_s: float = LIMIT_S,
+    timeout_s: float = limited.LIMIT_S,
 ) -> effects.Call:
     """Builds a call."""
     destination = effects.Destination(service, "", address)
     return effects.Call(ids.CallId("c1"), destination, message, timeout_s)
 
 
-class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+class HttpClientTest(limited.LimitedTestCase):
     """A silent connection is given up and new connections are used."""
 
     async def asyncSetUp(self):
-        await self.enterAsyncContext(asyncio.timeout(LIMIT_S))
+        await super().asyncSetUp()
         self.replies = {
             ("POST", path): [reply] for _, path, reply in INTERFACES.values()
         }
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,8 +14,8 @@
 from dandelionpick import wire
 from tests import builders
 from tests import http_instance
+from tests import limited
 
-LIMIT_S = 30.0
 REQUEST = wire.encode(builders.request("k1"))
 
 
@@ -25,12 +25,12 @@
     return registry.get_sample_value(f"dandelionpick_{name}", labels) or 0.0
 
 
-class HttpTest(unittest.IsolatedAsyncioTestCase):
+class HttpTest(limited.LimitedTestCase):
     """A runtime whose calls reach nothing, behind HTTP."""
 
     async def asyncSetUp(self):
-        self.runtime = http_instance.runtime_with()
-        await self.enterAsyncContext(asyncio.timeout(LIMIT_S))
+        await super().asyncSetUp()
+        self.runtime = await http_instance.runtime_with()
 
     async def serve(self, **limits: float) -> http_instance.HttpInstance:
         return await self.enterAsyncContext(
@@ -194,11 +194,13 @@
         async def broken(call):
             raise RuntimeError("broken")
 
-        self.runtime.send = broken
-        self.runtime.deliver(events.Tick(self.runtime.moment()))
-        self.assertTrue(self.runtime.calls)
-        await asyncio.gather(*self.runtime.calls)
-        self.assertEqual(self.runtime.state.calls, {})
+        before = sample("faults_total", place="call")
+        runtime = http_instance.new_runtime(broken)
+        runtime.deliver(events.Tick(runtime.moment()))
+        self.assertTrue(runtime.calls)
+        await asyncio.gather(*runtime.calls)
+        self.assertEqual(runtime.state.calls, {})
+        self.assertGreater(sample("faults_total", place="call"), before)
 
     async def test_stall_is_applied_before_the_event_that_follows_it(self):
         before = sample("stalls_total")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,8 +24,8 @@
 from standins import deployment
 from standins import relay
 from tests import builders
+from tests import limited
 
-LIMIT_S = 60.0
 POLL_S = 0.05
 PAUSE_S = 5.5
 SETTINGS = {"limits": {"drain_notice_s": 1.0, "call_timeout_s": 1.0}}
@@ -34,10 +34,10 @@
 
 async def until(condition: Callable[[], Any], what: str) -> None:
     """Waits until a condition holds, without blocking the loop."""
-    end_s = time.monotonic() + LIMIT_S
+    end_s = time.monotonic() + limited.LIMIT_S
     while not await asyncio.to_thread(condition):
         if time.monotonic() >= end_s:
-            raise AssertionError(f"not within {LIMIT_S} s: {what}")
+            raise AssertionError(f"not within {limited.LIMIT_S} s: {what}")
         await asyncio.sleep(POLL_S)
 
 
@@ -59,7 +59,7 @@
     )
 
 
-class ProcessTest(unittest.IsolatedAsyncioTestCase):
+class ProcessTest(limited.LimitedTestCase):
     """A small deployment of one failure domain."""
 
     def setUp(self):
@@ -88,7 +88,7 @@
 
     async def exit_status(self, process: deployment.Process) -> int:
         """Waits for the end of a process."""
-        return await asyncio.to_thread(process.process.wait, LIMIT_S)
+        return await asyncio.to_thread(process.process.wait, limited.LIMIT_S)
 
 
 class CrashTest(ProcessTest):
@@ -197,8 +197,10 @@
         self.assertEqual(await self.exit_status(entry), ExitStatus.OK)
 
     async def test_second_signal_ends_the_instance_at_once(self):
-        entry, _ = await self.start(run_s=LIMIT_S)
-        sent = asyncio.ensure_future(submit(entry.address, "k1", LIMIT_S))
+        entry, _ = await self.start(run_s=limited.LIMIT_S)
+        sent = asyncio.ensure_future(
+            submit(entry.address, "k1", limited.LIMIT_S)
+        )
         await self.until_metric(entry, "open_exchanges", 1)
         entry.process.terminate()
         await self.until_metric(entry, "leaving", 1)
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -4,6 +4,7 @@
 import functools
 import unittest
 
+import msgspec
 from aiohttp import web
 
 from dandelionpick import events
@@ -14,47 +15,33 @@
 from dandelionpick import wire
 from tests import builders
 from tests import http_instance
+from tests import limited
 
-LIMIT_S = 30.0
 SAMPLED = 1
 TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
 CALLER_SPAN = "b7ad6b7169203331"
 TRACEPARENT = f"00-{TRACE_ID}-{CALLER_SPAN}-01"
 
 
-class TracingTest(unittest.IsolatedAsyncioTestCase):
+class TracingTest(limited.LimitedTestCase):
     """An operator can follow a request from the caller to the executor."""
 
     async def asyncSetUp(self):
-        await self.enterAsyncContext(asyncio.timeout(LIMIT_S))
+        await super().asyncSetUp()
         self.received: list[str] = []
         address = await self.serve_executor()
         pools = await self.enterAsyncContext(
             http_client.Pools(http_client.PoolLimits())
         )
         send = functools.partial(http_client.send, pools)
-        self.runtime = http_instance.runtime_with(send)
         entry = builders.executor_entry("executor-1", "a")
-        self.list_executor(entry, address)
+        fields = msgspec.structs.asdict(entry)
+        listed = list_messages.InstanceEntry(**{**fields, "address": address})
+        self.runtime = await http_instance.runtime_with(send, [listed])
         self.served = await self.enterAsyncContext(
             http_instance.serve(self.runtime)
         )
 
-    def list_executor(
-        self, entry: list_messages.InstanceEntry, address: str
-    ) -> None:
-        """Puts the executor into the instance list as it was last read."""
-        listed = list_messages.InstanceEntry(
-            id=entry.id,
-            role=entry.role,
-            address=address,
-            failure_domain=entry.failure_domain,
-            region=entry.region,
-            slots=entry.slots,
-        )
-        self.runtime.state.members.entries = {entry.id: listed}
-        self.runtime.state.members.list_read_s = self.runtime.moment().now_s
-
     async def serve_executor(self) -> str:
         """Serves an executor that records the trace context."""
 
