End connections that the client has reset without a fault

Cause: in a run of the commands against two instances, the end of a connection that the client had reset raised ENOTCONN and was reported as a fault of the route.

Change: such a connection is aborted.

Ruled out: the response was already complete, so no reply was lost.

Conclusion: a test with a transport that raises ENOTCONN passes.

--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -81,8 +81,12 @@
         if self.is_closing():
             return
         self.lingering = True
-        if self.transport.can_write_eof():
+        try:
             self.transport.write_eof()
+        except OSError:
+            # The client has reset the connection, so there is no end to send.
+            self.transport.abort()
+            return
         self.transport.resume_reading()
         self._abort_later(LINGER_S)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import unittest
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from dandelionpick import dispatch
 from dandelionpick import drain
 from dandelionpick import events
+from dandelionpick import http_protocol
 from dandelionpick import reducer
 from dandelionpick import wire
 from tests import builders
@@ -268,6 +270,14 @@
                 writer.transport.abort()
                 await asyncio.sleep(0.01)
 
+    async def test_connection_that_the_client_reset_is_ended(self):
+        """A crossing reset was reported as a fault of the route."""
+        transport = mock.Mock(asyncio.Transport)
+        transport.is_closing.return_value = False
+        transport.write_eof.side_effect = OSError(errno.ENOTCONN, "reset")
+        http_protocol.LingeringTransport(transport).close()
+        transport.abort.assert_called_once_with()
+
     async def test_large_response_reaches_a_slow_client_whole(self):
         served = await self.serve()
         await self.leave()
