--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -20,6 +20,7 @@
 from dandelionpick import errors
 from dandelionpick import metrics
 from dandelionpick import operator_messages
+from dandelionpick import page
 from dandelionpick import peer_messages
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import wire
@@ -207,6 +208,14 @@
     return responses.Response(text, media_type=content_type)
 
 
+async def show_page(
+    runtime: runtime_lib.Runtime, request: http.Request
+) -> responses.Response:
+    """Serves the status page."""
+    reply = await runtime.exchange(operator_messages.ReadStatus())
+    return responses.HTMLResponse(page.render(reply), status_of(reply))
+
+
 async def show_trace(
     runtime: runtime_lib.Runtime, request: http.Request
 ) -> responses.Response:
@@ -293,6 +302,7 @@
         by_path("/v1/tree", "GET", operator.ReadTree),
         post("/v1/edits", msgspec.json.Decoder(operator.EditTree)),
         by_path("/v1/status", "GET", operator.ReadStatus),
+        routing.Route("/", functools.partial(show_page, runtime)),
         routing.Route("/livez", live),
         routing.Route("/readyz", functools.partial(ready, runtime)),
         routing.Route("/metrics", show_metrics),
