Stop an instance during the demo's load, bound missing responses

Cause: the demo checked no planned stop, and a message whose handler failed on a later event was never answered. An address in use ended the program with a traceback.

Change: the demo stops one instance of each user and counts a dropped message as a broken promise; a message without a response 30 s after its deadline or wait gets the problem internal; run says which address it can't listen on.

--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -15,6 +15,7 @@
 from dandelionpick import cli_requests
 from dandelionpick import cli_status
 from dandelionpick import cli_tree
+from dandelionpick import server
 from dandelionpick import settings as settings_lib
 from dandelionpick import wiring
 from dandelionpick.status import ExitStatus
@@ -55,13 +56,15 @@
             return ExitStatus.INVALID_SETTINGS
         logging.set_verbosity(LOG_LEVELS[settings.log.level])
         try:
-            return asyncio.run(wiring.run_instance(settings))
-        except OSError as error:
-            self.line_error(
-                f"{settings.instance.listen}: cannot listen"
-                f" ({error.strerror}); choose a free port in [instance] listen"
+            listener = server.bind(settings.instance.listen)
+        except (OSError, OverflowError) as error:
+            message = (
+                f"{settings.instance.listen}: cannot listen ({error}); give"
+                " a free port of this host in [instance] listen"
             )
+            self.io.error_output.write_line(message, type=cli_client.RAW)
             return ExitStatus.FAILURE
+        return asyncio.run(wiring.run_instance(settings, listener))
 
 
 class CheckSettingsCommand(SettingsCommand):
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -28,6 +28,8 @@
 STALL_S = 1.0
 # A handler that fails on each tick would write ten tracebacks a second.
 FAULT_LOG_PERIOD_S = 10.0
+# Every message has a response by then, unless a handler failed on the way.
+RESPONSE_MARGIN_S = 30.0
 
 _fault_logged_s: dict[tuple[str, str, type], float] = {}
 
@@ -116,7 +118,12 @@
             self.deliver(
                 events.Received(self.moment(), exchange_id, message, trace)
             )
-            reply = await future
+            async with asyncio.timeout(patience_s_of(message)):
+                reply = await future
+        except TimeoutError:
+            error = TimeoutError(f"no response to {exchange_id}")
+            report_fault("exchange", type(message).__name__, error)
+            reply = INTERNAL
         finally:
             self.exchanges.pop(exchange_id, None)
         _measure_response(message, reply, time.monotonic() - started_s)
@@ -174,6 +181,16 @@
         await asyncio.gather(*calls, return_exceptions=True)
 
 
+def patience_s_of(message: Any) -> float:
+    """Returns the seconds after which a missing response is a fault."""
+    submission = getattr(message, "request", message)
+    wait_s = max(
+        getattr(submission, "deadline_s", 0.0),
+        getattr(submission, "wait_s", 0.0),
+    )
+    return wait_s + RESPONSE_MARGIN_S
+
+
 def report_fault(place: str, name: str, error: Exception) -> None:
     """Counts an unexpected exception and logs it, but not on every tick."""
     metrics.add("faults_total", (place,), 1.0)
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import secrets
+import socket
 
 from absl import logging
 
@@ -34,9 +35,15 @@
     )
 
 
-async def run_instance(settings: settings_lib.Settings) -> ExitStatus:
-    """Runs an entry instance until a planned stop or a second signal."""
-    listener = server.bind(settings.instance.listen)
+async def run_instance(
+    settings: settings_lib.Settings, listener: socket.socket
+) -> ExitStatus:
+    """Runs an entry instance until a planned stop or a second signal.
+
+    Args:
+        settings: the checked settings.
+        listener: a socket that listens on the instance's address.
+    """
     tracer = tracing.Tracer(
         settings.instance.name, settings.tracing.sampled_share
     )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -29,9 +29,12 @@
 
 FOLDER = "build/demo"
 CALLERS = 8
-REQUESTS_PER_CALLER = 25
+MIN_REQUESTS = 25
+THINK_S = 0.02
 DEADLINE_S = 10.0
 MAX_ATTEMPTS = 4
+PROBE_PERIOD_S = 0.1
+STOP_LIMIT_S = 20.0
 INTERRUPTED = 130
 
 
@@ -97,11 +100,17 @@
     """A user's running deployment.
 
     Attributes:
-        clients: one client for each entry instance.
+        clients: a client for each entry instance, by the instance's name.
+        ready: instances that the callers' balancer sends requests to.
+        stopped: set when the planned stop has ended; the callers go on until
+            then.
     """
 
     user: User
-    clients: list[client_lib.Client]
+    running: deployment.Deployment
+    clients: dict[str, client_lib.Client]
+    ready: list[str]
+    stopped: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     report: Report = dataclasses.field(default_factory=Report)
 
 
@@ -110,21 +119,39 @@
 
     Args:
         run: the user's running deployment.
-        first: index of the first instance.
+        first: number that selects the first instance.
         submission: a message with the field `attempt`.
 
     Returns:
         The reply, or None if no instance replied.
     """
     for attempt in range(1, MAX_ATTEMPTS + 1):
-        client = run.clients[(first + attempt) % len(run.clients)]
+        name = run.ready[(first + attempt) % len(run.ready)]
         message = msgspec.structs.replace(submission, attempt=attempt)
-        result = await client.send(message)
+        result = await run.clients[name].send(message)
         if pipeline.is_successful(result):
             return result.unwrap()
+        # No instance crashes in the demo, so none may drop a message.
+        run.report.broken.append(result.failure().message)
     return None
 
 
+async def planned_stop(run: Run) -> None:
+    """Stops one instance in the middle of the load."""
+    try:
+        process = run.running.of_role("entry")[-1]
+        process.process.terminate()
+        while await asyncio.to_thread(deployment.is_ready, process.address):
+            await asyncio.sleep(PROBE_PERIOD_S)
+        run.ready.remove(process.name)
+        status = await asyncio.to_thread(process.process.wait, STOP_LIMIT_S)
+    finally:
+        run.stopped.set()
+    run.report.outcomes["planned stop", f"exit {status}"] += 1
+    if status != 0:
+        run.report.broken.append(f"{process.name} exited with {status}")
+
+
 async def request_load(run: Run) -> None:
     """Submits idempotent requests of several callers, each in turn."""
     await asyncio.gather(*(call(run, number) for number in range(CALLERS)))
@@ -132,10 +159,13 @@
 
 async def call(run: Run, caller_number: int) -> None:
     """Submits the requests of one caller."""
-    for number in range(REQUESTS_PER_CALLER):
+    for number in itertools.count():
+        if number >= MIN_REQUESTS and run.stopped.is_set():
+            return
         request = request_of(run.user, f"{caller_number}-{number}", number)
         reply = await send_anywhere(run, caller_number + number, request)
         check_answer(run.report, request, reply)
+        await asyncio.sleep(THINK_S)
 
 
 def request_of(user: User, name: str, number: int) -> caller.SubmitRequest:
@@ -168,7 +198,10 @@
 
 # Kinds of work that run at the same time for each user. A load counts its
 # outcomes in run.report and adds the promises that it saw broken.
-LOADS: tuple[Callable[[Run], Awaitable[None]], ...] = (request_load,)
+LOADS: tuple[Callable[[Run], Awaitable[None]], ...] = (
+    request_load,
+    planned_stop,
+)
 
 
 async def run_user(user: User, running: deployment.Deployment) -> Report:
@@ -176,11 +209,13 @@
     await running.start_together(list(user.domains), tree_of(user))
     print(f"{user.name}: {len(running.processes)} processes", flush=True)
     async with contextlib.AsyncExitStack() as stack:
-        clients = [
-            await stack.enter_async_context(client_lib.connect(address))
-            for address in running.entry_addresses()
-        ]
-        run = Run(user, clients)
+        clients = {
+            process.name: await stack.enter_async_context(
+                client_lib.connect(process.address)
+            )
+            for process in running.of_role("entry")
+        }
+        run = Run(user, running, clients, list(clients))
         await asyncio.gather(*(load(run) for load in LOADS))
     return run.report
 
@@ -188,7 +223,7 @@
 def show(user: User, report: Report) -> None:
     """Prints the outcomes and broken promises of a user."""
     for (kind, outcome), count in sorted(report.outcomes.items()):
-        print(f"{user.name:<12}{kind:<12}{outcome:<16}{count:>6}")
+        print(f"{user.name:<12}{kind:<14}{outcome:<14}{count:>6}")
     for line in itertools.islice(report.broken, 10):
         print(f"{user.name}: broken: {line}")
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -367,6 +367,28 @@
         self.assertEqual(json.loads(text.output)["preferred"], "entry-2")
 
 
+class RunCommandTest(unittest.TestCase):
+    """An instance that can't start says why."""
+
+    def test_address_in_use(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "entry.ini"
+        with socket.socket() as holder:
+            holder.bind(("127.0.0.1", 0))
+            holder.listen()
+            address = f"127.0.0.1:{holder.getsockname()[1]}"
+            path.write_text(
+                "[instance]\nname = e\nfailure_domain = a\nregion = r\n"
+                f"listen = {address}\n"
+                "[platform]\nstore = 127.0.0.1:1\n"
+                "instance_list = 127.0.0.1:2\n"
+            )
+            ran = Run(["run", str(path)])
+        self.assertEqual(ran.status, ExitStatus.FAILURE)
+        self.assertIn(f"{address}: cannot listen", ran.errors)
+
+
 class CompletionTest(unittest.TestCase):
     """The completion script lists the commands of this program."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,6 +13,7 @@
 from dandelionpick import events
 from dandelionpick import http_protocol
 from dandelionpick import reducer
+from dandelionpick import runtime as runtime_lib
 from dandelionpick import wire
 from tests import builders
 from tests import http_instance
@@ -180,6 +181,20 @@
         status, _, _ = await served.converse(http_instance.get("/livez"))
         self.assertEqual(status, 200)
 
+    async def test_message_that_is_never_answered_gets_a_typed_problem(self):
+        """A handler that fails on a later event leaves it without answer."""
+        served = await self.serve()
+        with (
+            mock.patch.object(dispatch, "receive"),
+            mock.patch.object(runtime_lib, "RESPONSE_MARGIN_S", 0.1),
+        ):
+            status, _, reply = await served.converse(
+                http_instance.get("/v1/status")
+            )
+        self.assertEqual(status, 500)
+        self.assertEqual(reply["problem"]["kind"], "internal")
+        self.assertEqual(self.runtime.exchanges, {})
+
     async def test_fault_of_one_tick_handler_does_not_stop_the_others(self):
         def broken(state, step):
             raise ValueError("broken")
