--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -20,6 +20,7 @@
 from dandelionpick import errors
 from dandelionpick import metrics
 from dandelionpick import operator_messages
+from dandelionpick import page
 from dandelionpick import peer_messages
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import wire
@@ -37,6 +38,7 @@
     errors.ProblemKind.UNKNOWN_ORGANISATION: 404,
     errors.ProblemKind.UNKNOWN_CLASS: 404,
     errors.ProblemKind.UNKNOWN_KEY: 404,
+    errors.ProblemKind.UNKNOWN_PATH: 404,
     errors.ProblemKind.KEY_REUSED: 409,
     errors.ProblemKind.EDIT_CONFLICT: 409,
     errors.ProblemKind.GUARANTEES_DO_NOT_FIT: 409,
@@ -206,6 +208,14 @@
     return responses.Response(text, media_type=content_type)
 
 
+async def show_page(
+    runtime: runtime_lib.Runtime, request: http.Request
+) -> responses.Response:
+    """Serves the status page."""
+    reply = await runtime.exchange(operator_messages.ReadStatus())
+    return responses.HTMLResponse(page.render(reply), status_of(reply))
+
+
 async def show_trace(
     runtime: runtime_lib.Runtime, request: http.Request
 ) -> responses.Response:
@@ -235,7 +245,7 @@
     request: http.Request, error: Exception
 ) -> responses.Response:
     """Answers an exception that no handler expected."""
-    runtime_lib.report_fault("route", request.url.path, error)
+    runtime_lib.report_fault("route", request.method, error)
     return respond(runtime_lib.INTERNAL)
 
 
@@ -296,6 +306,7 @@
             "/v1/simulated-edits", msgspec.json.Decoder(operator.SimulateEdit)
         ),
         by_path("/v1/status", "GET", operator.ReadStatus),
+        routing.Route("/", functools.partial(show_page, runtime)),
         routing.Route("/livez", live),
         routing.Route("/readyz", functools.partial(ready, runtime)),
         routing.Route("/metrics", show_metrics),
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -3,14 +3,13 @@
 import asyncio
 import functools
 import secrets
+import socket
 
-import msgspec
 from absl import logging
 
 from dandelionpick import api
 from dandelionpick import events
 from dandelionpick import http_client
-from dandelionpick import http_protocol
 from dandelionpick import ids
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
@@ -36,16 +35,20 @@
     )
 
 
-async def run_instance(settings: settings_lib.Settings) -> ExitStatus:
-    """Runs an entry instance until a planned stop or a second signal."""
-    listener = server.bind(settings.instance.listen)
+async def run_instance(
+    settings: settings_lib.Settings, listener: socket.socket
+) -> ExitStatus:
+    """Runs an entry instance until a planned stop or a second signal.
+
+    Args:
+        settings: the checked settings.
+        listener: a socket that listens on the instance's address.
+    """
     tracer = tracing.Tracer(
         settings.instance.name, settings.tracing.sampled_share
     )
-    inbound = http_protocol.InboundLimits(
-        **msgspec.structs.asdict(settings.server)
-    )
-    outbound = http_client.PoolLimits(**msgspec.structs.asdict(settings.client))
+    inbound = settings_lib.inbound_limits_of(settings)
+    outbound = settings_lib.pool_limits_of(settings)
     async with http_client.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings),
