Bound the runs of a request; find lookups by exchange

Cause: a request that waits under overload kept one run for each busy refusal, and each reply to a lookup searched a list of all lookups.

The fuzzer's last check waits for slow tasks to end: with one slot and 40 s tasks it failed for want of a slot.

--- a/dandelionpick/lookup.py
+++ b/dandelionpick/lookup.py
@@ -112,7 +112,7 @@
         now_s + min(max(wait_s, 0.0), MAX_WAIT_S),
         step.trace,
     )
-    state.lookups.active.append(lookup)
+    state.lookups.active[exchange_id] = lookup
     ask_peers(state, step, lookup)
 
 
@@ -212,7 +212,8 @@
     stage: lookup_state.Stage,
 ) -> bool:
     """Tells whether a lookup still waits for replies of a stage."""
-    return lookup in state.lookups.active and lookup.stage is stage
+    active = lookup.exchange_id in state.lookups.active
+    return active and lookup.stage is stage
 
 
 @dispatch.returned.register
@@ -339,7 +340,7 @@
         lookup.stage = lookup_state.Stage.WAITING
         lookup.retry_s = now_s + ROUND_PERIOD_S
         return
-    state.lookups.active.remove(lookup)
+    del state.lookups.active[lookup.exchange_id]
     step.respond(lookup.exchange_id, answer)
 
 
@@ -368,7 +369,10 @@
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Starts the next round of lookups that wait."""
-    for lookup in list(state.lookups.active):
-        waits = lookup.stage is lookup_state.Stage.WAITING
-        if waits and step.moment.now_s >= lookup.retry_s:
+    for lookup in list(state.lookups.active.values()):
+        if lookup.stage is not lookup_state.Stage.WAITING:
+            continue
+        own = outcomes.own_answer(state, lookup.organisation, lookup.key)
+        done = own is not None and own.outcome is kinds.Outcome.COMPLETED
+        if done or step.moment.now_s >= lookup.retry_s:
             ask_peers(state, step, lookup)
--- a/dandelionpick/lookup_state.py
+++ b/dandelionpick/lookup_state.py
@@ -42,6 +42,8 @@
 
 @dataclasses.dataclass(slots=True)
 class Lookups:
-    """All lookups in progress."""
+    """All lookups in progress, by the exchange that each answers."""
 
-    active: list[Lookup] = dataclasses.field(default_factory=list)
+    active: dict[ids.ExchangeId, Lookup] = dataclasses.field(
+        default_factory=dict
+    )
--- a/dandelionpick/outcomes.py
+++ b/dandelionpick/outcomes.py
@@ -42,10 +42,7 @@
     """Tells whether no start for the request ran or ever can."""
     if request.key_not_run:
         return True
-    not_run = request_state.RunState.NOT_RUN
-    return not request.foreign and all(
-        run.state is not_run for run in request.starts
-    )
+    return not request.foreign and not request.starts
 
 
 def end_without_result(
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -108,6 +108,7 @@
 ) -> None:
     """Treats a damaged or crossed reply as a lost one."""
     if request.job_class.idempotent and request.answer is None:
+        back_off(state, step, run, UNREACHABLE_BACKOFF_S)
         retry(state, request, run)
     else:
         runs.follow(state, step, request, run, runs.ASK_PERIOD_S)
@@ -141,6 +142,8 @@
     """Records that a run did not run, or can't be known any more."""
     run.state = proved
     runs.unfollow(state, run)
+    if proved is runs.NOT_RUN and run in request.starts:
+        request.starts.remove(run)
     if request.answer is not None:
         revise_if_proved(state, request)
     elif request.cancelled and request.job_class.idempotent:
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -71,7 +71,8 @@
         waiting: exchanges to answer when the request is done.
         target: the executor that runs the current task.
         attempts: attempt of each exchange in waiting that is a submission.
-        starts: every start sent for the key that this instance knows.
+        runs: task ids made so far.
+        starts: starts sent for the key, except those proved not run.
         current: the start that the request waits for in phase RUNNING.
         tried: executors that refused or lost a task of this request.
         failures: runs that ended with a failed task.
@@ -96,6 +97,7 @@
     attempts: dict[ids.ExchangeId, int] = dataclasses.field(
         default_factory=dict
     )
+    runs: int = 0
     starts: list[Run] = dataclasses.field(default_factory=list)
     current: Run | None = None
     tried: list[ids.InstanceId] = dataclasses.field(default_factory=list)
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -51,6 +51,7 @@
     await_answer(step, request, message, exchange_id)
     if known is not None:
         request.starts = known.starts
+        request.runs = known.runs
         request.foreign = known.foreign
     if claimed_requests.must_look_first(request, step):
         claimed_requests.look(state, step, request)
@@ -180,14 +181,36 @@
         claimed_requests.begin(state, step, request, entry)
         return
     load = runs.reserve(state, entry)
-    task_id = task_id_of(request, len(request.starts) + 1)
-    run = request_state.Run(
-        entry.id, task_id, load.incarnation, request.deadline_ms
-    )
-    request.starts.append(run)
+    run = refused_run(request, entry, load.incarnation)
+    if run is None:
+        request.runs += 1
+        task_id = task_id_of(request, request.runs)
+        run = request_state.Run(
+            entry.id, task_id, load.incarnation, request.deadline_ms
+        )
+        request.starts.append(run)
     runs.send(state, step, request, run, entry)
 
 
+def refused_run(
+    request: request_state.Request,
+    entry: list_messages.InstanceEntry,
+    incarnation: ids.Incarnation,
+) -> request_state.Run | None:
+    """Returns a run that the executor refused and may now be sent again.
+
+    Without it, a request that waits under overload would collect a run for
+    each refusal.
+    """
+    for run in request.starts:
+        same = run.target == entry.id and run.incarnation == incarnation
+        if same and run.state is runs.REFUSED and not run.tombstone:
+            run.state = runs.OPEN
+            run.resent = True
+            return run
+    return None
+
+
 def task_id_of(request: request_state.Request, number: int) -> ids.TaskId:
     """Derives the task id of a run from the request's key and body."""
     submission = request.submission
--- a/tests/test_request_fuzz.py
+++ b/tests/test_request_fuzz.py
@@ -217,10 +217,15 @@
         assert not left, f"no answer: {[self.oracle.asked[x] for x in left]}"
         # Restarted instances must read the list and the document first.
         self.fabric.run_for(5.0)
+        self.fabric.run_until(self._slots_are_free, HEAL_LIMIT_S)
         self._check_that_work_completes()
         self.fabric.run_for(10.0)
         self.oracle.check(self.fabric.responses)
 
+    def _slots_are_free(self) -> bool:
+        models = self.fabric.targets.values()
+        return not any(model.running(self.fabric.now_s) for model in models)
+
     def _heal_everything(self) -> None:
         self.fabric.heal()
         self.fabric.network = fabric.Network()
