--- a/dandelionpick/outcomes.py
+++ b/dandelionpick/outcomes.py
@@ -4,6 +4,7 @@
 
 from dandelionpick import caller_messages
 from dandelionpick import dispatch
+from dandelionpick import effects
 from dandelionpick import errors
 from dandelionpick import executor_messages
 from dandelionpick import ids
@@ -118,11 +119,19 @@
     # The digest is enough to recognise the key's body from now on.
     request.submission = msgspec.structs.replace(submission, body=b"")
     requests.unanswered.pop(request.name(), None)
+    _measure(step, request)
     requests.done.append(request)
     requests.answer_bytes += size_of(request)
     drop_old(state, step.moment.now_s)
 
 
+def _measure(step: dispatch.Step, request: request_state.Request) -> None:
+    step.count("requests_total", request.answer.outcome.value)
+    elapsed_s = request.done_s - request.received_s
+    labels = (request.submission.job_class,)
+    step.emit(effects.Observe("request_seconds", elapsed_s, labels))
+
+
 def revise(
     state: state_lib.State,
     request: request_state.Request,
