--- a/dandelionpick/lanes.py
+++ b/dandelionpick/lanes.py
@@ -49,7 +49,7 @@
         request.deadline_s,
         share=max(share, 1e-6),
         cost_s=cost_s,
-        charge=0.0 if request.starts else charge,
+        charge=0.0 if request.runs or request.starts else charge,
         never_sent=not request.may_have_run(),
     )
 
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -109,6 +109,7 @@
 ) -> None:
     """Treats a damaged or crossed reply as a lost one."""
     if request.job_class.idempotent and request.answer is None:
+        back_off(state, step, run, UNREACHABLE_BACKOFF_S)
         request.losses += 1
         retry(state, step, request, run)
     else:
@@ -145,6 +146,8 @@
     run.state = proved
     runs.unfollow(state, run)
     runs.forget(state, run)
+    if proved is runs.NOT_RUN and run in request.starts:
+        request.starts.remove(run)
     if request.answer is not None:
         revise_if_proved(state, request)
     elif request.cancelled and request.job_class.idempotent:
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -167,7 +167,7 @@
     end(state, task_id)
     load = load_of(state, entry)
     load.free_slots = max(0, load.free_slots - 1)
-    if len(request.starts) == 1:
+    if request.runs <= 1 and len(request.starts) == 1:
         retries.earn(state)
     lane = lane_of(state, request)
     if lane is queueing.Lane.NORMAL:
--- a/tests/test_request_fuzz.py
+++ b/tests/test_request_fuzz.py
@@ -217,10 +217,15 @@
         assert not left, f"no answer: {[self.oracle.asked[x] for x in left]}"
         # Restarted instances must read the list and the document first.
         self.fabric.run_for(5.0)
+        self.fabric.run_until(self._slots_are_free, HEAL_LIMIT_S)
         self._check_that_work_completes()
         self.fabric.run_for(10.0)
         self.oracle.check(self.fabric.responses)
 
+    def _slots_are_free(self) -> bool:
+        models = self.fabric.targets.values()
+        return not any(model.running(self.fabric.now_s) for model in models)
+
     def _heal_everything(self) -> None:
         self.fabric.heal()
         self.fabric.network = fabric.Network()
@@ -244,15 +249,19 @@
             and exchange_id not in self.fabric.responses
         ]
 
+    def _await(self, exchange_id: str) -> caller_messages.Answer:
+        responses = self.fabric.responses
+        self.fabric.run_until(lambda: exchange_id in responses, HEAL_LIMIT_S)
+        return self.fabric.response(exchange_id)
+
     def _check_that_work_completes(self) -> None:
-        before = set(self.sent_to)
         for name in INSTANCES:
-            self.submit(name, True, 12.0, True, 1)
-            self.submit(name, False, 12.0, True, 1)
-        self.fabric.run_until(lambda: not self._unanswered(), HEAL_LIMIT_S)
-        for exchange_id in set(self.sent_to) - before:
-            answer = self.fabric.response(exchange_id)
-            assert answer.outcome is kinds.Outcome.COMPLETED, answer
+            for idempotent in (True, False):
+                before = set(self.sent_to)
+                self.submit(name, idempotent, 12.0, True, 1)
+                (exchange_id,) = set(self.sent_to) - before
+                answer = self._await(exchange_id)
+                assert answer.outcome is kinds.Outcome.COMPLETED, answer
 
 
 SETTINGS = fuzzing.profile("requests", examples=150, steps=40)
