--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,188 @@
+"""Tests of the distribution of the document when parts fail."""
+
+import unittest
+
+from dandelionpick import adoption
+from dandelionpick import errors
+from dandelionpick import operator_messages as messages
+from dandelionpick import store_messages
+from standins import store as store_lib
+from tests import fabric
+from tests.edit_builders import edit
+from tests.edit_builders import KEY
+from tests.edit_builders import revisions
+from tests.edit_builders import SHARE
+from tests.edit_builders import small_fabric
+from tests.edit_builders import stored
+from tests.edit_builders import WORTH
+
+# Text of the store's document that must not be adopted.
+INVALID_DOCUMENTS = (
+    "",
+    "{",
+    "[]",
+    '{"revision": "x", "tree": {}}',
+    '{"revision": -1, "tree": {}}',
+    '{"revision": 9}',
+    '{"revision": 9, "tree": {"branches": 5}}',
+    '{"revision": 9, "tree": {"oops": 5}}',
+    '{"revision": 9, "tree": ' + '{"branches":{"x":' * 3000,
+)
+
+
+class DistributionTest(unittest.TestCase):
+    """Every instance keeps the highest valid revision."""
+
+    def test_few_calls_to_the_store(self):
+        built = small_fabric()
+        before = sum(built.store.calls.values())
+        built.run_for(60.0)
+        calls = sum(built.store.calls.values()) - before
+        self.assertLessEqual(calls, 3 * 60 / 4)
+
+    def test_an_invalid_document_is_not_adopted(self):
+        for text in INVALID_DOCUMENTS:
+            with self.subTest(text[:40]):
+                built = small_fabric()
+                built.store.versions += 1
+                built.store.entries[KEY] = store_lib.Entry(
+                    built.store.versions, text
+                )
+                built.run_for(8.0)
+                self.assertEqual(revisions(built), {1})
+                reply = built.ask("a1", edit("e1"))
+                higher = adoption.revision_of(text) > 1
+                refused = isinstance(reply, messages.EditRefused)
+                self.assertEqual(refused, higher)
+
+    def test_a_restored_store_gets_the_highest_revision_back(self):
+        built = small_fabric()
+        backup = built.store.copy_entries()
+        built.ask("a1", edit("e1"))
+        for copy in (backup, {}):
+            built.store.restore(copy)
+            built.run_for(6.0)
+            self.assertEqual(stored(built).revision, 2)
+            self.assertEqual(revisions(built), {2})
+
+    def test_a_lost_edit_is_logged_when_two_histories_meet(self):
+        """The limit of 2.6: nobody who saw the edit could be reached."""
+        built = small_fabric()
+        backup = built.store.copy_entries()
+        for domain in ("b", "c"):
+            built.cut("a", domain)
+            built.cut(domain, fabric.PLATFORM)
+        built.ask("a1", edit("e1", operator="mori"))
+        built.heal()
+        for other in (fabric.PLATFORM, "b", "c"):
+            built.cut("a", other)
+        built.store.restore(backup)
+        for number in (2, 3):
+            reply = built.ask("b1", edit(f"e{number}"))
+            self.assertEqual(reply.revision, number)
+        built.heal()
+        built.run_for(8.0)
+        self.assertEqual(revisions(built), {3})
+        lost = [note for note in built.notes if "e1 of mori" in note]
+        self.assertEqual({note[:2] for note in lost}, {"a1", "a2"})
+
+    def test_a_failed_repair_is_repeated(self):
+        built = small_fabric()
+        backup = built.store.copy_entries()
+        built.ask("a1", edit("e1"))
+        built.store.restore(backup)
+        built.run_for(0.11)
+        built.store_fault = fabric.StoreFault.REFUSES
+        built.run_for(10.0)
+        built.heal()
+        built.run_for(8.0)
+        self.assertEqual(stored(built).revision, 2)
+
+    def test_a_start_while_cut_off_takes_the_document_from_peers(self):
+        for cuts in (
+            [("a", fabric.PLATFORM)],
+            [("a", fabric.PLATFORM), ("a", "b"), ("a", "c")],
+        ):
+            with self.subTest(cuts=cuts):
+                built = small_fabric()
+                built.ask("a1", edit("e1"))
+                built.crash("a1")
+                built.start_instance("a1")
+                built.run_for(0.3)
+                for cut in cuts:
+                    built.cut(*cut)
+                built.store_fault = fabric.StoreFault.REFUSES
+                built.run_for(4.0)
+                self.assertEqual(revisions(built), {2})
+
+    def test_a_cut_failure_domain_catches_up_and_reports_its_age(self):
+        built = small_fabric()
+        for other in (fabric.PLATFORM, "b", "c"):
+            built.cut("a", other)
+        reply = built.ask("b1", edit("e1"))
+        self.assertEqual(reply.in_force, ["b", "c"])
+        built.run_for(30.0)
+        status = built.ask("a1", messages.ReadStatus())
+        self.assertEqual(status.revision, 1)
+        self.assertGreater(status.configuration_age_s, 25.0)
+        built.heal()
+        built.run_for(8.0)
+        self.assertEqual(revisions(built), {2})
+
+    def test_a_lost_watch_reply_delays_an_edit_by_less_than_8_s(self):
+        """Guards against a watch that waits on a dead connection.
+
+        No announcement arrives either: the acceptor is cut from "a".
+        """
+        built = small_fabric()
+        built.cut("a", "b")
+        built.cut("a", "c")
+        built.cut("a", fabric.PLATFORM)
+        built.send("b1", edit("e1"))
+        built.run_for(2.0)
+        self.assertEqual(revisions(built), {1, 2})
+        built.cuts.discard(frozenset(("a", fabric.PLATFORM)))
+        built.run_for(6.0)
+        self.assertEqual(revisions(built), {2})
+
+
+class OperatorReadTest(unittest.TestCase):
+    """Operators see the tree, its history and what an edit would do."""
+
+    def test_history_and_simulation(self):
+        built = small_fabric()
+        built.ask("a1", edit("e1", operator="mori"))
+        edits = built.ask("b1", messages.ReadEdits())
+        self.assertEqual(edits.edits[0].operator, "mori")
+        self.assertEqual(edits.edits[0].paths, [SHARE])
+        simulated = built.ask("b1", messages.SimulateEdit(edit("e2", WORTH)))
+        changed = {(c.organisation, c.setting) for c in simulated.changes}
+        self.assertEqual(changed, {("ward", WORTH), ("station", WORTH)})
+        refused = built.ask("b1", messages.SimulateEdit(edit("e3", "x", 1)))
+        self.assertIs(refused.problem.kind, errors.ProblemKind.EDIT_INVALID)
+        self.assertEqual(built.ask("a1", messages.ReadTree()).revision, 2)
+
+    def test_says_that_it_has_no_configuration(self):
+        built = small_fabric()
+        built.store_fault = fabric.StoreFault.REFUSES
+        for name in built.instances:
+            built.crash(name)
+        built.start_instance("a1")
+        built.run_for(3.0)
+        reply = built.ask("a1", messages.ReadTree())
+        self.assertIs(reply.problem.kind, errors.ProblemKind.NO_CONFIGURATION)
+
+    def test_the_first_edit_creates_the_document(self):
+        built = small_fabric()
+        for name in built.instances:
+            built.crash(name)
+        built.store.handle(store_messages.Write(KEY, 1, None, "clear"))
+        built.start_instance("a1")
+        built.run_for(4.0)
+        self.assertEqual(built.ask("a1", messages.ReadTree()).tree, {})
+        reply = built.ask("a1", edit("e1", "branches", {"ward": {}}))
+        self.assertEqual(reply.revision, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
