Join two histories of the configuration under a new revision

Only the watcher saw the difference; its peers kept the replaced document until the next edit.

Ruled out: a digest in each heartbeat, which costs bytes once a second.

Change: an instance whose document is replaced at the same revision writes the store's tree under the next revision, identically on every instance.

--- a/dandelionpick/adoption.py
+++ b/dandelionpick/adoption.py
@@ -75,7 +75,7 @@
         revision = revision_of(text)
         _reject(state, step, STORE, revision, "it is malformed")
         return revision if revision > held else 0
-    if document.revision < held:
+    if document.revision < held or document == state.configuration.document:
         return document.revision
     valid = _check_and_adopt(state, step, document, text, STORE)
     return document.revision if valid or document.revision > held else 0
--- a/dandelionpick/configuration.py
+++ b/dandelionpick/configuration.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+import msgspec
+
 from dandelionpick import adoption
 from dandelionpick import dispatch
 from dandelionpick import effects
@@ -16,6 +18,7 @@
 from dandelionpick import relay
 from dandelionpick import state as state_lib
 from dandelionpick import store_messages
+from dandelionpick import tree_state
 
 DOCUMENT_KEY = "config/tree"
 # A watch on a connection that became unresponsive is given up after
@@ -94,12 +97,37 @@
     configuration = state.configuration
     configuration.store_call_pending = False
     if isinstance(reply, store_messages.Value):
+        held = configuration.document
         record(state, step, reply, _as_of_s(context, step.moment.now_s))
+        _join_if_replaced(state, step, held)
     elif reply.version == configuration.store_version:
         _confirm(state, step, context.sent_s + context.wait_s)
     repair_if_lower(state, step)
 
 
+def _join_if_replaced(
+    state: state_lib.State, step: dispatch.Step, held: tree_state.Document
+) -> None:
+    """Raises the revision if the store had another document with the same one.
+
+    Peers that hold the replaced document learn of a change only by a higher
+    revision. repair_if_lower writes it to the store.
+    """
+    configuration = state.configuration
+    taken = configuration.document
+    if held.revision == 0 or taken is held or taken.revision != held.revision:
+        return
+    joined = proposals.join_histories(taken)
+    adoption.put_in_force(
+        state,
+        step,
+        joined,
+        msgspec.json.encode(joined).decode(),
+        configuration.organisations,
+        adoption.STORE,
+    )
+
+
 def _as_of_s(context: StoreWatched, now_s: float) -> float:
     """Returns when a changed value was read, as a late estimate of its age.
 
--- a/dandelionpick/edit_problems.py
+++ b/dandelionpick/edit_problems.py
@@ -62,8 +62,8 @@
     """Returns the problem of a higher revision that can't be adopted."""
     return errors.Problem(
         errors.ProblemKind.NO_CONFIGURATION,
-        f"The edit was not applied: {source} has revision {revision}, which"
-        " this instance rejects as invalid.",
+        f"The edit can't be applied here: {source} has revision {revision},"
+        " which this instance rejects as invalid.",
         "Send the edit to an instance that runs the newest version, or"
         " correct the document in the store.",
     )
--- a/dandelionpick/proposals.py
+++ b/dandelionpick/proposals.py
@@ -10,6 +10,7 @@
 
 from dandelionpick import errors
 from dandelionpick import guarantee_fit
+from dandelionpick import ids
 from dandelionpick import list_messages
 from dandelionpick import operator_messages
 from dandelionpick import tree
@@ -23,6 +24,8 @@
 MAX_RECORDED_PATHS = 16
 MAX_CHANGES = 256
 MAX_NAME_LENGTH = 128
+# Operator of the revision that ends a second history.
+JOINER = "dandelionpick"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +68,13 @@
     )
     if problem is not None:
         return Failure(problem)
-    document = _next_document(held, message, applied.unwrap())
+    document = _next_document(
+        held,
+        message.edit_id,
+        message.operator,
+        recorded_paths(message.changes),
+        applied.unwrap(),
+    )
     return _encode(document, checked.unwrap())
 
 
@@ -168,18 +177,26 @@
     return paths
 
 
+def join_histories(held: tree_state.Document) -> tree_state.Document:
+    """Returns the same tree under the next revision.
+
+    Equal for equal documents, so that instances that do this at the same time
+    write the same document.
+    """
+    return _next_document(
+        held, ids.EditId(f"joined-{held.revision + 1}"), JOINER, [""], held.tree
+    )
+
+
 def _next_document(
     held: tree_state.Document,
-    message: operator_messages.EditTree,
+    edit_id: ids.EditId,
+    operator: str,
+    paths: list[str],
     root: dict,
 ) -> tree_state.Document:
     revision = held.revision + 1
-    record = tree_state.AppliedEdit(
-        message.edit_id,
-        revision,
-        message.operator,
-        recorded_paths(message.changes),
-    )
+    record = tree_state.AppliedEdit(edit_id, revision, operator, paths)
     edits = [*held.edits, record][-MAX_EDITS:]
     while len(msgspec.json.encode(edits)) > MAX_EDITS_BYTES:
         edits = edits[len(edits) // 8 + 1 :]
--- a/tests/test_configuration_fuzz.py
+++ b/tests/test_configuration_fuzz.py
@@ -7,6 +7,7 @@
 
 from dandelionpick import adoption
 from dandelionpick import operator_messages as messages
+from dandelionpick import proposals
 from standins import store as store_lib
 from tests import builders
 from tests import fabric
@@ -76,6 +77,8 @@
                 assert edit_id not in applied, f"{edit_id} was refused"
         expected = dict.fromkeys(REGISTERS)
         for edit in document.edits:
+            if edit.operator == proposals.JOINER:
+                continue
             register, value = self.sent[edit.edit_id]
             expected[register] = value
         found = document.tree["classes"].get("fuzzed", {})
