--- /dev/null
+++ b/tests/program.py
@@ -0,0 +1,32 @@
+"""Runs the program in the process of a test."""
+
+import socket
+
+from cleo.io.outputs import buffered_output
+
+from dandelionpick import core
+
+
+class Run:
+    """One run of the program: its exit status and outputs."""
+
+    def __init__(self, line: list[str], env: dict[str, str] | None = None):
+        output = buffered_output.BufferedOutput()
+        error_output = buffered_output.BufferedOutput()
+        self.status = core.main(
+            ["dandelionpick", *line], env or {}, output, error_output
+        )
+        self.output = output.fetch()
+        self.errors = error_output.fetch()
+
+
+def run(line: str, *more: str, address: str) -> Run:
+    """Runs a line with the server in the environment."""
+    return Run([*line.split(), *more], {"DANDELIONPICK_SERVER": address})
+
+
+def unused_address() -> str:
+    """Returns an address on which nothing listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
