--- a/dandelionpick/job_documents.py
+++ b/dandelionpick/job_documents.py
@@ -20,7 +20,7 @@
 from dandelionpick import state as state_lib
 from dandelionpick import store_messages
 
-# Longer than any change waits, so that a lost write is still in the list.
+# More writes than any change waits for.
 MAX_WRITE_IDS = 64
 # The store holds values up to 1 MB; the rest is left for changes of records.
 MAX_DOCUMENT_BYTES = 800_000
@@ -173,7 +173,7 @@
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Gives up changes whose deadline passed and retries the others."""
+    """Gives up late changes, retries the others, drops idle documents."""
     now_s = step.moment.now_s
     for key, document in list(state.jobs.documents.items()):
         if document.queued or document.in_flight or document.read_pending:
@@ -236,8 +236,7 @@
     A second change of the same record waits for the next write.
     """
     results: list[tuple[job_state.Change, Any]] = []
-    waiting = []
-    changed = set()
+    waiting, changed = [], set()
     for change in document.queued:
         current = records.get(change.name)
         if change.write_ids.intersection(document.writes):
@@ -369,8 +368,8 @@
     document = state.jobs.documents[context.key]
     changes, document.in_flight = document.in_flight, []
     if isinstance(reply, store_messages.Conflict):
-        load(document, reply.version, reply.value)
         document.queued = changes + document.queued
+        load(document, reply.version, reply.value)
         flush(state, step, document)
         return
     document.version = reply.version
--- a/dandelionpick/job_shapes.py
+++ b/dandelionpick/job_shapes.py
@@ -1,12 +1,12 @@
 """Which failure domains can hold the shape of a job."""
 
-from collections.abc import Iterable
-
 from dandelionpick import caller_messages
 from dandelionpick import errors
 from dandelionpick import ids
+from dandelionpick import job_status
 from dandelionpick import kinds
 from dandelionpick import list_messages
+from dandelionpick import plan as plan_lib
 from dandelionpick import state as state_lib
 
 
@@ -25,13 +25,58 @@
     return max(0, min(limits))
 
 
-def capacity(
+def plan_of(
+    state: state_lib.State, failure_domain: ids.FailureDomain
+) -> plan_lib.Plan:
+    """Returns the plan for the configuration and the listed workers."""
+    entries = [
+        entry
+        for entry in state.members.entries.values()
+        if entry.role is kinds.Role.WORKER
+        and entry.failure_domain == failure_domain
+        and entry.state is kinds.Liveness.LIVE
+    ]
+    sizes = tuple(
+        sorted((entry.id, entry.rack, entry.accelerators) for entry in entries)
+    )
+    made_from = (state.configuration.document.revision, sizes)
+    known = state.jobs.plans.get(failure_domain)
+    if known is None or known[0] != made_from:
+        plan = plan_lib.make_plan(
+            state.configuration.organisations, entries, failure_domain
+        )
+        known = (made_from, plan)
+        state.jobs.plans[failure_domain] = known
+    return known[1]
+
+
+def room_in(
+    state: state_lib.State,
     job: caller_messages.SubmitJob,
-    workers: Iterable[list_messages.InstanceEntry],
+    rerunnable: bool,
+    failure_domain: ids.FailureDomain,
+    workers: list[list_messages.InstanceEntry],
 ) -> int:
-    """Returns how many tasks of a job empty workers hold together."""
+    """Returns how many tasks of a job a failure domain holds when idle.
+
+    A job that can't be stopped and run again gets no accelerators that are
+    planned for other organisations.
+    """
+    others: dict[ids.InstanceId, int] = {}
+    if not rerunnable:
+        for shape in plan_of(state, failure_domain).shapes:
+            if shape.name.organisation == job.organisation:
+                continue
+            for part in shape.parts:
+                count = others.get(part.worker, 0) + len(part.accelerators)
+                others[part.worker] = count
     return sum(
-        tasks_on(job, entry.accelerators, entry.cores, entry.memory_gb)
+        tasks_on(
+            job,
+            entry.accelerators - others.get(entry.id, 0),
+            entry.cores,
+            entry.memory_gb,
+        )
         for entry in workers
     )
 
@@ -54,12 +99,15 @@
             "No worker is listed.",
             "Try again when the instance list shows workers.",
         )
+    job_class = job_status.class_of(state, job)
+    rerunnable = job_class.idempotent or job_class.checkpointable
     room = {
-        domain: capacity(job, entries) for domain, entries in by_domain.items()
+        domain: room_in(state, job, rerunnable, domain, entries)
+        for domain, entries in by_domain.items()
     }
     fitting = [domain for domain, tasks in room.items() if tasks >= job.tasks]
     if not fitting:
-        return _too_large(job, max(room.values()), by_domain)
+        return _too_large(job, max(room.values()), by_domain, rerunnable)
     guaranteed = {
         guarantee.failure_domain
         for guarantee in state.configuration.organisations[
@@ -84,6 +132,7 @@
     job: caller_messages.SubmitJob,
     most_tasks: int,
     by_domain: dict[ids.FailureDomain, list[list_messages.InstanceEntry]],
+    rerunnable: bool,
 ) -> errors.Problem:
     largest = max(
         (entry for entries in by_domain.values() for entry in entries),
@@ -96,10 +145,13 @@
             f"tasks with {largest.accelerators} accelerators,"
             f" {largest.cores} cores and {largest.memory_gb} GB each"
         )
+    borrowing = ""
+    if not rerunnable:
+        borrowing = " outside the guarantees of other organisations"
     return errors.Problem(
         errors.ProblemKind.SHAPE_TOO_LARGE,
         f"No failure domain can hold {job.tasks} tasks with"
         f" {job.accelerators} accelerators, {job.cores} cores and"
-        f" {job.memory_gb} GB each.",
+        f" {job.memory_gb} GB each{borrowing}.",
         f"The largest gang of this kind that fits has {fits}.",
     )
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -315,7 +315,7 @@
         checkpoints: last run and checkpoint of jobs that run again.
         reservation: for the wide job that has waited longest.
         reclaims: accelerators that a guaranteed shape waits for, by job.
-        plan: the cached plan with the arguments that it was made from.
+        plans: for each failure domain what the plan was made from, and it.
         used: accelerator seconds by organisation, halved periodically.
     """
 
@@ -344,8 +344,9 @@
     reclaims: dict[JobName, dict[ids.InstanceId, frozenset[int]]] = (
         dataclasses.field(default_factory=dict)
     )
-    plan: Any = None
-    planned_from: Any = None
+    plans: dict[ids.FailureDomain, tuple[Any, Any]] = dataclasses.field(
+        default_factory=dict
+    )
     used: dict[ids.OrganisationId, float] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/sites.py
+++ b/dandelionpick/sites.py
@@ -3,12 +3,12 @@
 import dataclasses
 
 from dandelionpick import gang_parts
+from dandelionpick import job_shapes
 from dandelionpick import job_state
 from dandelionpick import job_status
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import placement
-from dandelionpick import plan as plan_lib
 from dandelionpick import state as state_lib
 from dandelionpick import worker_views
 
@@ -18,30 +18,9 @@
     return (record.job.organisation, record.job.key)
 
 
-def plan_of(state: state_lib.State) -> plan_lib.Plan:
-    """Returns the plan for the configuration and the listed workers."""
-    entries = [
-        entry
-        for entry in worker_views.entries(state)
-        if entry.state is kinds.Liveness.LIVE
-    ]
-    sizes = tuple(
-        sorted((entry.id, entry.rack, entry.accelerators) for entry in entries)
-    )
-    made_from = (state.configuration.document.revision, sizes)
-    if state.jobs.planned_from != made_from:
-        state.jobs.planned_from = made_from
-        state.jobs.plan = plan_lib.make_plan(
-            state.configuration.organisations,
-            entries,
-            state.identity.failure_domain,
-        )
-    return state.jobs.plan
-
-
 def build(state: state_lib.State, now_s: float) -> placement.Site:
     """Builds the view of all workers that report and stay."""
-    plan = plan_of(state)
+    plan = job_shapes.plan_of(state, state.identity.failure_domain)
     entries = {
         entry.id: entry
         for entry in worker_views.entries(state)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -96,6 +96,7 @@
         self.incarnation = ids.Incarnation(incarnation)
         self.parts.clear()
         self.tombstones.clear()
+        self.samples = [(now_s, 0.0)]
 
     def handle(self, message: Any, now_s: float, unix_ms: int) -> Any:
         """Answers a message."""
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -74,6 +74,7 @@
         responses: responses by exchange id, in the order they were sent.
         cuts: unordered pairs of failure domains that can't reach each other;
             PLATFORM stands for the store and the instance list.
+        silent: targets that no message reaches or leaves.
     """
 
     def __init__(self, seed: int, limits: state_lib.Limits | None = None):
@@ -91,6 +92,7 @@
         self.targets: dict[str, Any] = {}
         self.entries: dict[str, list_messages.InstanceEntry] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.silent: set[str] = set()
         self.responses: dict[str, list[Any]] = {}
         self.peer_replies: dict[str, Callable[[Any], None]] = {}
         self.notes: list[str] = []
@@ -175,6 +177,7 @@
     def heal(self) -> None:
         """Ends all cuts and store faults."""
         self.cuts.clear()
+        self.silent.clear()
         self.store_fault = StoreFault.NONE
         self.list_reachable = True
 
@@ -286,6 +289,8 @@
 
     def is_cut(self, name: str, destination: effects.Destination) -> bool:
         """Tells whether a cut separates an instance and a destination."""
+        if destination.name in self.silent:
+            return True
         domain = self.instances[name].entry.failure_domain
         return frozenset((domain, self._domain_of(destination))) in self.cuts
 
--- /dev/null
+++ b/tests/test_gang_faults.py
@@ -0,0 +1,217 @@
+"""A fault at each message of the gang protocol, one at a time."""
+
+import unittest
+from collections.abc import Callable
+
+from dandelionpick import caller_messages
+from dandelionpick import kinds
+from dandelionpick import store_messages
+from dandelionpick import worker_messages
+from standins import store
+from tests import builders
+from tests import fabric
+from tests import gang_oracle
+
+ENTRIES = ("a1", "a2")
+WORKERS = ("w1", "w2", "w3")
+# Writes, holds, starts, confirms, renewals of one run; the last numbers lie
+# behind the end of the run.
+MESSAGES = 20
+LATE_S = 3.5
+CUT_S = 90.0
+# A lease of 60 s, a change of scheduler, another run.
+END_S = 200.0
+CLASSES = ("assessment", "scan", "stretch")
+
+
+class FaultyFabric(fabric.Fabric):
+    """Counts the messages of the gang protocol and disturbs one of them.
+
+    Attributes:
+        fault: called with the sender and the call when message `at` is sent;
+            True if the message is not to be sent normally.
+    """
+
+    def __init__(self, at: int, fault: Callable):
+        super().__init__(seed=3)
+        self.position = at
+        self.fault = fault
+        self.sent = 0
+        self.hit = None
+
+    def _call(self, name, state, call):
+        message = call.message
+        if isinstance(message, worker_messages.RenewLeases):
+            counted = bool(message.gang_ids)
+        else:
+            counted = call.destination.service is kinds.Service.WORKER or (
+                isinstance(message, store_messages.Write)
+                and message.key.startswith("jobs/")
+            )
+        self.sent += counted
+        if counted and self.sent == self.position:
+            self.hit = call
+            if self.fault(self, name, state, call):
+                return
+        super()._call(name, state, call)
+
+
+def crash_before(built, name, state, call):
+    """The scheduler crashes; the message is never sent."""
+    built.crash(name)
+    built.at(20.0, lambda: built.start_instance(name))
+    return True
+
+
+def crash_after(built, name, state, call):
+    """The scheduler crashes; the message is under way."""
+    built.at(0.0005, lambda: built.crash(name))
+    built.at(20.0, lambda: built.start_instance(name))
+    return False
+
+
+def pause(built, name, state, call):
+    """The scheduler stops for longer than any lease."""
+    built.at(0.0005, lambda: built.pause(name))
+    built.at(70.0, lambda: built.resume(name))
+    return False
+
+
+def pause_shortly(built, name, state, call):
+    """The scheduler stops for longer than holds and first leases."""
+    built.at(0.0005, lambda: built.pause(name))
+    built.at(6.0, lambda: built.resume(name))
+    return False
+
+
+def cut_worker(built, name, state, call):
+    """The receiver, or the first worker, is cut off for longer than a lease."""
+    worker = call.destination.name or WORKERS[0]
+    built.silent.add(worker)
+    built.at(CUT_S, lambda: built.silent.discard(worker))
+    return False
+
+
+def cut_store(built, name, state, call):
+    """The failure domain is cut off from the platform."""
+    built.cut("a", fabric.PLATFORM)
+    built.at(CUT_S, built.heal)
+    return False
+
+
+def lose_reply(built, name, state, call):
+    """The message takes effect and its reply is lost."""
+    built.at(0.003, lambda: built._arrive(call, lambda reply: None))
+    built.at(call.timeout_s, lambda: fail(built, name, state, call))
+    return True
+
+
+def delay(built, name, state, call):
+    """The message arrives after the call has timed out."""
+    built.at(LATE_S, lambda: built._arrive(call, lambda reply: None))
+    built.at(call.timeout_s, lambda: fail(built, name, state, call))
+    return True
+
+
+def repeat(built, name, state, call):
+    """The message arrives again, late."""
+    built.at(LATE_S, lambda: built._arrive(call, lambda reply: None))
+    return False
+
+
+def restart_worker(built, name, state, call):
+    """The receiver restarts when the message has arrived."""
+    worker = call.destination.name or WORKERS[0]
+    model = built.targets[worker]
+    restart = built.new_incarnation()
+    built.at(0.02, lambda: model.restart(restart, built.now_s))
+    return False
+
+
+def fail(built, name, state, call):
+    """Ends a call without a reply."""
+    event = fabric.events.Failed
+    failure = kinds.CallFailure.LOST
+    built._finish(
+        name, state, lambda: event(built.moment(), call.call_id, failure)
+    )
+
+
+FAULTS = (
+    crash_before,
+    crash_after,
+    pause,
+    pause_shortly,
+    cut_worker,
+    cut_store,
+    lose_reply,
+    delay,
+    repeat,
+    restart_worker,
+)
+
+
+class GangFaults(unittest.TestCase):
+    """Guards the promises about gangs against a fault at any message."""
+
+    def run_case(self, fault: Callable, position: int, job_class: str) -> bool:
+        """Runs one job with one fault; returns whether the fault was met."""
+        built = FaultyFabric(position, fault)
+        built.store.entries["config/tree"] = store.Entry(1, builders.document())
+        built.store.versions = 1
+        models = {name: built.add_worker(name, "a") for name in WORKERS}
+        oracle = gang_oracle.Oracle(models)
+        for name in ENTRIES:
+            built.add_instance(name, "a")
+        built.run_for(8.0)
+        job = builders.job(
+            builders.uuid7(1, fabric.START_UNIX_MS),
+            job_class,
+            tasks=3,
+            accelerators=8,
+            payload='{"run_s": 20}',
+        )
+        oracle.submitted(job, job_class != "stretch")
+        built.send("a1", job)
+        ended = self.await_end(built, oracle, job)
+        self.assertIsNotNone(ended, "the job has no end")
+        if job_class != "stretch" and ended.state is kinds.JobState.UNKNOWN:
+            # The submission itself may have been lost with its instance.
+            self.assertIn(built.hit.message.__class__, (store_messages.Write,))
+        return built.hit is not None
+
+    def await_end(self, built, oracle, job):
+        message = caller_messages.FetchJob(
+            organisation=job.organisation, key=job.key
+        )
+        while built.now_s < END_S + CUT_S:
+            for _ in range(10):
+                built.run_for(0.5)
+                oracle.check(built.now_s)
+            name = next(n for n in ENTRIES if built.instances[n].state)
+            if built.instances[name].paused:
+                continue
+            status = built.ask(name, message, limit_s=10.0)
+            oracle.answered(status)
+            if status and status.outcome is not kinds.Outcome.PENDING:
+                problem = status.problem and status.problem.kind.value
+                if problem != "store_unavailable":
+                    return status
+        return None
+
+    def test_each_fault_at_each_message(self):
+        for fault in FAULTS:
+            for job_class in CLASSES:
+                hits = 0
+                for position in range(1, MESSAGES + 1):
+                    with self.subTest(
+                        fault=fault.__name__,
+                        position=position,
+                        job_class=job_class,
+                    ):
+                        hits += self.run_case(fault, position, job_class)
+                self.assertGreater(hits, 9, "the run had too few messages")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_job_documents.py
@@ -0,0 +1,200 @@
+"""Tests of record changes by compare-and-swap with faults of the store."""
+
+import dataclasses
+import unittest
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import events
+from dandelionpick import ids
+from dandelionpick import job_documents
+from dandelionpick import job_state
+from dandelionpick import kinds
+from dandelionpick import reducer
+from dandelionpick import state as state_lib
+from dandelionpick import store_messages
+from standins import store as store_lib
+from tests import builders
+
+KEY = "job-claims/0/1"
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Context of a change; its result is kept in `RESULTS`."""
+
+    name: str
+
+
+RESULTS: dict[str, list] = {}
+
+
+@job_documents.committed.register
+def _(context: Probe, state, step, result):
+    RESULTS.setdefault(context.name, []).append(result)
+
+
+class Writer:
+    """One instance whose store calls are carried out by hand."""
+
+    def __init__(self, name: str, store: store_lib.Store):
+        self.store = store
+        self.now_s = 0.0
+        self.calls: list[effects.Call] = []
+        self.state = state_lib.State(
+            builders.identity(name, "a"), ids.Incarnation(name)
+        )
+
+    def moment(self) -> events.Moment:
+        return events.Moment(self.now_s, 1_000, 0.5)
+
+    def collect(self, emitted):
+        self.calls += [
+            effect
+            for effect in emitted
+            if isinstance(effect, effects.Call)
+            and effect.destination.service is kinds.Service.STORE
+            and effect.message.key == KEY
+        ]
+
+    def commit(self, name: str, expected: int = 0, digest: str = ""):
+        step = dispatch.Step(self.moment())
+        record = job_state.JobClaim(
+            digest=digest or name,
+            failure_domain=ids.FailureDomain("a"),
+            claimed_ms=0,
+        )
+        document = job_documents.document_of(
+            self.state, KEY, job_state.JobClaim
+        )
+        job_documents.commit(
+            self.state, step, document, name, expected, record, Probe(name)
+        )
+        self.collect(step.emitted)
+
+    def reply(self, message) -> None:
+        call = self.calls.pop(0)
+        event = events.Returned(self.moment(), call.call_id, message)
+        self.collect(reducer.reduce(self.state, event))
+
+    def carry(self) -> None:
+        """Carries out the oldest call."""
+        self.reply(self.store.handle(self.calls[0].message))
+
+    def carry_all(self) -> None:
+        while self.calls:
+            self.carry()
+
+    def lose(self, failure=kinds.CallFailure.LOST) -> effects.Call:
+        """Fails the oldest call; returns it."""
+        call = self.calls.pop(0)
+        event = events.Failed(self.moment(), call.call_id, failure)
+        self.collect(reducer.reduce(self.state, event))
+        return call
+
+    def tick(self, seconds: float) -> None:
+        self.now_s += seconds
+        event = events.Tick(self.moment())
+        self.collect(reducer.reduce(self.state, event))
+
+
+class JobDocumentsTest(unittest.TestCase):
+    """A change takes effect once, and its writer learns what became of it."""
+
+    def setUp(self):
+        RESULTS.clear()
+        self.store = store_lib.Store()
+        self.one = Writer("one", self.store)
+        self.other = Writer("other", self.store)
+
+    def kinds_of(self, name: str) -> list[str]:
+        return [type(result).__name__ for result in RESULTS.get(name, [])]
+
+    def test_changes_during_a_write_share_the_next_write(self):
+        """Guards the store's write rate against bursts of submissions."""
+        self.one.commit("a")
+        self.one.carry()
+        for name in "bcde":
+            self.one.commit(name)
+        self.one.carry_all()
+        self.assertEqual(self.store.calls, {"Read": 1, "Write": 2})
+        for name in "abcde":
+            self.assertEqual(self.kinds_of(name), ["Committed"])
+
+    def test_the_second_writer_of_a_record_gets_the_first_ones(self):
+        """Guards against one key that is claimed twice."""
+        self.one.commit("a", digest="first")
+        self.other.commit("a", digest="second")
+        self.one.carry()
+        self.other.carry()
+        self.one.carry_all()
+        self.other.carry_all()
+        self.assertEqual(self.kinds_of("a"), ["Committed", "Superseded"])
+        self.assertEqual(RESULTS["a"][1].record.digest, "first")
+
+    def test_a_write_with_a_lost_reply_counts_once(self):
+        """Guards against a change that supersedes itself."""
+        self.one.commit("a")
+        self.one.carry()
+        self.store.handle(self.one.calls[0].message)
+        self.one.lose()
+        self.one.tick(1.0)
+        self.one.carry_all()
+        self.assertEqual(self.kinds_of("a"), ["Committed"])
+
+    def test_a_late_write_does_not_undo_a_later_one(self):
+        """Guards against a delayed write that takes effect after a retry."""
+        self.one.commit("a")
+        self.one.carry()
+        late = self.one.lose()
+        self.one.tick(1.0)
+        self.one.carry_all()
+        self.other.commit("b")
+        self.other.carry_all()
+        answer = self.store.handle(late.message)
+        self.assertIsInstance(answer, store_messages.Conflict)
+        self.assertEqual(self.kinds_of("a"), ["Committed"])
+        self.assertIn('"b"', self.store.entries[KEY].value)
+
+    def test_a_late_write_that_wins_against_its_retry_is_recognised(self):
+        """Guards against a refusal although the first write took effect."""
+        self.one.commit("a")
+        self.one.carry()
+        late = self.one.lose()
+        self.one.tick(1.0)
+        self.one.carry()
+        self.store.handle(late.message)
+        self.one.carry_all()
+        self.assertEqual(self.kinds_of("a"), ["Committed"])
+
+    def test_a_refusing_store_gives_a_certain_answer(self):
+        """Guards against `unknown` for what was certainly never written."""
+        self.one.commit("a")
+        self.one.lose(kinds.CallFailure.NOT_SENT)
+        self.assertEqual(RESULTS["a"], [job_documents.Unavailable(True)])
+
+    def test_a_silent_store_gives_an_uncertain_answer(self):
+        """Guards against `not_run` while the write is still on its way."""
+        self.one.commit("a")
+        self.one.carry()
+        self.one.lose()
+        for _ in range(20):
+            self.one.tick(1.0)
+            while self.one.calls:
+                self.one.lose()
+        self.assertEqual(RESULTS["a"], [job_documents.Unavailable(False)])
+
+    def test_refuses_new_records_only_when_the_document_is_full(self):
+        """Guards the results of running jobs against a burst of new ones."""
+        size = job_documents.MAX_DOCUMENT_BYTES
+        self.one.commit("a")
+        self.one.carry_all()
+        self.one.commit("b", digest="x" * size)
+        self.one.commit("a", expected=1)
+        self.one.carry_all()
+        self.assertEqual(self.kinds_of("b"), ["TooLarge"])
+        self.assertEqual(self.kinds_of("a"), ["Committed", "Committed"])
+
+
+if __name__ == "__main__":
+    unittest.main()
