Bound the time of a scheduling tick

Cause: a tick tried each of 50 waiting jobs on all workers, and looked through all gangs for each queued job when it made a reservation. A fetch read the document in the store each time. Ruled out: a lower limit of tried jobs, which delays jobs behind equal ones. Change: jobs of equal shape and rules that follow one that has to wait are not tried; names of placed jobs are collected once; a fetch on the scheduler is answered from a copy up to 2 s old.

--- a/dandelionpick/job_lookup.py
+++ b/dandelionpick/job_lookup.py
@@ -24,6 +24,9 @@
 
 # A cancellation takes a read and a write at the receiver.
 PEER_TIMEOUT_S = 4.0
+# A fetch is answered from a copy of the document up to this old, because the
+# store could not bear a read for each poll of each caller.
+VIEW_AGE_S = 2.0
 
 CANCELLED_QUEUED = errors.Problem(
     errors.ProblemKind.CANCELLED,
@@ -153,6 +156,12 @@
     )
     if peer is None or lookup.forwarded:
         document = job_status.document_of(state, lookup.failure_domain)
+        record = document.records.get(job_claims.record_name(lookup.name))
+        age_s = step.moment.now_s - document.confirmed_s
+        if record is not None and not lookup.cancel and age_s < VIEW_AGE_S:
+            status = job_status.of_record(state, record, lookup.failure_domain)
+            step.respond(lookup.exchange_id, status)
+            return
         job_documents.read(state, step, document, EntryRead(lookup))
         return
     message_type = peer_messages.FetchPeerJob
--- a/dandelionpick/reservations.py
+++ b/dandelionpick/reservations.py
@@ -60,11 +60,11 @@
     now_s = step.moment.now_s
     reservation = state.jobs.reservation
     if reservation is None:
+        placed = {gang.name for gang in state.jobs.gangs.values()}
         for record in queue:
             name = sites.name_of(record)
             waited_s = now_s - state.jobs.queued_since_s.get(name, now_s)
-            placed = any(g.name == name for g in state.jobs.gangs.values())
-            if waited_s > AGE_S and not placed:
+            if waited_s > AGE_S and name not in placed:
                 _reserve(state, step, site, record)
                 return
         return
--- a/dandelionpick/schedule.py
+++ b/dandelionpick/schedule.py
@@ -111,8 +111,12 @@
         jobs.used_halved_s = step.moment.now_s
         jobs.used = {name: used / 2 for name, used in jobs.used.items()}
     site = sites.build(state, step.moment.now_s)
+    # Equal jobs find equal room: one that waits speaks for all like it.
+    waiting = set()
     for record in queue[:MAX_TRIED_JOBS]:
-        _try(state, step, site, record)
+        kind = _kind(state, record)
+        if kind not in waiting and not _try(state, step, site, record):
+            waiting.add(kind)
     reservations.tick(state, step, site, queue)
 
 
@@ -190,13 +194,37 @@
     return (-worth, used / max(share, 1e-9), record.accepted_ms, job.key)
 
 
+def _kind(state: state_lib.State, record: job_state.JobRecord) -> tuple:
+    """Returns all that placement depends on."""
+    job = record.job
+    name = sites.name_of(record)
+    reservation = state.jobs.reservation
+    special = name in state.jobs.reclaims or (
+        reservation is not None and reservation.name == name
+    )
+    return (
+        name if special else "",
+        job.organisation,
+        record.idempotent,
+        record.checkpointable,
+        job.tasks,
+        job.accelerators,
+        job.cores,
+        job.memory_gb,
+    )
+
+
 def _try(
     state: state_lib.State,
     step: dispatch.Step,
     site: placement.Site,
     record: job_state.JobRecord,
-) -> None:
-    """Places a job if there is room, or makes room for a guaranteed shape."""
+) -> bool:
+    """Places a job if there is room, or makes room for a guaranteed shape.
+
+    Returns:
+        False if the job has to wait.
+    """
     name = sites.name_of(record)
     reserved, backfills = reservations.kept_from(state, record)
     kept = sites.merge(sites.reclaimed(state, name), reserved)
@@ -206,19 +234,20 @@
     )
     if choice is None:
         state.jobs.reclaims.pop(name, None)
-        return
+        return False
     if choice.parts is None:
         state.jobs.reclaims[name] = choice.claims
         for gang in choice.victims:
             cause = job_state.StopCause.RECLAIMED
             gang_stops.stop(state, step, gang, cause)
-        return
+        return True
     state.jobs.reclaims.pop(name, None)
     gang = gangs.create(state, step, record, choice.parts)
     gang.backfill = backfills and reservations.overlaps(state, gang)
     state.jobs.retry_s[name] = step.moment.now_s + RETRY_S
     sites.occupy(site, gang, record)
     _charge(state, record)
+    return True
 
 
 def _charge(state: state_lib.State, record: job_state.JobRecord) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -121,6 +121,16 @@
         self.assertEqual(status.state, kinds.JobState.FINISHED)
         self.assertLess(built.now_s, 8.0 + 2 * 5.0 + 4.0)
 
+    def test_a_smaller_job_passes_equal_ones_that_wait(self):
+        """Guards against a job that waits because others like none fit."""
+        built = gangs.gang_fabric(workers=1)
+        gangs.add_work(built, range(1, 2), 30.0, accelerators=6)
+        built.run_for(4.0)
+        gangs.add_work(built, range(2, 8), 1.0)
+        gangs.add_work(built, range(8, 9), 30.0, accelerators=2)
+        built.run_for(6.0)
+        self.assertTrue(gangs.running(built, 8))
+
     def test_a_small_job_goes_into_the_smallest_gap(self):
         """Guards wide gangs against fragmentation."""
         built = gangs.gang_fabric()
