--- a/dandelionpick/job_lookup.py
+++ b/dandelionpick/job_lookup.py
@@ -24,6 +24,9 @@
 
 # A cancellation takes a read and a write at the receiver.
 PEER_TIMEOUT_S = 4.0
+# A fetch is answered from a copy of the document up to this old, because the
+# store could not bear a read for each poll of each caller.
+VIEW_AGE_S = 2.0
 
 CANCELLED_QUEUED = errors.Problem(
     errors.ProblemKind.CANCELLED,
@@ -136,6 +139,14 @@
     )
 
 
+def is_ended(claim: job_state.JobClaim | None) -> bool:
+    """Tells whether a claim says that its job has ended.
+
+    An open claim without an entry proves nothing: the job was not accepted.
+    """
+    return claim is not None and claim.outcome is not kinds.Outcome.PENDING
+
+
 def at_domain(
     state: state_lib.State, step: dispatch.Step, lookup: Lookup
 ) -> None:
@@ -145,6 +156,12 @@
     )
     if peer is None or lookup.forwarded:
         document = job_status.document_of(state, lookup.failure_domain)
+        record = document.records.get(job_claims.record_name(lookup.name))
+        age_s = step.moment.now_s - document.confirmed_s
+        if record is not None and not lookup.cancel and age_s < VIEW_AGE_S:
+            status = job_status.of_record(state, record, lookup.failure_domain)
+            step.respond(lookup.exchange_id, status)
+            return
         job_documents.read(state, step, document, EntryRead(lookup))
         return
     message_type = peer_messages.FetchPeerJob
@@ -167,14 +184,17 @@
     step: dispatch.Step,
     reply: caller_messages.JobStatus | peer_messages.Refused,
 ) -> None:
-    problem = reply.problem
-    if isinstance(reply, caller_messages.JobStatus) and (
-        problem is None
-        or problem.kind is not errors.ProblemKind.STORE_UNAVAILABLE
+    lookup = context.lookup
+    kind = reply.problem and reply.problem.kind
+    if kind is errors.ProblemKind.UNKNOWN_KEY and is_ended(lookup.claim):
+        status = job_status.of_claim(lookup.name, lookup.claim)
+        step.respond(lookup.exchange_id, status)
+    elif isinstance(reply, caller_messages.JobStatus) and (
+        kind is not errors.ProblemKind.STORE_UNAVAILABLE
     ):
-        step.respond(context.lookup.exchange_id, reply)
-        return
-    _read_here(state, step, context.lookup)
+        step.respond(lookup.exchange_id, reply)
+    else:
+        _read_here(state, step, lookup)
 
 
 @dispatch.failed.register
@@ -213,7 +233,7 @@
     status = job_status.unknown(lookup.name, problem)
     if record is not None and not lookup.cancel:
         status = job_status.of_record(state, record, lookup.failure_domain)
-    elif lookup.claim is not None and fresh:
+    elif is_ended(lookup.claim) and fresh:
         status = job_status.of_claim(lookup.name, lookup.claim)
     step.respond(lookup.exchange_id, status)
 
