Keep room for new jobs in a crowded document

Cause: 50 payloads of 16 KB or a burst of finished jobs filled the document of a failure domain, and new jobs were refused for ten minutes. Ruled out: dropping finished jobs at once; a submission that found the claim still open could enter the job a second time. Change: payloads up to 2 KB, none kept after the end; finished jobs leave a document that is more than half full after 90 s. Conclusion: about 300 unfinished jobs fit with the largest payload.

--- a/dandelionpick/job_documents.py
+++ b/dandelionpick/job_documents.py
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Saved:
-    """Context of a write of a document, with what it then holds."""
+    """Context of a write, with what the document then holds."""
 
     key: str
     write_id: str
@@ -219,7 +219,7 @@
     records = {
         name: record
         for name, record in document.records.items()
-        if not record.is_expired(step.moment.unix_ms)
+        if not record.is_expired(step.moment.unix_ms, document.crowded)
     }
     results = _apply(document, records)
     if document.in_flight:
@@ -264,8 +264,10 @@
     write_id = f"{state.incarnation}-{state.jobs.writes_made}"
     writes = [*document.writes, write_id][-MAX_WRITE_IDS:]
     text = msgspec.json.encode({"records": records, "writes": writes}).decode()
+    size = len(text.encode())
+    document.crowded = 2 * size > MAX_DOCUMENT_BYTES
     new = [change for change in document.in_flight if change.expected == 0]
-    if new and len(text.encode()) > MAX_DOCUMENT_BYTES:
+    if new and size > MAX_DOCUMENT_BYTES:
         # Changes of jobs that were accepted before need no more room.
         others = [c for c in document.in_flight if c.expected != 0]
         document.in_flight = []
@@ -372,9 +374,8 @@
         load(document, reply.version, reply.value)
         flush(state, step, document)
         return
-    document.version = reply.version
+    document.version, document.loaded = reply.version, True
     document.read_s = step.moment.now_s
-    document.loaded = True
     document.records = context.records
     document.writes = context.writes
     for change in changes:
@@ -392,9 +393,8 @@
     document = state.jobs.documents[context.key]
     changes, document.in_flight = document.in_flight, []
     document.queued = changes + document.queued
-    document.version = None
+    document.version, document.read_s = None, step.moment.now_s
     if failure is kinds.CallFailure.NOT_SENT:
         for change in changes:
             change.write_ids.discard(context.write_id)
         _give_up_unsent(state, step, document)
-    document.read_s = step.moment.now_s
--- a/dandelionpick/job_outcomes.py
+++ b/dandelionpick/job_outcomes.py
@@ -266,7 +266,11 @@
         del state.jobs.outcomes[name]
         return
     outcome.pending = True
-    change(state, step, record, outcome.fields, OutcomeWritten(name, outcome))
+    fields = dict(outcome.fields)
+    if outcome.final:
+        # The document keeps room for unfinished jobs; the digest remains.
+        fields["job"] = msgspec.structs.replace(record.job, payload="")
+    change(state, step, record, fields, OutcomeWritten(name, outcome))
 
 
 @job_documents.committed.register
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -17,6 +17,10 @@
 # A finished job is kept this long, and longer until its claim is final: a
 # late submission must never find neither.
 FINISHED_RETENTION_MS = 600_000
+# Retention while the document is more than half full. A submission that found
+# the claim still open has written its entry, or given up, after a copy's
+# greatest age of 30 s and a deadline of 8 s.
+CROWDED_RETENTION_MS = 90_000
 
 OCCUPYING = (
     kinds.PartState.HELD,
@@ -79,12 +83,12 @@
     finished_ms: int = 0
     claim_final: bool = False
 
-    def is_expired(self, unix_ms: int) -> bool:
+    def is_expired(self, unix_ms: int, crowded: bool) -> bool:
         """Tells whether the record may be dropped."""
-        return (
-            self.claim_final
-            and unix_ms - self.finished_ms > FINISHED_RETENTION_MS
-        )
+        retention_ms = FINISHED_RETENTION_MS
+        if crowded:
+            retention_ms = CROWDED_RETENTION_MS
+        return self.claim_final and unix_ms - self.finished_ms > retention_ms
 
 
 class JobClaim(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,7 +105,7 @@
     outcome: kinds.Outcome = kinds.Outcome.PENDING
     state: kinds.JobState = kinds.JobState.QUEUED
 
-    def is_expired(self, unix_ms: int) -> bool:
+    def is_expired(self, unix_ms: int, crowded: bool) -> bool:
         """Claims are deleted by bucket, never one by one."""
         return False
 
@@ -134,6 +138,7 @@
         loaded: whether it was ever read.
         writes: ids of the last writes that the document contains.
         in_flight: changes in the write that is under way.
+        crowded: the document is more than half full.
         readers: contexts that wait for the next read.
         read_s: when the last read was sent, or the last write returned.
         confirmed_s: when a call was sent or returned that showed the store's
@@ -153,6 +158,7 @@
     read_s: float = float("-inf")
     confirmed_s: float = float("-inf")
     used_s: float = 0.0
+    crowded: bool = False
 
 
 class StopCause(enum.Enum):
--- a/dandelionpick/jobs.py
+++ b/dandelionpick/jobs.py
@@ -28,8 +28,9 @@
 
 MAX_KEY_FUTURE_MS = 60_000
 KEY_RETENTION_MS = 24 * 3_600_000
-# Payloads are kept in the document of unfinished jobs, which holds up to 1 MB.
-MAX_PAYLOAD_BYTES = 16_384
+# Payloads are kept in the document of unfinished jobs, which holds up to 1 MB:
+# 300 of this size leave room for the rest.
+MAX_PAYLOAD_BYTES = 2_048
 # A forwarded job takes two writes at the receiver.
 FORWARD_TIMEOUT_S = 4.0
 
--- a/tests/test_job_documents.py
+++ b/tests/test_job_documents.py
@@ -3,6 +3,8 @@
 import dataclasses
 import unittest
 
+import msgspec
+
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import events
@@ -195,6 +197,24 @@
         self.assertEqual(self.kinds_of("b"), ["TooLarge"])
         self.assertEqual(self.kinds_of("a"), ["Committed", "Committed"])
 
+    def test_a_crowded_document_drops_finished_jobs_sooner(self):
+        """Guards submissions against room that finished jobs take."""
+        record = job_state.JobRecord(
+            job=builders.job("k"),
+            digest="",
+            accepted_ms=0,
+            idempotent=True,
+            checkpointable=False,
+            claim_final=True,
+        )
+        early_ms = job_state.CROWDED_RETENTION_MS + 1
+        late_ms = job_state.FINISHED_RETENTION_MS + 1
+        self.assertFalse(record.is_expired(early_ms, crowded=False))
+        self.assertTrue(record.is_expired(early_ms, crowded=True))
+        self.assertTrue(record.is_expired(late_ms, crowded=False))
+        still_open = msgspec.structs.replace(record, claim_final=False)
+        self.assertFalse(still_open.is_expired(late_ms, crowded=True))
+
 
 if __name__ == "__main__":
     unittest.main()
