Join jobs, edits and the request path; run them all in the demo

Heartbeats between failure domains go to one contact every 2 s, so an instance no longer hears every other one and could not tell where an edit is in force. Callers were sent to instances that had not read the instance list yet and refused jobs for want of workers.

Change: a heartbeat carries the lowest revision of its failure domain; an instance is ready only when it has read a list that is not empty; an idle scheduler watches its job document, which returns no value if nothing changed; the demo runs jobs, non-idempotent requests submitted twice, edits and a planned stop, and checks that each edit is in force everywhere within 12 s.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -195,6 +195,10 @@
     state = runtime.state
     if state.drain.requested_s is not None:
         return responses.PlainTextResponse("leaving\n", status_code=503)
+    if not state.members.entries:
+        return responses.PlainTextResponse(
+            "no instance list\n", status_code=503
+        )
     if state.configuration.document.revision == 0:
         return responses.PlainTextResponse(
             "no configuration\n", status_code=503
--- a/dandelionpick/in_force.py
+++ b/dandelionpick/in_force.py
@@ -1,10 +1,9 @@
 """Tells in which failure domains a revision is in force."""
 
-import collections
-
 from dandelionpick import dispatch
 from dandelionpick import edit_state
 from dandelionpick import ids
+from dandelionpick import membership
 from dandelionpick import operator_messages
 from dandelionpick import state as state_lib
 
@@ -18,18 +17,23 @@
 ) -> tuple[list[ids.FailureDomain], bool]:
     """Finds the failure domains whose known instances all have a revision.
 
+    Instances of another failure domain exchange few heartbeats with this one;
+    each tells the lowest revision of its whole failure domain.
+
     Returns:
         The failure domains in order, and whether they are all there are.
     """
-    has: dict[ids.FailureDomain, bool] = collections.defaultdict(lambda: True)
-    own = state.configuration.document.revision >= revision
-    has[state.identity.failure_domain] = own
+    own_domain = state.identity.failure_domain
+    own_revision = membership.domain_revision(state)
+    has = {own_domain: own_revision >= revision}
     for peer in state.members.peers.values():
+        domain = peer.entry.failure_domain
         heartbeat = peer.heartbeat
-        if heartbeat is None or heartbeat.revision < revision:
-            has[peer.entry.failure_domain] = False
-        else:
-            has[peer.entry.failure_domain] &= True
+        if domain != own_domain:
+            has.setdefault(domain, False)
+            has[domain] |= (
+                heartbeat is not None and heartbeat.domain_revision >= revision
+            )
     found = sorted(domain for domain, complete in has.items() if complete)
     return found, len(found) == len(has)
 
--- a/dandelionpick/job_documents.py
+++ b/dandelionpick/job_documents.py
@@ -162,11 +162,17 @@
     document.read_pending = True
     document.read_s = step.moment.now_s
     readers, document.readers = tuple(document.readers), []
+    if document.version is None:
+        message = store_messages.Read(document.key)
+    else:
+        # Answered without the value if nothing has changed, which keeps the
+        # periodic reads of an idle scheduler small.
+        message = store_messages.Watch(document.key, document.version, 0.0)
     dispatch.call(
         state,
         step,
         state.store(),
-        store_messages.Read(document.key),
+        message,
         Loaded(document.key, step.moment.now_s, readers),
         state.limits.call_timeout_s,
     )
@@ -309,13 +315,19 @@
     context: Loaded,
     state: state_lib.State,
     step: dispatch.Step,
-    reply: store_messages.Value,
+    reply: store_messages.Value | store_messages.Unchanged,
 ) -> None:
     document = state.jobs.documents[context.key]
     document.read_pending = False
+    unchanged = isinstance(reply, store_messages.Unchanged)
+    if unchanged and document.version is None:
+        document.readers.extend(context.readers)
+        read(state, step, document)
+        return
     # A read that was overtaken by a write of this instance is older.
     if document.version is None or reply.version >= document.version:
-        load(document, reply.version, reply.value)
+        if not unchanged:
+            load(document, reply.version, reply.value)
         document.confirmed_s = context.sent_s
     flush(state, step, document)
     _answer_readers(state, step, document, context.readers, Fresh())
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -110,6 +110,7 @@
         failure_domain=state.identity.failure_domain,
         incarnation=state.incarnation,
         revision=state.configuration.document.revision,
+        domain_revision=domain_revision(state),
         configuration_age_s=configuration_age_s(state),
         leaving=state.drain.requested_s is not None,
         queued=len(state.routing.queue),
@@ -118,6 +119,23 @@
     )
 
 
+def domain_revision(state: state_lib.State) -> int:
+    """Returns the lowest revision of this failure domain's known instances.
+
+    A suspected instance counts with what it last told: it may be paused and
+    go on with that revision.
+    """
+    lowest = state.configuration.document.revision
+    for peer in state.members.peers.values():
+        if peer.entry.failure_domain != state.identity.failure_domain:
+            continue
+        if is_leaving(peer):
+            continue
+        heard = peer.heartbeat.revision if peer.heartbeat else 0
+        lowest = min(lowest, heard)
+    return lowest
+
+
 def configuration_age_s(state: state_lib.State) -> float:
     """Returns the age of the configuration for a heartbeat; -1 if unknown.
 
--- a/dandelionpick/operator_reads.py
+++ b/dandelionpick/operator_reads.py
@@ -1,5 +1,6 @@
 """Answers operators' questions from what this instance knows."""
 
+import collections
 import math
 from collections.abc import Iterator
 from typing import Any
@@ -10,6 +11,7 @@
 from dandelionpick import dispatch
 from dandelionpick import errors
 from dandelionpick import ids
+from dandelionpick import job_status
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import membership
@@ -153,6 +155,8 @@
         request.phase is request_state.Phase.RUNNING
         for request in state.requests.by_name.values()
     )
+    records = job_status.own_document(state).records.values()
+    jobs = collections.Counter(record.state for record in records)
     reply = messages.Status(
         instance=state.identity.instance,
         failure_domain=state.identity.failure_domain,
@@ -162,6 +166,8 @@
         members=list(_members(state, now_s)),
         requests_queued=len(state.routing.queue),
         requests_running=running,
+        jobs_queued=jobs[kinds.JobState.QUEUED],
+        jobs_running=jobs[kinds.JobState.RUNNING],
         configuration_age_s=age_s if math.isfinite(age_s) else None,
     )
     step.respond(exchange_id, reply)
--- a/dandelionpick/peer_messages.py
+++ b/dandelionpick/peer_messages.py
@@ -13,6 +13,7 @@
     The reply is the receiver's own Heartbeat.
 
     Attributes:
+        domain_revision: lowest revision of the sender's failure domain.
         configuration_age_s: seconds since the sender's revision was known to
             be the store's; -1 if it never was.
     """
@@ -21,6 +22,7 @@
     failure_domain: ids.FailureDomain
     incarnation: ids.Incarnation
     revision: int = 0
+    domain_revision: int = 0
     configuration_age_s: float = -1.0
     leaving: bool = False
     queued: int = 0
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,7 +10,9 @@
 import contextlib
 import dataclasses
 import itertools
+import json
 import pathlib
+import secrets
 import signal
 import sys
 import time
@@ -24,13 +26,21 @@
 from dandelionpick import caller_messages as caller
 from dandelionpick import client as client_lib
 from dandelionpick import executor_messages
+from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import operator_messages as operator
 from standins import deployment
 
 FOLDER = "build/demo"
 CALLERS = 8
 MIN_REQUESTS = 25
 THINK_S = 0.02
+EXCLUSIVE_REQUESTS = 10
+JOBS = 6
+JOB_POLLS = 60
+JOB_POLL_S = 0.5
+EDITS = 3
+IN_FORCE_LIMIT_S = 12.0
 DEADLINE_S = 10.0
 MAX_ATTEMPTS = 4
 PROBE_PERIOD_S = 0.1
@@ -75,7 +85,10 @@
         "classes": {
             "confirmation": {"worth": 5, "short": True},
             "assessment": {"worth": 1},
+            "reconciliation": {"idempotent": False},
+            "scan": {"checkpointable": True, "run_s": 1},
         },
+        "guarantees": {},
         "branches": {name: {} for name in user.organisations},
     }
 
@@ -180,12 +193,15 @@
 
 
 def check_answer(
-    report: Report, request: caller.SubmitRequest, reply: Any
+    report: Report,
+    request: caller.SubmitRequest,
+    reply: Any,
+    kind: str = "request",
 ) -> None:
     """Counts an answer and compares it with what the executor computes."""
     outcome = getattr(reply, "outcome", None)
     label = "no reply" if outcome is None else outcome.value
-    report.outcomes["request", label] += 1
+    report.outcomes[kind, label] += 1
     if outcome is not kinds.Outcome.COMPLETED:
         # No fault is injected, so there is no reason for another outcome.
         report.broken.append(f"request {request.key}: {label}")
@@ -196,10 +212,101 @@
         report.broken.append(f"request {request.key}: wrong answer")
 
 
+async def exclusive_load(run: Run) -> None:
+    """Submits non-idempotent requests, each from two instances at once."""
+    for number in range(EXCLUSIVE_REQUESTS):
+        request = caller.SubmitRequest(
+            organisation=run.user.organisations[0],
+            job_class="reconciliation",
+            key=new_key(),
+            body=f"{run.user.name} reconciliation {number}".encode(),
+            deadline_s=DEADLINE_S,
+        )
+        again = msgspec.structs.replace(request, attempt=2)
+        replies = await asyncio.gather(
+            send_anywhere(run, number, request),
+            send_anywhere(run, number + 1, again),
+        )
+        for reply in replies:
+            check_answer(run.report, request, reply, "exclusive")
+
+
+async def job_load(run: Run) -> None:
+    """Submits gangs, and follows them through another instance."""
+    await asyncio.gather(*(run_job(run, number) for number in range(JOBS)))
+
+
+async def run_job(run: Run, number: int) -> None:
+    """Submits one gang of two tasks and waits for its end."""
+    job = caller.SubmitJob(
+        organisation=run.user.organisations[number % 2],
+        job_class="scan",
+        key=new_key(),
+        tasks=2,
+        accelerators=2,
+        run_s=1.0,
+        payload=json.dumps({"run_s": 1.0}),
+    )
+    status = await send_anywhere(run, number, job)
+    fetch = caller.FetchJob(organisation=job.organisation, key=job.key)
+    for poll in range(JOB_POLLS):
+        if status is None or status.outcome is not kinds.Outcome.PENDING:
+            break
+        await asyncio.sleep(JOB_POLL_S)
+        name = run.ready[(number + poll) % len(run.ready)]
+        result = await run.clients[name].send(fetch)
+        status = result.value_or(status)
+    label = "no reply" if status is None else status.outcome.value
+    run.report.outcomes["job", label] += 1
+    if label != "completed":
+        run.report.broken.append(f"job {job.key}: {label} {status}")
+
+
+async def edit_load(run: Run) -> None:
+    """Edits the tree near the root and waits until it is in force."""
+    for number in range(EDITS):
+        edit = operator.EditTree(
+            edit_id=new_key(),
+            operator="demo",
+            changes=[operator.Change("classes/assessment/worth", 2 + number)],
+        )
+        name = run.ready[number % len(run.ready)]
+        reply = (await run.clients[name].send(edit)).value_or(None)
+        if not isinstance(reply, operator.EditAccepted):
+            run.report.outcomes["edit", "refused"] += 1
+            run.report.broken.append(f"edit {number}: {reply}")
+            continue
+        run.report.outcomes["edit", "accepted"] += 1
+        if not await is_in_force(run, reply.revision):
+            run.report.broken.append(f"edit {number} is not in force")
+
+
+async def is_in_force(run: Run, revision: int) -> bool:
+    """Tells whether every instance has a revision before the limit."""
+    end_s = time.monotonic() + IN_FORCE_LIMIT_S
+    while time.monotonic() < end_s:
+        statuses = [
+            (await run.clients[name].send(operator.ReadStatus())).value_or(None)
+            for name in list(run.ready)
+        ]
+        if all(s is not None and s.revision >= revision for s in statuses):
+            return True
+        await asyncio.sleep(PROBE_PERIOD_S)
+    return False
+
+
+def new_key() -> ids.RequestKey:
+    """Returns a fresh UUIDv7."""
+    return ids.new_key(time.time_ns() // 1_000_000, secrets.randbits(74))
+
+
 # Kinds of work that run at the same time for each user. A load counts its
 # outcomes in run.report and adds the promises that it saw broken.
 LOADS: tuple[Callable[[Run], Awaitable[None]], ...] = (
     request_load,
+    exclusive_load,
+    job_load,
+    edit_load,
     planned_stop,
 )
 
