Read the instance list only when it has changed

Cause: at 3,700 workers a whole list every second came to 786 KB/s for each instance, against 22 KB/s for all control traffic (measured with bench.stub).

Ruled out: reading less often, because the list is one of the two ways to learn that an instance leaves; a filter by failure domain, which leaves 87 KB/s.

Change: a read names the etag that the reader has and is answered without the list if nothing has changed. The groups that vanished implausibly are computed once for a list instead of once for each entry.

--- a/bench/path.py
+++ b/bench/path.py
@@ -78,6 +78,7 @@
         entry, around = bench.launch(options)
         command = [sys.executable, "-m", "bench.bare", around.address]
         bare = bench.spawn("bare", "bare", command, {})
+        asyncio.run(bench.addresses())
         for number in range(ROUNDS + 1):
             for name, process in (("entry", entry), ("bare", bare)):
                 result = measure(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -110,11 +110,13 @@
             json.dumps(dataclasses.asdict(options)),
         ]
         around = self.spawn("stub", "stub", command, {})
+        asyncio.run(self.addresses())
         self.processes["store"] = around
         self.processes["instance-list"] = around
         domain = deployment.DomainPlan(stub.DOMAIN, stub.REGION)
         entry = self.start_entry("measured", domain)
-        deployment.wait_until_ready(entry.address)
+        while not deployment.is_ready(entry.address):
+            time.sleep(0.05)
         time.sleep(SETTLE_S)
         return entry, around
 
--- a/bench/stub.py
+++ b/bench/stub.py
@@ -11,6 +11,7 @@
 import dataclasses
 import json
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +31,7 @@
 from dandelionpick import store_messages
 from dandelionpick import wire
 from dandelionpick import worker_messages
+from standins import instance_list
 from standins import store as store_lib
 
 DOMAIN = "domain-0"
@@ -99,7 +101,7 @@
         self.store = store_lib.Store()
         if options.document:
             self.set_document(options.document)
-        self.entries: list[list_messages.InstanceEntry] = []
+        self.list = instance_list.InstanceList(0.0)
         self.counts: dict[str, int] = {}
         self.bytes = 0
 
@@ -127,17 +129,20 @@
             if reply.version != message.after_version:
                 break
             await asyncio.sleep(0.05)
-            reply = self.store.value(message.key)
+            reply = self.store.answer(message)
         return reply
 
 
 def _heartbeat(around: Surroundings, message: Any) -> Any:
     revision = message.revision
+    # A peer that leaves is sent heartbeats but nothing else, so that the
+    # measured instance schedules the failure domain.
     return peer_messages.Heartbeat(
         instance=ids.InstanceId("entry-0"),
         failure_domain=ids.FailureDomain(DOMAIN),
         incarnation=ids.Incarnation("stub"),
         revision=revision,
+        leaving=True,
     )
 
 
@@ -177,8 +182,13 @@
     peer_messages.ReadDocument: lambda around, message: peer_messages.Document(
         0, ""
     ),
-    list_messages.ReadInstances: lambda around, message: (
-        list_messages.Instances(around.entries)
+    list_messages.ReadInstances: lambda around, message: around.list.handle(
+        message, time.monotonic()
+    ),
+    executor_messages.QueryTask: lambda around, message: (
+        executor_messages.TaskUnknown(
+            message.task_id, ids.Incarnation("stub"), 8
+        )
     ),
     executor_messages.StartTask: _result,
     worker_messages.RenewLeases: _report,
@@ -223,7 +233,8 @@
     around = Surroundings(options)
     listener = server.bind("127.0.0.1:0")
     host, port = listener.getsockname()
-    around.entries = entries_of(options, f"{host}:{port}")
+    entries = entries_of(options, f"{host}:{port}")
+    around.list.set_entries(entries, float("-inf"))
     print(f"stub: listening on {host}:{port}", flush=True)
     config = uvicorn.Config(
         build(around),
--- a/dandelionpick/list_messages.py
+++ b/dandelionpick/list_messages.py
@@ -7,7 +7,13 @@
 
 
 class ReadInstances(msgspec.Struct, frozen=True):
-    """Reads the whole list."""
+    """Reads the whole list, or learns that it has not changed.
+
+    Attributes:
+        known_etag: etag of the list that the reader has, or "".
+    """
+
+    known_etag: str = ""
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -35,7 +41,21 @@
     slots: int = 0
 
 
-class Instances(msgspec.Struct, frozen=True):
-    """All live and leaving instances, as the platform last knew them."""
+class Instances(msgspec.Struct, frozen=True, tag=True):
+    """All live and leaving instances, as the platform last knew them.
+
+    Attributes:
+        etag: names this content; "" if the platform gives none.
+    """
 
     entries: list[InstanceEntry]
+    etag: str = ""
+
+
+class InstancesUnchanged(msgspec.Struct, frozen=True, tag=True):
+    """The list is the one that the reader has.
+
+    Without it, a list of 3,700 workers read every second takes 786 KB/s.
+    """
+
+    etag: str
--- a/dandelionpick/listing.py
+++ b/dandelionpick/listing.py
@@ -38,8 +38,14 @@
 
 
 def read(state: state_lib.State, step: dispatch.Step) -> None:
-    """Sends a read of the list."""
-    state.members.list_pending = True
+    """Sends a read of the list.
+
+    While entries are kept that the list lacks, the whole list is read, because
+    how long they are kept depends on the time.
+    """
+    members = state.members
+    members.list_pending = True
+    known_etag = "" if members.missing else members.list_etag
     destination = effects.Destination(
         kinds.Service.INSTANCE_LIST, "", state.identity.list_address
     )
@@ -47,8 +53,8 @@
         state,
         step,
         destination,
-        list_messages.ReadInstances(),
-        ListRead(state.members.stalls),
+        list_messages.ReadInstances(known_etag),
+        ListRead(members.stalls),
         state.limits.call_timeout_s,
     )
 
@@ -58,14 +64,16 @@
     context: ListRead,
     state: state_lib.State,
     step: dispatch.Step,
-    reply: list_messages.Instances,
+    reply: list_messages.Instances | list_messages.InstancesUnchanged,
 ) -> None:
     if context.stalls != state.members.stalls:
         return
     state.members.list_pending = False
     state.members.list_read_s = step.moment.now_s
     state.routing.hold = False
-    adopt(state, step, reply)
+    if isinstance(reply, list_messages.Instances):
+        state.members.list_etag = reply.etag
+        adopt(state, step, reply)
 
 
 @dispatch.failed.register
@@ -95,10 +103,9 @@
         for entry in members.entries.values()
         if entry.id not in listed and entry.state is kinds.Liveness.LIVE
     ]
+    implausible = implausible_groups(state, vanished)
     kept = [
-        entry
-        for entry in vanished
-        if is_kept(state, entry, implausible_groups(state, vanished), now_s)
+        entry for entry in vanished if is_kept(state, entry, implausible, now_s)
     ]
     missing_before = members.missing
     members.missing = {
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -68,6 +68,7 @@
         local_of: the entries that `local` was derived from.
         peers: other entry instances, by id.
         list_read_s: monotonic seconds of the last successful read.
+        list_etag: etag of the last list.
         list_pending: whether a read is under way.
         heartbeat_sent_s: monotonic seconds of the last heartbeat round.
         rounds: heartbeat rounds sent.
@@ -88,6 +89,7 @@
     local_of: dict[ids.InstanceId, list_messages.InstanceEntry] | None = None
     peers: dict[ids.InstanceId, Peer] = dataclasses.field(default_factory=dict)
     list_read_s: float = float("-inf")
+    list_etag: str = ""
     list_pending: bool = False
     heartbeat_sent_s: float = float("-inf")
     rounds: int = 0
--- a/dandelionpick/wire.py
+++ b/dandelionpick/wire.py
@@ -61,7 +61,9 @@
 }
 LIST = {
     list_messages.ReadInstances: _endpoint(
-        "/v1/instances", list_messages.ReadInstances, list_messages.Instances
+        "/v1/instances",
+        list_messages.ReadInstances,
+        list_messages.Instances | list_messages.InstancesUnchanged,
     ),
 }
 EXECUTOR = {
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's lagging list of instances."""
 
 import collections
+import hashlib
 from typing import Any
 
 import msgspec
@@ -21,13 +22,15 @@
         self.lag_s = lag_s
         self.faults = faults.Faults()
         self.history: collections.deque = collections.deque()
-        self.history.append((float("-inf"), []))
+        self.set_entries([], float("-inf"))
 
     def set_entries(
         self, entries: list[list_messages.InstanceEntry], now_s: float
     ) -> None:
         """Replaces the list; answers show it after the lag."""
-        self.history.append((now_s, list(entries)))
+        etag = hashlib.sha256(msgspec.json.encode(entries)).hexdigest()
+        listed = list_messages.Instances(list(entries), etag)
+        self.history.append((now_s, listed))
 
     def control(self, changes: dict[str, Any], now_s: float) -> None:
         """Applies a control message: faults, "lag_s" and "entries"."""
@@ -39,10 +42,15 @@
             )
             self.set_entries(entries, now_s)
 
-    def handle(self, message: Any, now_s: float) -> list_messages.Instances:
+    def handle(
+        self, message: Any, now_s: float
+    ) -> list_messages.Instances | list_messages.InstancesUnchanged:
         """Answers a read."""
         while len(self.history) > 1 and (
             self.history[1][0] <= now_s - self.lag_s
         ):
             self.history.popleft()
-        return list_messages.Instances(self.history[0][1])
+        listed = self.history[0][1]
+        if message.known_etag == listed.etag:
+            return list_messages.InstancesUnchanged(listed.etag)
+        return listed
--- a/tests/contract_list.py
+++ b/tests/contract_list.py
@@ -29,6 +29,18 @@
         reply = self.service.call(messages.ReadInstances()).unwrap()
         self.assertEqual(reply.entries, entries)
 
+    def test_tells_a_reader_that_nothing_has_changed(self):
+        self.publish("x1")
+        self.service.wait_until(lambda: self.read() == ["x1"])
+        etag = self.service.call(messages.ReadInstances()).unwrap().etag
+        same = self.service.call(messages.ReadInstances(etag)).unwrap()
+        self.assertEqual(same, messages.InstancesUnchanged(etag))
+        self.publish("x1", "x2")
+        self.service.wait_until(lambda: self.read() == ["x1", "x2"])
+        changed = self.service.call(messages.ReadInstances(etag)).unwrap()
+        self.assertIsInstance(changed, messages.Instances)
+        self.assertNotEqual(changed.etag, etag)
+
     def test_shows_changes_after_the_lag_in_their_order(self):
         self.publish("x1")
         self.publish("x1", "x2")
