--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -3,6 +3,8 @@
 One real entry instance runs against `bench.stub`. Processor time and resident
 memory are read from /proc. Writes one JSON object a line to
 build/slopes.jsonl and prints a table with the fitted slope of each series.
+
+Usage: python -m bench.slopes [SERIES ...], the names of functions in SERIES.
 """
 
 import asyncio
@@ -16,7 +18,9 @@
 import tempfile
 import time
 import urllib.request
+from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
@@ -103,12 +107,11 @@
 
     def launch(self, options: stub.Options) -> tuple[Any, Any]:
         """Starts both and waits until the instance is ready."""
-        command = [
-            sys.executable,
-            "-m",
-            "bench.stub",
-            json.dumps(dataclasses.asdict(options)),
-        ]
+        # A large document would exceed the limit on the length of an argument.
+        path = self.folder / "document.json"
+        path.write_text(options.document)
+        fields = {**dataclasses.asdict(options), "document": str(path)}
+        command = [sys.executable, "-m", "bench.stub", json.dumps(fields)]
         around = self.spawn("stub", "stub", command, {})
         asyncio.run(self.addresses())
         self.processes["store"] = around
@@ -245,30 +248,56 @@
     raise RuntimeError(f"revision {revision} is not in force")
 
 
-def samples() -> Iterator[Sample]:
-    """Runs every series."""
-    base = document_of(4)
-    for workers in (24, 120, 600, 3_700):
-        options = stub.Options(workers=workers, domains=9, document=base)
-        yield measure_idle("workers listed", workers, options)
-    for workers in (8, 50, 200, 411):
-        options = stub.Options(workers=workers, domains=1, document=base)
-        yield measure_idle("workers scheduled", workers, options)
-    for parts in (0, 2, 8, 16):
-        options = stub.Options(
-            workers=50, parts=parts, domains=1, document=base
-        )
-        yield measure_idle("parts on 50 workers", 50 * parts, options)
-    for peers in (2, 8, 18, 36):
-        options = stub.Options(peers=peers, domains=9, document=base)
-        yield measure_idle("peers", peers, options)
-    for organisations in (4, 45, 180, 360):
-        options = stub.Options(document=document_of(organisations))
-        yield measure_idle("organisations", organisations, options)
-    for organisations in (4, 45, 180, 360):
-        yield measure_edits(organisations)
-    for body_bytes in (100, 1_000, 10_000, 100_000):
-        yield measure_requests(body_bytes)
+def workers_listed(size: int) -> Sample:
+    """Varies the workers of all failure domains, a ninth of them its own."""
+    options = stub.Options(workers=size, domains=9, document=document_of(4))
+    return measure_idle("workers listed", size, options)
+
+
+def workers_scheduled(size: int) -> Sample:
+    """Varies the idle workers of its own failure domain."""
+    options = stub.Options(workers=size, domains=1, document=document_of(4))
+    return measure_idle("workers scheduled", size, options)
+
+
+def parts(size: int) -> Sample:
+    """Varies the parts of gangs on 50 workers."""
+    options = stub.Options(
+        workers=50, parts=size // 50, domains=1, document=document_of(4)
+    )
+    return measure_idle("parts", size, options)
+
+
+def peers(size: int) -> Sample:
+    """Varies the peers, spread over 9 failure domains."""
+    options = stub.Options(peers=size, domains=9, document=document_of(4))
+    return measure_idle("peers", size, options)
+
+
+def organisations(size: int) -> Sample:
+    """Varies the organisations of the tree."""
+    options = stub.Options(document=document_of(size))
+    return measure_idle("organisations", size, options)
+
+
+SERIES: tuple[tuple[Callable[[int], Sample], tuple[int, ...]], ...] = (
+    (workers_listed, (24, 120, 600, 3_700)),
+    (workers_scheduled, (8, 50, 200, 411)),
+    (parts, (0, 100, 400, 800)),
+    (peers, (2, 8, 18, 36)),
+    (organisations, (4, 45, 180, 360)),
+    (measure_edits, (4, 45, 180, 360)),
+    (measure_requests, (100, 1_000, 10_000, 100_000)),
+)
+
+
+def samples(names: Sequence[str]) -> Iterator[Sample]:
+    """Runs the series with these function names, or all of them."""
+    for measure, sizes in SERIES:
+        if names and measure.__name__ not in names:
+            continue
+        for size in sizes:
+            yield measure(size)
 
 
 def slope(points: list[tuple[float, float]]) -> float:
@@ -283,7 +312,7 @@
     OUTPUT.parent.mkdir(exist_ok=True)
     series: dict[str, list[Sample]] = {}
     with OUTPUT.open("w") as output:
-        for sample in samples():
+        for sample in samples(sys.argv[1:]):
             output.write(json.dumps(dataclasses.asdict(sample)) + "\n")
             output.flush()
             series.setdefault(sample.series, []).append(sample)
--- a/bench/stub.py
+++ b/bench/stub.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 import sys
 import time
 from collections.abc import Callable
@@ -45,6 +46,8 @@
     Attributes:
         parts: parts of gangs that each worker of the failure domain reports.
         domains: failure domains that the workers and peers are spread over.
+        document: the configuration document, or for the stub process the path
+            of a file that holds it.
     """
 
     workers: int = 8
@@ -100,7 +103,7 @@
         self.options = options
         self.store = store_lib.Store()
         if options.document:
-            self.set_document(options.document)
+            self.set_document(pathlib.Path(options.document).read_text())
         self.list = instance_list.InstanceList(0.0)
         self.counts: dict[str, int] = {}
         self.bytes = 0
