Declare the metrics of requests again

Ruled out: removing the uses. responses_total counts each response, so callers that wait for the same key count several times, and response_seconds leaves out requests that were not completed.

A test parses the package and checks that each use of a metric names a declared one with as many labels.

Conclusion: without the declarations the test fails for both uses in outcomes.py; with them test_metrics, test_docs and test_outcomes pass.

--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -3,6 +3,11 @@
 import prometheus_client
 
 COUNTERS = {
+    "requests_total": prometheus_client.Counter(
+        "dandelionpick_requests_total",
+        "Requests with a final or unknown outcome, by outcome.",
+        ["outcome"],
+    ),
     "responses_total": prometheus_client.Counter(
         "dandelionpick_responses_total",
         "Responses to callers, operators and peers, by message and outcome.",
@@ -47,6 +52,11 @@
     ),
 }
 HISTOGRAMS = {
+    "request_seconds": prometheus_client.Histogram(
+        "dandelionpick_request_seconds",
+        "Seconds from receipt of a request to its outcome, by class.",
+        ["job_class"],
+    ),
     "response_seconds": prometheus_client.Histogram(
         "dandelionpick_response_seconds",
         "Seconds from receipt of work to its response, by message and class.",
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,117 @@
+"""Tests that what the code counts and observes is declared as a metric."""
+
+import ast
+import inspect
+import pathlib
+import unittest
+from collections.abc import Iterator
+
+import dandelionpick
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import metrics
+
+PACKAGE = pathlib.Path(dandelionpick.__file__).parent
+
+# How a metric is used, with the signature of the use and what declares it.
+USES = {
+    "step.count": (dispatch.Step.count, metrics.COUNTERS),
+    "effects.Count": (effects.Count, metrics.COUNTERS),
+    "effects.Observe": (effects.Observe, metrics.HISTOGRAMS),
+    "metrics.add": (metrics.add, metrics.COUNTERS),
+    "metrics.observe": (metrics.observe, metrics.HISTOGRAMS),
+    "metrics.put": (metrics.put, metrics.GAUGES),
+}
+# These pass on the name of another use.
+FORWARDED_NAMES = {"metric", "effect.metric"}
+
+
+def uses_in(scope: ast.AST) -> Iterator[tuple[str, inspect.BoundArguments]]:
+    """Yields the uses of metrics in a module or function."""
+    for node in ast.walk(scope):
+        if not isinstance(node, ast.Call):
+            continue
+        use = ast.unparse(node.func)
+        if use not in USES:
+            continue
+        receiver = [node.func] if use == "step.count" else []
+        keywords = {word.arg: word.value for word in node.keywords}
+        signature = inspect.signature(USES[use][0])
+        yield use, signature.bind(*receiver, *node.args, **keywords)
+
+
+def count_labels(labels: ast.expr | tuple, function: ast.AST) -> int:
+    """Returns how many labels a use gives.
+
+    Args:
+        labels: a tuple of expressions or a local variable that holds one; as
+            a Python tuple if they are the remaining arguments of the use.
+        function: where a local variable is assigned.
+
+    Raises:
+        ValueError: if the number can't be told from the source.
+    """
+    if isinstance(labels, tuple):
+        return len(labels)
+    if isinstance(labels, ast.Tuple):
+        return len(labels.elts)
+    values = [
+        node.value
+        for node in ast.walk(function)
+        if isinstance(node, ast.Assign)
+        and ast.unparse(node.targets[0]) == ast.unparse(labels)
+    ]
+    if len(values) != 1 or not isinstance(values[0], ast.Tuple):
+        raise ValueError(f"{ast.unparse(labels)} is not one literal tuple")
+    return len(values[0].elts)
+
+
+class DeclaredMetricsTest(unittest.TestCase):
+    """Guards against an effect that fails with KeyError or ValueError.
+
+    A metric that is used but not declared, or declared with other labels,
+    raises only when the effect is performed, which tests of reducers don't do.
+    """
+
+    def check(
+        self, use: str, given: inspect.BoundArguments, function: ast.AST
+    ) -> bool:
+        """Checks one use; returns False if it only forwards a name."""
+        metric = given.arguments["metric"]
+        if not isinstance(metric, ast.Constant):
+            self.assertIn(ast.unparse(metric), FORWARDED_NAMES)
+            return False
+        declared = USES[use][1]
+        self.assertIn(metric.value, declared)
+        labels = given.arguments.get("labels", ())
+        self.assertEqual(
+            len(declared[metric.value]._labelnames),
+            count_labels(labels, function),
+        )
+        return True
+
+    def test_every_use_names_a_declared_metric_with_its_labels(self):
+        checked = 0
+        for path in sorted(PACKAGE.glob("*.py")):
+            module = ast.parse(path.read_text())
+            functions = [
+                node
+                for node in ast.walk(module)
+                if isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef)
+            ]
+            in_functions = 0
+            for function in functions:
+                for use, given in uses_in(function):
+                    in_functions += 1
+                    name = ast.unparse(given.arguments["metric"])
+                    with self.subTest(path.name, use=use, metric=name):
+                        checked += self.check(use, given, function)
+            with self.subTest(path.name, uses="outside of functions"):
+                self.assertGreaterEqual(
+                    in_functions, len(list(uses_in(module)))
+                )
+        self.assertGreaterEqual(checked, 15)
+
+
+if __name__ == "__main__":
+    unittest.main()
