Split the intake of edits from their application

Ruled out: a split by phase of an attempt. A write that conflicts goes back to the comparison, so the two modules would import each other.

Change: edit_intake takes messages, ends overdue edits and reports whether all are answered; edit_queue starts the next attempt; edits keeps the attempt. Behaviour is unchanged.

--- /dev/null
+++ b/dandelionpick/edit_intake.py
@@ -0,0 +1,54 @@
+"""Queues operators' edits, refuses overdue ones and answers accepted ones."""
+
+from dandelionpick import dispatch
+from dandelionpick import drain
+from dandelionpick import edit_problems
+from dandelionpick import edit_queue
+from dandelionpick import edit_state
+from dandelionpick import ids
+from dandelionpick import in_force
+from dandelionpick import operator_messages
+from dandelionpick import state as state_lib
+
+# With IN_FORCE_WAIT_S, leaves an answer within 10 s.
+EDIT_TIMEOUT_S = 7.0
+
+
+@dispatch.receive.register
+def _(
+    message: operator_messages.EditTree,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    problem = edit_problems.at_once(state, message, step.moment.now_s)
+    if problem is not None:
+        refused = operator_messages.EditRefused(
+            edit_id=message.edit_id,
+            problem=problem,
+            revision=state.configuration.document.revision,
+        )
+        step.respond(exchange_id, refused)
+        return
+    deadline_s = step.moment.now_s + EDIT_TIMEOUT_S
+    edit = edit_state.PendingEdit(exchange_id, message, deadline_s, step.trace)
+    state.edits.queue.append(edit)
+    edit_queue.start_next(state, step)
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Ends edits that are overdue and answers accepted ones."""
+    now_s = step.moment.now_s
+    for edit in list(state.edits.queue):
+        if now_s >= edit.deadline_s:
+            edit_queue.refuse(
+                state, step, edit, edit_problems.overdue(state, edit)
+            )
+    edit_queue.start_next(state, step)
+    in_force.answer_accepted(state, step)
+
+
+@drain.on_leaving
+def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
+    """Tells whether every edit was answered, so that the process may exit."""
+    return not (state.edits.queue or state.edits.accepted)
--- a/dandelionpick/edit_queue.py
+++ b/dandelionpick/edit_queue.py
@@ -1,11 +1,24 @@
 """The queue of an instance's edits; its head is being worked on."""
 
+import dataclasses
+
+from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import edit_state
 from dandelionpick import errors
 from dandelionpick import in_force
 from dandelionpick import operator_messages
 from dandelionpick import state as state_lib
+from dandelionpick import store_messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentRead:
+    """Context of an attempt's read of the document from the store."""
+
+    edit: edit_state.PendingEdit
+    attempt: int
+    sent_s: float
 
 
 def is_current(
@@ -24,6 +37,31 @@
     )
 
 
+def start_next(state: state_lib.State, step: dispatch.Step) -> None:
+    """Starts an attempt of the edit at the head of the queue."""
+    if not state.edits.queue:
+        return
+    edit = state.edits.queue[0]
+    if (
+        edit.phase is not edit_state.Phase.WAITING
+        or step.moment.now_s < edit.retry_s
+    ):
+        return
+    if state.members.list_read_s == float("-inf"):
+        return
+    edit.attempt += 1
+    edit.phase = edit_state.Phase.READING
+    step.trace = edit.trace
+    dispatch.call(
+        state,
+        step,
+        state.store(),
+        store_messages.Read(configuration.DOCUMENT_KEY),
+        DocumentRead(edit, edit.attempt, step.moment.now_s),
+        state.limits.call_timeout_s,
+    )
+
+
 def retry(
     step: dispatch.Step, edit: edit_state.PendingEdit, delay_s: float
 ) -> None:
--- a/dandelionpick/edits.py
+++ b/dandelionpick/edits.py
@@ -1,4 +1,4 @@
-"""Accepts operators' edits of the configuration tree.
+"""Applies operators' edits of the configuration tree, one at a time.
 
 An attempt reads the document from the store, compares revisions with all
 listed peers, applies the edit to the highest document and writes the result
@@ -16,37 +16,23 @@
 from dandelionpick import adoption
 from dandelionpick import configuration
 from dandelionpick import dispatch
-from dandelionpick import drain
 from dandelionpick import edit_problems
 from dandelionpick import edit_queue
 from dandelionpick import edit_state
 from dandelionpick import ids
-from dandelionpick import in_force
 from dandelionpick import kinds
 from dandelionpick import membership
-from dandelionpick import operator_messages
 from dandelionpick import peer_messages
 from dandelionpick import proposals
 from dandelionpick import state as state_lib
 from dandelionpick import store_messages
 
-# With IN_FORCE_WAIT_S, leaves an answer within 10 s.
-EDIT_TIMEOUT_S = 7.0
 RETRY_S = 0.3
 COMPARE_TIMEOUT_S = 1.0
 
 Phase = edit_state.Phase
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentRead:
-    """Context of an attempt's read of the document from the store."""
-
-    edit: edit_state.PendingEdit
-    attempt: int
-    sent_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCompared:
     """Context of an attempt's comparison of revisions with a peer."""
@@ -82,7 +68,9 @@
     revision: int
 
 
-AttemptCall = DocumentRead | PeerCompared | DocumentWritten | WriteConfirmed
+AttemptCall = (
+    edit_queue.DocumentRead | PeerCompared | DocumentWritten | WriteConfirmed
+)
 
 
 def _is_current(
@@ -92,71 +80,9 @@
     return edit_queue.is_current(state, context.edit, context.attempt, phase)
 
 
-@dispatch.receive.register
-def _(
-    message: operator_messages.EditTree,
-    state: state_lib.State,
-    step: dispatch.Step,
-    exchange_id: ids.ExchangeId,
-) -> None:
-    problem = edit_problems.at_once(state, message, step.moment.now_s)
-    if problem is not None:
-        refused = operator_messages.EditRefused(
-            edit_id=message.edit_id,
-            problem=problem,
-            revision=state.configuration.document.revision,
-        )
-        step.respond(exchange_id, refused)
-        return
-    deadline_s = step.moment.now_s + EDIT_TIMEOUT_S
-    edit = edit_state.PendingEdit(exchange_id, message, deadline_s, step.trace)
-    state.edits.queue.append(edit)
-    _start_next(state, step)
-
-
-def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Ends edits that are overdue and answers accepted ones."""
-    now_s = step.moment.now_s
-    for edit in list(state.edits.queue):
-        if now_s >= edit.deadline_s:
-            edit_queue.refuse(
-                state, step, edit, edit_problems.overdue(state, edit)
-            )
-    _start_next(state, step)
-    in_force.answer_accepted(state, step)
-
-
-@drain.on_leaving
-def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
-    """Tells whether every edit was answered, so that the process may exit."""
-    return not (state.edits.queue or state.edits.accepted)
-
-
-def _start_next(state: state_lib.State, step: dispatch.Step) -> None:
-    """Starts an attempt of the edit at the head of the queue."""
-    if not state.edits.queue:
-        return
-    edit = state.edits.queue[0]
-    if edit.phase is not Phase.WAITING or step.moment.now_s < edit.retry_s:
-        return
-    if state.members.list_read_s == float("-inf"):
-        return
-    edit.attempt += 1
-    edit.phase = Phase.READING
-    step.trace = edit.trace
-    dispatch.call(
-        state,
-        step,
-        state.store(),
-        store_messages.Read(configuration.DOCUMENT_KEY),
-        DocumentRead(edit, edit.attempt, step.moment.now_s),
-        state.limits.call_timeout_s,
-    )
-
-
 @dispatch.returned.register
 def _(
-    context: DocumentRead,
+    context: edit_queue.DocumentRead,
     state: state_lib.State,
     step: dispatch.Step,
     reply: store_messages.Value,
@@ -167,7 +93,7 @@
 
 @dispatch.failed.register
 def _(
-    context: DocumentRead,
+    context: edit_queue.DocumentRead,
     state: state_lib.State,
     step: dispatch.Step,
     failure: kinds.CallFailure,
@@ -220,7 +146,7 @@
             edit,
             edit_problems.unreadable(context.peer, reply.revision),
         )
-        _start_next(state, step)
+        edit_queue.start_next(state, step)
         return
     edit.unanswered.discard(context.peer)
     _write_when_compared(state, step, edit)
@@ -248,7 +174,7 @@
     if known.store_revision > known.document.revision:
         problem = edit_problems.unreadable(adoption.STORE, known.store_revision)
         edit_queue.refuse(state, step, edit, problem)
-        _start_next(state, step)
+        edit_queue.start_next(state, step)
         return
     done = proposals.find_edit(known.document, edit.message)
     if done is not None and known.store_revision < known.document.revision:
@@ -259,7 +185,7 @@
         return
     if done is not None:
         edit_queue.accept(state, step, edit, done.revision)
-        _start_next(state, step)
+        edit_queue.start_next(state, step)
         return
     if edit.maybe_version != edit.read_version:
         # The version moved on without the edit, so no write can take effect.
@@ -271,7 +197,7 @@
     if isinstance(result, Failure):
         problem = edit_problems.with_doubt(edit, result.failure())
         edit_queue.refuse(state, step, edit, problem)
-        _start_next(state, step)
+        edit_queue.start_next(state, step)
         return
     proposal = result.unwrap()
     _write(state, step, edit, proposal, proposal.document.revision)
@@ -374,7 +300,7 @@
         edit_queue.accept(state, step, context.edit, context.revision)
     else:
         edit_queue.retry(step, context.edit, 0.0)
-    _start_next(state, step)
+    edit_queue.start_next(state, step)
 
 
 @dispatch.failed.register
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -12,6 +12,7 @@
 from dandelionpick import configuration
 from dandelionpick import dispatch
 from dandelionpick import drain
+from dandelionpick import edit_intake
 from dandelionpick import edits
 from dandelionpick import effects
 from dandelionpick import events
@@ -35,14 +36,20 @@
 Handler = Callable[[state_lib.State, dispatch.Step], None]
 
 # These only register handlers of messages.
-HANDLERS: tuple[ModuleType, ...] = (cancel, job_lookup, jobs, operator_reads)
+HANDLERS: tuple[ModuleType, ...] = (
+    cancel,
+    edits,
+    job_lookup,
+    jobs,
+    operator_reads,
+)
 
 # Runs in this order on each tick: knowledge first, decisions after it.
 TICKS = (
     listing.tick,
     membership.tick,
     configuration.tick,
-    edits.tick,
+    edit_intake.tick,
     claims.tick,
     targets.tick,
     quarantine.tick,
