Split the results of documents from the documents

Ruled out: separate modules for reads and writes; a read that ends starts the next write and the reverse, so they would import each other.

Change: document_results holds the results of reads and changes and the function that dispatches them. Behaviour is unchanged.

--- a/dandelionpick/gangs.py
+++ b/dandelionpick/gangs.py
@@ -12,12 +12,12 @@
 import hashlib
 
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import effects
 from dandelionpick import gang_parts
 from dandelionpick import gang_stops
 from dandelionpick import ids
 from dandelionpick import job_claims
-from dandelionpick import job_documents
 from dandelionpick import job_outcomes
 from dandelionpick import job_state
 from dandelionpick import job_status
@@ -286,20 +286,20 @@
     return False
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: PlacementWritten,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Committed
-    | job_documents.Superseded
-    | job_documents.Unavailable,
+    result: document_results.Committed
+    | document_results.Superseded
+    | document_results.Unavailable,
 ) -> None:
     gang = state.jobs.gangs.get(context.gang_id)
     if gang is None or gang.stop is not None:
         return
     gang.placing = False
-    if isinstance(result, job_documents.Committed):
+    if isinstance(result, document_results.Committed):
         gang.placed = True
         drive(state, step, gang)
     else:
--- a/dandelionpick/job_claims.py
+++ b/dandelionpick/job_claims.py
@@ -52,7 +52,7 @@
         name: organisation and key, which must be a UUIDv7.
         digest: of the specification.
         failure_domain: where the job is to run.
-        context: passed to `job_documents.committed`: Committed with the new
+        context: passed to `document_results.committed`: Committed with the new
             claim, Superseded with the one that exists, or Unavailable.
     """
     job_documents.commit(
--- a/dandelionpick/job_documents.py
+++ b/dandelionpick/job_documents.py
@@ -9,12 +9,12 @@
 """
 
 import dataclasses
-import functools
 from typing import Any
 
 import msgspec
 
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import job_state
 from dandelionpick import kinds
 from dandelionpick import state as state_lib
@@ -33,41 +33,6 @@
 IDLE_DOCUMENT_S = 60.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Committed:
-    """The store holds the record."""
-
-    record: Any
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Superseded:
-    """The record had another revision; nothing was changed."""
-
-    record: Any
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unavailable:
-    """The store did not confirm the change.
-
-    Attributes:
-        certain: the change was never sent, so it can't take effect.
-    """
-
-    certain: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fresh:
-    """The document was read after it was asked for."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TooLarge:
-    """The document has no room for the record."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loaded:
     """Context of a read of a document.
@@ -91,14 +56,6 @@
     writes: list[str]
 
 
-@functools.singledispatch
-def committed(
-    context: Any, state: state_lib.State, step: dispatch.Step, result: Any
-) -> None:
-    """Handles the result of a change that was made with this context."""
-    raise TypeError(f"no handler for context {type(context).__name__}")
-
-
 def document_of(
     state: state_lib.State, key: str, record_type: Any
 ) -> job_state.Document:
@@ -128,7 +85,7 @@
         name: name of the record in the document.
         expected: revision that is replaced; 0 for a new record.
         record: the new record; its revision is set here.
-        context: passed to `committed` with the result.
+        context: passed to `document_results.committed` with the result.
     """
     change = job_state.Change(
         name=name,
@@ -153,7 +110,8 @@
         state: the reducer's state.
         step: the current step.
         document: what to read.
-        context: passed to `committed` with Fresh or Unavailable, if any.
+        context: passed to `document_results.committed` with Fresh or
+            Unavailable, if any.
     """
     if context is not None:
         document.readers.append(context)
@@ -206,8 +164,8 @@
     for change in late:
         document.queued.remove(change)
     for change in late:
-        result = Unavailable(certain=not change.write_ids)
-        committed(change.context, state, step, result)
+        result = document_results.Unavailable(certain=not change.write_ids)
+        document_results.committed(change.context, state, step, result)
 
 
 def flush(
@@ -231,7 +189,7 @@
     if document.in_flight:
         _write(state, step, document, records, results)
     for change, result in results:
-        committed(change.context, state, step, result)
+        document_results.committed(change.context, state, step, result)
 
 
 def _apply(
@@ -246,11 +204,11 @@
     for change in document.queued:
         current = records.get(change.name)
         if change.write_ids.intersection(document.writes):
-            results.append((change, Committed(change.record)))
+            results.append((change, document_results.Committed(change.record)))
         elif change.name in changed:
             waiting.append(change)
         elif (current.revision if current else 0) != change.expected:
-            results.append((change, Superseded(current)))
+            results.append((change, document_results.Superseded(current)))
         else:
             records[change.name] = change.record
             changed.add(change.name)
@@ -280,7 +238,11 @@
         document.queued = others + document.queued
         for change in new:
             certain = not change.write_ids
-            result = TooLarge() if certain else Unavailable(certain=False)
+            result = (
+                document_results.TooLarge()
+                if certain
+                else document_results.Unavailable(certain=False)
+            )
             results.append((change, result))
         return
     for change in document.in_flight:
@@ -330,7 +292,9 @@
             load(document, reply.version, reply.value)
         document.confirmed_s = context.sent_s
     flush(state, step, document)
-    _answer_readers(state, step, document, context.readers, Fresh())
+    _answer_readers(
+        state, step, document, context.readers, document_results.Fresh()
+    )
 
 
 @dispatch.failed.register
@@ -344,7 +308,7 @@
     document.read_pending = False
     if failure is kinds.CallFailure.NOT_SENT:
         _give_up_unsent(state, step, document)
-    result = Unavailable(certain=True)
+    result = document_results.Unavailable(certain=True)
     _answer_readers(state, step, document, context.readers, result)
 
 
@@ -359,7 +323,7 @@
     if document.readers:
         read(state, step, document)
     for context in readers:
-        committed(context, state, step, result)
+        document_results.committed(context, state, step, result)
 
 
 def _give_up_unsent(
@@ -369,7 +333,12 @@
     unsent = [c for c in document.queued if not c.write_ids]
     document.queued = [c for c in document.queued if c.write_ids]
     for change in unsent:
-        committed(change.context, state, step, Unavailable(certain=True))
+        document_results.committed(
+            change.context,
+            state,
+            step,
+            document_results.Unavailable(certain=True),
+        )
 
 
 @dispatch.returned.register
@@ -391,7 +360,12 @@
     document.records = context.records
     document.writes = context.writes
     for change in changes:
-        committed(change.context, state, step, Committed(change.record))
+        document_results.committed(
+            change.context,
+            state,
+            step,
+            document_results.Committed(change.record),
+        )
     flush(state, step, document)
 
 
--- a/dandelionpick/job_lookup.py
+++ b/dandelionpick/job_lookup.py
@@ -11,6 +11,7 @@
 
 from dandelionpick import caller_messages
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import errors
 from dandelionpick import ids
 from dandelionpick import job_claims
@@ -117,17 +118,17 @@
     job_documents.read(state, step, bucket, ClaimRead(lookup))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: ClaimRead,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Fresh | job_documents.Unavailable,
+    result: document_results.Fresh | document_results.Unavailable,
 ) -> None:
     lookup = context.lookup
     bucket = job_claims.bucket_of(state, lookup.name)
     claim = bucket.records.get(job_claims.record_name(lookup.name))
-    if claim is None and isinstance(result, job_documents.Fresh):
+    if claim is None and isinstance(result, document_results.Fresh):
         status = job_status.unknown(lookup.name, job_status.UNKNOWN_KEY)
         step.respond(lookup.exchange_id, status)
         return
@@ -214,17 +215,17 @@
     job_documents.read(state, step, document, EntryRead(lookup))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: EntryRead,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Fresh | job_documents.Unavailable,
+    result: document_results.Fresh | document_results.Unavailable,
 ) -> None:
     lookup = context.lookup
     document = job_status.document_of(state, lookup.failure_domain)
     record = document.records.get(job_claims.record_name(lookup.name))
-    fresh = isinstance(result, job_documents.Fresh)
+    fresh = isinstance(result, document_results.Fresh)
     if record is not None and lookup.cancel and fresh:
         deadline_s = step.moment.now_s + PEER_TIMEOUT_S
         write_cancel(state, step, lookup, record, deadline_s)
@@ -274,22 +275,26 @@
     )
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: CancelWritten,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Committed
-    | job_documents.Superseded
-    | job_documents.Unavailable,
+    result: document_results.Committed
+    | document_results.Superseded
+    | document_results.Unavailable,
 ) -> None:
     lookup = context.lookup
     retry = step.moment.now_s < context.deadline_s
-    if isinstance(result, job_documents.Superseded) and result.record and retry:
+    if (
+        isinstance(result, document_results.Superseded)
+        and result.record
+        and retry
+    ):
         write_cancel(state, step, lookup, result.record, context.deadline_s)
         return
     status = job_status.unknown(lookup.name, job_status.STORE_UNAVAILABLE)
-    if isinstance(result, job_documents.Committed):
+    if isinstance(result, document_results.Committed):
         status = job_status.of_record(
             state, result.record, lookup.failure_domain
         )
--- a/dandelionpick/job_outcomes.py
+++ b/dandelionpick/job_outcomes.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import effects
 from dandelionpick import errors
 from dandelionpick import gang_parts
@@ -273,18 +274,18 @@
     change(state, step, record, fields, OutcomeWritten(name, outcome))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: OutcomeWritten,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Committed
-    | job_documents.Superseded
-    | job_documents.Unavailable,
+    result: document_results.Committed
+    | document_results.Superseded
+    | document_results.Unavailable,
 ) -> None:
     context.outcome.pending = False
     context.outcome.retry_s = step.moment.now_s + RETRY_S
-    if not isinstance(result, job_documents.Committed):
+    if not isinstance(result, document_results.Committed):
         return
     if state.jobs.outcomes.get(context.name) is context.outcome:
         del state.jobs.outcomes[context.name]
@@ -311,15 +312,15 @@
             job_documents.read(state, step, bucket, ClaimRead(name))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: ClaimRead,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Fresh | job_documents.Unavailable,
+    result: document_results.Fresh | document_results.Unavailable,
 ) -> None:
     record = job_status.record_of(state, context.name)
-    if record is None or isinstance(result, job_documents.Unavailable):
+    if record is None or isinstance(result, document_results.Unavailable):
         state.jobs.closing.discard(context.name)
         return
     bucket = job_claims.bucket_of(state, context.name)
@@ -330,7 +331,7 @@
     job_claims.finish(state, step, record, claim, ClaimClosed(context.name))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: ClaimClosed,
     state: state_lib.State,
@@ -338,7 +339,7 @@
     result: Any,
 ) -> None:
     record = job_status.record_of(state, context.name)
-    if record is None or not isinstance(result, job_documents.Committed):
+    if record is None or not isinstance(result, document_results.Committed):
         state.jobs.closing.discard(context.name)
         return
     _close_entry(state, step, context.name, record)
@@ -353,7 +354,7 @@
     change(state, step, record, {"claim_final": True}, EntryClosed(name))
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: EntryClosed,
     state: state_lib.State,
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -116,7 +116,7 @@
 
     Attributes:
         expected: revision of the record that it replaces; 0 if there is none.
-        context: passed to `job_documents.committed` with the result.
+        context: passed to `document_results.committed` with the result.
         deadline_s: monotonic seconds after which it is not tried again.
         write_ids: writes that contained it and may have taken effect.
     """
--- a/dandelionpick/jobs.py
+++ b/dandelionpick/jobs.py
@@ -12,6 +12,7 @@
 
 from dandelionpick import caller_messages
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import errors
@@ -272,15 +273,15 @@
     step.respond(submission.exchange_id, status)
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: OldClaimRead,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Fresh | job_documents.Unavailable,
+    result: document_results.Fresh | document_results.Unavailable,
 ) -> None:
     submission = dataclasses.replace(context.submission, doubtful=True)
-    if isinstance(result, job_documents.Unavailable):
+    if isinstance(result, document_results.Unavailable):
         refuse(step, submission, job_status.STORE_UNAVAILABLE)
         return
     bucket = job_claims.bucket_of(state, submission.name)
@@ -297,23 +298,23 @@
     enter(state, step, submission, claim)
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: ClaimMade,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Committed
-    | job_documents.Superseded
-    | job_documents.Unavailable
-    | job_documents.TooLarge,
+    result: document_results.Committed
+    | document_results.Superseded
+    | document_results.Unavailable
+    | document_results.TooLarge,
 ) -> None:
     submission = context.submission
-    if isinstance(result, job_documents.Committed):
+    if isinstance(result, document_results.Committed):
         enter(state, step, submission, result.record)
-    elif isinstance(result, job_documents.Superseded):
+    elif isinstance(result, document_results.Superseded):
         submission = dataclasses.replace(submission, doubtful=True)
         enter(state, step, submission, result.record)
-    elif isinstance(result, job_documents.TooLarge):
+    elif isinstance(result, document_results.TooLarge):
         refuse(step, submission, job_status.TOO_MANY_JOBS)
     else:
         # A claim without an entry never leads to a start, so that even a claim
@@ -361,25 +362,25 @@
     )
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(
     context: EntryMade,
     state: state_lib.State,
     step: dispatch.Step,
-    result: job_documents.Committed
-    | job_documents.Superseded
-    | job_documents.Unavailable
-    | job_documents.TooLarge,
+    result: document_results.Committed
+    | document_results.Superseded
+    | document_results.Unavailable
+    | document_results.TooLarge,
 ) -> None:
     submission = context.submission
-    if isinstance(result, job_documents.Unavailable):
+    if isinstance(result, document_results.Unavailable):
         doubtful = submission.doubtful or not result.certain
         submission = dataclasses.replace(submission, doubtful=doubtful)
         refuse(step, submission, job_status.STORE_UNAVAILABLE)
-    elif isinstance(result, job_documents.TooLarge):
+    elif isinstance(result, document_results.TooLarge):
         refuse(step, submission, job_status.TOO_MANY_JOBS)
     else:
-        if isinstance(result, job_documents.Committed):
+        if isinstance(result, document_results.Committed):
             step.note(effects.Part.JOBS, f"accepted job {submission.job.key}")
         status = job_status.of_record(
             state, result.record, submission.failure_domain
--- a/tests/test_job_documents.py
+++ b/tests/test_job_documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dandelionpick import dispatch
+from dandelionpick import document_results
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import ids
@@ -31,7 +32,7 @@
 RESULTS: dict[str, list] = {}
 
 
-@job_documents.committed.register
+@document_results.committed.register
 def _(context: Probe, state, step, result):
     RESULTS.setdefault(context.name, []).append(result)
 
@@ -173,7 +174,7 @@
         """Guards against `unknown` for what was certainly never written."""
         self.one.commit("a")
         self.one.lose(kinds.CallFailure.NOT_SENT)
-        self.assertEqual(RESULTS["a"], [job_documents.Unavailable(True)])
+        self.assertEqual(RESULTS["a"], [document_results.Unavailable(True)])
 
     def test_a_silent_store_gives_an_uncertain_answer(self):
         """Guards against `not_run` while the write is still on its way."""
@@ -184,7 +185,7 @@
             self.one.tick(1.0)
             while self.one.calls:
                 self.one.lose()
-        self.assertEqual(RESULTS["a"], [job_documents.Unavailable(False)])
+        self.assertEqual(RESULTS["a"], [document_results.Unavailable(False)])
 
     def test_refuses_new_records_only_when_the_document_is_full(self):
         """Guards the results of running jobs against a burst of new ones."""
