--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 
+import dandelionpick
 from dandelionpick import api
 from dandelionpick import client
 from dandelionpick import errors
@@ -11,6 +12,7 @@
 from dandelionpick import settings
 from dandelionpick.status import ExitStatus
 
+PACKAGE = pathlib.Path(dandelionpick.__file__).parent
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 
 
@@ -58,5 +60,15 @@
                 self.assertTrue(name in text, f"{name} is not on the page")
 
 
+class DesignPageTest(unittest.TestCase):
+    """Guards against a module table that new or renamed modules outdate."""
+
+    def test_module_table_lists_exactly_the_modules_of_the_package(self):
+        section = page("design.md").split("### 3.2 ")[1].split("### 3.3 ")[0]
+        listed = re.findall(r"^\| `(\w+)` \| \S.*\|$", section, re.MULTILINE)
+        modules = {path.stem for path in PACKAGE.glob("*.py")} - {"__init__"}
+        self.assertEqual(sorted(modules), sorted(listed))
+
+
 if __name__ == "__main__":
     unittest.main()
