Split the stand-ins and virtual time from the test fabric

Ruled out: free functions that take the fabric; the two modules would import each other. Passing a separate object would change every test that sets `store`, `targets` or `store_fault`.

Change: fabric_calls.StandIns holds virtual time, the models of the platform and the targets, and the arrival of calls at them; Fabric extends it.

The fuzz tests of requests, gangs and the configuration and test_gang_faults: 4 passed; 14 other modules that use the fabric: 145 passed.

--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -5,40 +5,27 @@
 """
 
 import dataclasses
-import enum
-import heapq
-import itertools
 import random
 from collections.abc import Callable
 from typing import Any
 
 from dandelionpick import effects
 from dandelionpick import events
-from dandelionpick import executor_messages
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import reducer
 from dandelionpick import state as state_lib
-from dandelionpick import store_messages
 from standins import executor as executor_lib
-from standins import instance_list
-from standins import store as store_lib
 from standins import worker as worker_lib
 from tests import builders
+from tests import fabric_calls
 
-TICK_S = 0.1
-START_UNIX_MS = 1_800_000_000_000
+START_UNIX_MS = fabric_calls.START_UNIX_MS
+TICK_S = fabric_calls.TICK_S
 PLATFORM = "platform"
 
-
-class StoreFault(enum.Enum):
-    """How the store misbehaves."""
-
-    NONE = "none"
-    REFUSES = "refuses"
-    SILENT = "silent"
-    LOSES_REPLIES = "loses_replies"
+StoreFault = fabric_calls.StoreFault
 
 
 @dataclasses.dataclass
@@ -68,7 +55,7 @@
     duplicate: float = 0.0
 
 
-class Fabric:
+class Fabric(fabric_calls.StandIns):
     """Entry instances, targets and the platform in virtual time.
 
     Attributes:
@@ -79,18 +66,12 @@
     """
 
     def __init__(self, seed: int, limits: state_lib.Limits | None = None):
+        super().__init__()
         self.random = random.Random(seed)
         self.limits = limits or state_lib.Limits()
-        self.now_s = 0.0
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.numbers = itertools.count(1)
         self.network = Network()
-        self.store = store_lib.Store()
-        self.store_fault = StoreFault.NONE
-        self.list = instance_list.InstanceList(lag_s=1.0)
         self.list_reachable = True
         self.instances: dict[str, Instance] = {}
-        self.targets: dict[str, Any] = {}
         self.entries: dict[str, list_messages.InstanceEntry] = {}
         self.cuts: set[frozenset[str]] = set()
         self.silent: set[str] = set()
@@ -186,32 +167,7 @@
 
     def moment(self) -> events.Moment:
         """Returns the current time and a draw."""
-        unix_ms = START_UNIX_MS + int(self.now_s * 1000)
-        return events.Moment(self.now_s, unix_ms, self.random.random())
-
-    def run_for(self, seconds: float) -> None:
-        """Advances virtual time."""
-        end_s = self.now_s + seconds
-        while self.queue and self.queue[0][0] <= end_s:
-            self.now_s, _, action = heapq.heappop(self.queue)
-            action()
-        self.now_s = end_s
-
-    def run_until(
-        self, condition: Callable[[], bool], limit_s: float = 60.0
-    ) -> bool:
-        """Advances until the condition holds; False after limit_s."""
-        end_s = self.now_s + limit_s
-        while self.now_s < end_s:
-            if condition():
-                return True
-            self.run_for(TICK_S)
-        return condition()
-
-    def at(self, delay_s: float, action: Callable[[], None]) -> None:
-        """Runs an action after a delay."""
-        item = (self.now_s + delay_s, next(self.numbers), action)
-        heapq.heappush(self.queue, item)
+        return events.Moment(self.now_s, self.unix_ms(), self.random.random())
 
     def _schedule_tick(self, name: str) -> None:
         def tick() -> None:
@@ -374,7 +330,7 @@
         """Lets the destination handle a call."""
         destination = call.destination
         if destination.service is kinds.Service.STORE:
-            self._arrive_at_store(call, reply)
+            self.arrive_at_store(call, reply)
         elif destination.service is kinds.Service.INSTANCE_LIST:
             reply(self.list.handle(call.message, self.now_s))
         elif destination.service is kinds.Service.PEER:
@@ -382,66 +338,4 @@
             self.peer_replies[exchange_id] = reply
             self._receive(destination.name, exchange_id, call.message)
         elif destination.name in self.targets:
-            self._arrive_at_target(call, reply)
-
-    def _arrive_at_store(
-        self, call: effects.Call, reply: Callable[[Any], None]
-    ) -> None:
-        if self.store_fault is StoreFault.SILENT:
-            return
-        message = self.store.handle(call.message, self.now_s)
-        wait_s = getattr(call.message, "wait_s", 0.0)
-        if wait_s and isinstance(message, store_messages.Unchanged):
-            end_s = self.now_s + wait_s
-            self.at(TICK_S, lambda: self._continue_watch(call, reply, end_s))
-            return
-        if self.store_fault is not StoreFault.LOSES_REPLIES:
-            reply(message)
-
-    def _continue_watch(
-        self, call: effects.Call, reply: Callable[[Any], None], end_s: float
-    ) -> None:
-        value = self.store.answer(call.message, self.now_s)
-        unchanged = isinstance(value, store_messages.Unchanged)
-        if unchanged and self.now_s < end_s:
-            self.at(TICK_S, lambda: self._continue_watch(call, reply, end_s))
-        elif self.store_fault is StoreFault.NONE:
-            reply(value)
-
-    def _arrive_at_target(
-        self, call: effects.Call, reply: Callable[[Any], None]
-    ) -> None:
-        model = self.targets.get(call.destination.name)
-        if model is None:
-            return
-        unix_ms = START_UNIX_MS + int(self.now_s * 1000)
-        message = model.handle(call.message, self.now_s, unix_ms)
-        if isinstance(message, executor_messages.TaskRunning) and isinstance(
-            call.message, executor_messages.StartTask
-        ):
-            end_s = model.tasks[message.task_id].end_s
-            self.at(
-                max(0.0, end_s - self.now_s) + 0.001,
-                lambda: self._finish_task(call, model, message.task_id, reply),
-            )
-            return
-        if not self._loses_reply(model, call.message):
-            reply(message)
-
-    def _loses_reply(self, model: Any, message: Any) -> bool:
-        """Tells whether a target's fault loses its reply to a message."""
-        loses_reply = getattr(model, "loses_reply", None)
-        return loses_reply is not None and loses_reply(message)
-
-    def _finish_task(
-        self,
-        call: effects.Call,
-        model: Any,
-        task_id: ids.TaskId,
-        reply: Callable[[Any], None],
-    ) -> None:
-        """Replies to a start when its task has ended on the same target."""
-        if self._loses_reply(model, call.message):
-            return
-        if self.targets.get(call.destination.name) is model:
-            reply(model.describe(task_id, self.now_s))
+            self.arrive_at_target(call, reply)
