Remove names that nothing uses

Cause: the log prefixes ADMISSION and REQUESTS and the time of a reservation were never read.

Change: they are gone. Behaviour is unchanged.

--- a/dandelionpick/effects.py
+++ b/dandelionpick/effects.py
@@ -45,13 +45,11 @@
 class Part(enum.Enum):
     """Parts of the system; each is the fixed prefix of its log lines."""
 
-    ADMISSION = "admission"
     CLAIMS = "claims"
     CONFIGURATION = "configuration"
     DRAIN = "drain"
     JOBS = "jobs"
     MEMBERSHIP = "membership"
-    REQUESTS = "requests"
     ROUTING = "routing"
 
 
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -302,7 +302,6 @@
 
     name: JobName
     accelerators: dict[ids.InstanceId, frozenset[int]]
-    made_s: float
     closing: bool = False
 
 
--- a/dandelionpick/reservations.py
+++ b/dandelionpick/reservations.py
@@ -100,7 +100,7 @@
                 for worker, (indices, _) in parts.items()
             }
             state.jobs.reservation = job_state.Reservation(
-                sites.name_of(record), accelerators, step.moment.now_s
+                sites.name_of(record), accelerators
             )
             step.note(
                 effects.Part.JOBS,
