Compute the location of claims in one place

Cause: job_claims and claim_buckets each derived shard and minute from a key.

Change: job_claims uses claim_buckets.bucket_key, which takes the prefix. Behaviour is unchanged.

--- a/dandelionpick/claim_buckets.py
+++ b/dandelionpick/claim_buckets.py
@@ -12,6 +12,8 @@
 
 SHARDS = 16
 MINUTE_MS = 60_000
+REQUEST_CLAIMS = "claims"
+JOB_CLAIMS = "job-claims"
 
 _decoder = msgspec.json.Decoder(list[claim_state.ClaimRecord])
 
@@ -33,9 +35,16 @@
     record: claim_state.ClaimRecord | None = None
 
 
-def bucket_key(organisation: str, key: str) -> str:
+def bucket_key(
+    organisation: str, key: str, prefix: str = REQUEST_CLAIMS
+) -> str:
     """Returns the store's key of the bucket of a UUIDv7 key.
 
+    Args:
+        organisation: who submitted the key.
+        key: the key of a request or job.
+        prefix: REQUEST_CLAIMS or JOB_CLAIMS.
+
     Raises:
         ValueError: the key is not a UUIDv7.
     """
@@ -43,7 +52,7 @@
     if time_ms is None:
         raise ValueError(f'key "{key}" is not a UUIDv7')
     shard = xxhash.xxh64_intdigest(f"{organisation}/{key}".encode()) % SHARDS
-    return f"claims/{shard}/{time_ms // MINUTE_MS}"
+    return f"{prefix}/{shard}/{time_ms // MINUTE_MS}"
 
 
 def is_writable(bucket: claim_state.Bucket, change: claim_state.Change) -> bool:
--- a/dandelionpick/claim_sweep.py
+++ b/dandelionpick/claim_sweep.py
@@ -73,7 +73,7 @@
     )
     day_minutes = DAY_MS // claim_buckets.MINUTE_MS
     return [
-        f"claims/{shard}/{minute - days * day_minutes}"
+        f"{claim_buckets.REQUEST_CLAIMS}/{shard}/{minute - days * day_minutes}"
         for shard in range(claim_buckets.SHARDS)
         if domains[shard % len(domains)] == own
         for days in range(1, MAX_AGE_DAYS + 1)
--- a/dandelionpick/job_claims.py
+++ b/dandelionpick/job_claims.py
@@ -7,17 +7,14 @@
 from typing import Any
 
 import msgspec
-import xxhash
 
+from dandelionpick import claim_buckets
 from dandelionpick import dispatch
 from dandelionpick import ids
 from dandelionpick import job_documents
 from dandelionpick import job_state
 from dandelionpick import state as state_lib
 
-SHARDS = 16
-MINUTE_MS = 60_000
-
 
 def record_name(name: job_state.JobName) -> str:
     """Returns the name of a job's record in any document."""
@@ -28,11 +25,9 @@
     state: state_lib.State, name: job_state.JobName
 ) -> job_state.Document | None:
     """Returns the document of a key's claim; None if it is no UUIDv7."""
-    key_ms = ids.key_time_ms(name[1])
-    if key_ms is None:
+    if ids.key_time_ms(name[1]) is None:
         return None
-    shard = xxhash.xxh64_intdigest(record_name(name).encode()) % SHARDS
-    key = f"job-claims/{shard}/{key_ms // MINUTE_MS}"
+    key = claim_buckets.bucket_key(*name, claim_buckets.JOB_CLAIMS)
     return job_documents.document_of(state, key, job_state.JobClaim)
 
 
