Read the document for operators in one place

Cause: the handlers of ReadTree and ReadEdits repeated the check that a configuration is known.

Change: one function returns the document or refuses the message. Behaviour is unchanged.

--- a/dandelionpick/operator_reads.py
+++ b/dandelionpick/operator_reads.py
@@ -21,6 +21,7 @@
 from dandelionpick import request_state
 from dandelionpick import state as state_lib
 from dandelionpick import tree
+from dandelionpick import tree_state
 
 MAX_LISTED_CHANGES = 200
 
@@ -39,6 +40,17 @@
     )
 
 
+def _document_or_refuse(
+    state: state_lib.State, step: dispatch.Step, exchange_id: ids.ExchangeId
+) -> tree_state.Document | None:
+    """Returns the document in force, or refuses the message without one."""
+    problem = no_configuration(state)
+    if problem is None:
+        return state.configuration.document
+    step.respond(exchange_id, peer_messages.Refused(problem))
+    return None
+
+
 @dispatch.receive.register
 def _(
     message: messages.ReadTree,
@@ -46,11 +58,9 @@
     step: dispatch.Step,
     exchange_id: ids.ExchangeId,
 ) -> None:
-    problem = no_configuration(state)
-    if problem is not None:
-        step.respond(exchange_id, peer_messages.Refused(problem))
+    document = _document_or_refuse(state, step, exchange_id)
+    if document is None:
         return
-    document = state.configuration.document
     step.respond(exchange_id, messages.Tree(document.revision, document.tree))
 
 
@@ -61,11 +71,9 @@
     step: dispatch.Step,
     exchange_id: ids.ExchangeId,
 ) -> None:
-    problem = no_configuration(state)
-    if problem is not None:
-        step.respond(exchange_id, peer_messages.Refused(problem))
+    document = _document_or_refuse(state, step, exchange_id)
+    if document is None:
         return
-    document = state.configuration.document
     step.respond(exchange_id, messages.Edits(document.revision, document.edits))
 
 
