Correct docstrings of claims, lookups and ended gangs

Cause: claims.py showed how a job writes its claim there, but jobs write theirs with job_claims. Two parameters of lookup.ask had no types, and two docstrings did not say what they describe.

Behaviour is unchanged.

--- a/dandelionpick/claims.py
+++ b/dandelionpick/claims.py
@@ -1,4 +1,4 @@
-"""Claims: non-idempotent work and jobs run at most once anywhere.
+"""Claims of requests: non-idempotent work runs at most once anywhere.
 
 A claim is a record under `claims/<shard>/<minute>` in the store. `claim` adds
 or replaces one record and `read` returns one; both call `decided`, registered
@@ -13,14 +13,7 @@
 * UNAVAILABLE: the store gave no answer in time. The record may still appear;
   the submission must dispatch nothing on the strength of it.
 
-A job claims with `failure_domain` and `body_digest` set and `target` empty:
-
-    record = claims.new_record(state, organisation, key, digest,
-                               failure_domain=domain)
-    claims.claim(state, step, record, JobClaimed(...), timeout_s=3.0)
-
-    @claims.decided.register
-    def _(context: JobClaimed, state, step, verdict): ...
+The claims of jobs are records of their own; `job_claims` writes them.
 
 Changes of one bucket that arrive while a write is in flight share the next
 write. A lost reply is resolved by reading the bucket.
--- a/dandelionpick/gang_adoption.py
+++ b/dandelionpick/gang_adoption.py
@@ -103,7 +103,7 @@
     gang_id: ids.GangId,
     found: Found,
 ) -> None:
-    """Takes over a gang that finished while nobody was looking."""
+    """Takes over a gang that finished while no scheduler followed it."""
     labels = next(iter(found.values())).labels
     name = (labels.organisation, labels.key)
     record = job_status.record_of(state, name)
--- a/dandelionpick/job_outcomes.py
+++ b/dandelionpick/job_outcomes.py
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeWritten:
-    """Context of the consequence of an ended gang."""
+    """Context of the write of what an ended gang means for its job."""
 
     name: job_state.JobName
     outcome: job_state.Outcome
--- a/dandelionpick/lookup.py
+++ b/dandelionpick/lookup.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from typing import Any
 
 from dandelionpick import caller_messages
 from dandelionpick import claim_answers
@@ -14,6 +15,7 @@
 from dandelionpick import claimed_requests
 from dandelionpick import claims
 from dandelionpick import dispatch
+from dandelionpick import effects
 from dandelionpick import errors
 from dandelionpick import executor_messages
 from dandelionpick import ids
@@ -144,8 +146,8 @@
     state: state_lib.State,
     step: dispatch.Step,
     lookup: lookup_state.Lookup,
-    destination,
-    message,
+    destination: effects.Destination,
+    message: Any,
     context: PeerAsked | TasksListed | TaskRead,
 ) -> None:
     """Sends one question of the current stage."""
