Say plainly what the scheduler, list and claims do

Cause: a few docstrings and one function name were figurative, the service of organisations was described as accelerator seconds although each has its own accounting unit, and two fields of Jobs had no description.

Change: docstrings, comments and the private name _stop_scheduling. Behaviour is unchanged.

--- a/dandelionpick/claim_answers.py
+++ b/dandelionpick/claim_answers.py
@@ -1,4 +1,4 @@
-"""What a claim says to whoever finds it."""
+"""Answers and runs that follow from a claim that was found."""
 
 from dandelionpick import caller_messages
 from dandelionpick import claim_state
--- a/dandelionpick/claims.py
+++ b/dandelionpick/claims.py
@@ -66,7 +66,7 @@
 def decided(
     context: Any, state: state_lib.State, step: dispatch.Step, verdict: Verdict
 ) -> None:
-    """Continues whoever asked for a claim, by the type of the context."""
+    """Handles the verdict on a change or read made with this context."""
     raise TypeError(f"no handler for context {type(context).__name__}")
 
 
--- a/dandelionpick/job_documents.py
+++ b/dandelionpick/job_documents.py
@@ -29,7 +29,7 @@
 # Far below the time that finished jobs are kept: a claim that looks open in an
 # older copy may belong to a job whose entry was dropped since.
 MAX_VIEW_AGE_S = 30.0
-# A claim bucket that nobody used for this long is dropped from memory.
+# A claim bucket that was not used for this long is dropped from memory.
 IDLE_DOCUMENT_S = 60.0
 
 
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -321,7 +321,10 @@
         reservation: for the wide job that has waited longest.
         reclaims: accelerators that a guaranteed shape waits for, by job.
         plans: for each failure domain what the plan was made from, and it.
-        used: accelerator seconds by organisation, halved periodically.
+        queued_since_s: when a queued job was first seen ready to be placed.
+        retry_s: when a job may be tried again.
+        used: service by organisation in its accounting unit, halved
+            periodically.
     """
 
     documents: dict[str, Document] = dataclasses.field(default_factory=dict)
--- a/dandelionpick/listing.py
+++ b/dandelionpick/listing.py
@@ -1,4 +1,4 @@
-"""Reads the instance list and decides what to believe of it."""
+"""Reads the instance list and ignores implausible changes of it."""
 
 import collections
 import dataclasses
--- a/dandelionpick/problems.py
+++ b/dandelionpick/problems.py
@@ -78,7 +78,7 @@
 
 
 def unknown_key() -> errors.Problem:
-    """Builds the problem of a key that nobody knows."""
+    """Builds the problem of a key that was not found in any place."""
     return errors.Problem(
         errors.ProblemKind.UNKNOWN_KEY,
         "No instance, executor or claim knows the key.",
--- a/dandelionpick/schedule.py
+++ b/dandelionpick/schedule.py
@@ -41,7 +41,7 @@
     if membership.preferred_instance(state, now_s) != own or (
         state.drain.requested_s is not None
     ):
-        _let_go(state, step)
+        _stop_scheduling(state, step)
         return
     if state.jobs.preferred_s is None:
         state.jobs.preferred_s = now_s
@@ -66,7 +66,7 @@
     worker_views.distrust(state, step.moment.now_s)
 
 
-def _let_go(state: state_lib.State, step: dispatch.Step) -> None:
+def _stop_scheduling(state: state_lib.State, step: dispatch.Step) -> None:
     """Forgets all gangs; the preferred instance finds them on the workers."""
     jobs = state.jobs
     if jobs.preferred_s is None:
@@ -111,7 +111,8 @@
         jobs.used_halved_s = step.moment.now_s
         jobs.used = {name: used / 2 for name, used in jobs.used.items()}
     site = sites.build(state, step.moment.now_s)
-    # Equal jobs find equal room: one that waits speaks for all like it.
+    # Placement treats jobs of the same kind alike: if one has to wait, the
+    # others of its kind are not tried.
     waiting = set()
     for record in queue[:MAX_TRIED_JOBS]:
         kind = _kind(state, record)
