--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -116,7 +116,7 @@
 
     Attributes:
         expected: revision of the record that it replaces; 0 if there is none.
-        context: passed to `job_documents.committed` with the result.
+        context: passed to `document_results.committed` with the result.
         deadline_s: monotonic seconds after which it is not tried again.
         write_ids: writes that contained it and may have taken effect.
     """
@@ -302,7 +302,6 @@
 
     name: JobName
     accelerators: dict[ids.InstanceId, frozenset[int]]
-    made_s: float
     closing: bool = False
 
 
@@ -322,7 +321,10 @@
         reservation: for the wide job that has waited longest.
         reclaims: accelerators that a guaranteed shape waits for, by job.
         plans: for each failure domain what the plan was made from, and it.
-        used: accelerator seconds by organisation, halved periodically.
+        queued_since_s: when a queued job was first seen ready to be placed.
+        retry_s: when a job may be tried again.
+        used: service by organisation in its accounting unit, halved
+            periodically.
     """
 
     documents: dict[str, Document] = dataclasses.field(default_factory=dict)
