Delete old buckets of jobs' claims too

Ruled out: deleting them by age alone, because a job can run longer than the retention and its key must stay claimed; sweeping both kinds on each of 14 days, 448 reads a minute, which broke the bound on idle calls to the store (test_few_calls_to_the_store).

Conclusion: a test covers ended, recently ended and unfinished jobs.

--- a/dandelionpick/claim_sweep.py
+++ b/dandelionpick/claim_sweep.py
@@ -1,9 +1,10 @@
 """Deletes buckets of claims that are past retention.
 
-The buckets of each minute are read when they are 1, 2, ... 14 days old and
+The buckets of each minute are read when they are 1, 2, 7 and 14 days old and
 deleted once all of their records have been final for a day. The shards are
 divided among the failure domains, and the preferred instance of each sweeps
-its own: 16 shards x 14 ages are 224 reads a minute for the whole deployment.
+its own: 16 shards x 4 ages x claims of requests and of jobs are 128 reads a
+minute for the whole deployment.
 """
 
 import dataclasses
@@ -13,17 +14,28 @@
 from dandelionpick import claim_buckets
 from dandelionpick import claim_state
 from dandelionpick import dispatch
+from dandelionpick import job_state
 from dandelionpick import kinds
 from dandelionpick import membership
 from dandelionpick import state as state_lib
 from dandelionpick import store_messages
 
 DAY_MS = 24 * 3600 * 1000
-MAX_AGE_DAYS = 14
+SWEEP_AGES_DAYS = (1, 2, 7, 14)
 # Spreads the reads of a sweep over its minute.
 READ_PERIOD_S = 0.25
 
+PREFIXES = (claim_buckets.REQUEST_CLAIMS, claim_buckets.JOB_CLAIMS)
+
+
+class JobBucket(msgspec.Struct, frozen=True):
+    """What the sweep reads of a bucket of jobs' claims."""
+
+    records: dict[str, job_state.JobClaim]
+
+
 _decoder = msgspec.json.Decoder(list[claim_state.ClaimRecord])
+_job_decoder = msgspec.json.Decoder(JobBucket)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,19 +85,27 @@
     )
     day_minutes = DAY_MS // claim_buckets.MINUTE_MS
     return [
-        f"{claim_buckets.REQUEST_CLAIMS}/{shard}/{minute - days * day_minutes}"
+        f"{prefix}/{shard}/{minute - days * day_minutes}"
+        for prefix in PREFIXES
         for shard in range(claim_buckets.SHARDS)
         if domains[shard % len(domains)] == own
-        for days in range(1, MAX_AGE_DAYS + 1)
+        for days in SWEEP_AGES_DAYS
     ]
 
 
-def is_finished(records: list[claim_state.ClaimRecord], unix_ms: int) -> bool:
-    """Tells whether all records have been final for a day."""
+def is_finished(key: str, text: str, unix_ms: int) -> bool:
+    """Returns whether all records of a bucket have been final for a day."""
+    if key.startswith(f"{claim_buckets.JOB_CLAIMS}/"):
+        claims = _job_decoder.decode(text).records.values()
+        return all(
+            claim.outcome is not kinds.Outcome.PENDING
+            and unix_ms - claim.final_ms > DAY_MS
+            for claim in claims
+        )
     return all(
         record.state is not claim_state.ClaimState.CLAIMED
         and unix_ms - record.final_ms > DAY_MS
-        for record in records
+        for record in _decoder.decode(text)
     )
 
 
@@ -99,7 +119,7 @@
     state.claims.sweeping = False
     if reply.value is None:
         return
-    if not is_finished(_decoder.decode(reply.value), step.moment.unix_ms):
+    if not is_finished(context.key, reply.value, step.moment.unix_ms):
         return
     state.claims.sweeping = True
     write_id = f"{state.incarnation}-sweep-{context.key}"
@@ -120,7 +140,7 @@
     step: dispatch.Step,
     reply: store_messages.Written | store_messages.Conflict,
 ) -> None:
-    """A conflict leaves the bucket to the next day's sweep."""
+    """A conflict leaves the bucket to a later sweep."""
     state.claims.sweeping = False
 
 
@@ -132,5 +152,5 @@
     step: dispatch.Step,
     failure: kinds.CallFailure,
 ) -> None:
-    """Leaves the bucket to the next day's sweep."""
+    """Leaves the bucket to a later sweep."""
     state.claims.sweeping = False
--- a/dandelionpick/job_claims.py
+++ b/dandelionpick/job_claims.py
@@ -75,7 +75,10 @@
     """Records in the claim how its job ended."""
     name = (record.job.organisation, record.job.key)
     final = msgspec.structs.replace(
-        current, outcome=record.outcome, state=record.state
+        current,
+        outcome=record.outcome,
+        state=record.state,
+        final_ms=step.moment.unix_ms,
     )
     job_documents.commit(
         state,
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -96,6 +96,7 @@
 
     Attributes:
         outcome: PENDING until the job has ended.
+        final_ms: Unix milliseconds when that was recorded.
     """
 
     digest: str
@@ -104,6 +105,7 @@
     revision: int = 1
     outcome: kinds.Outcome = kinds.Outcome.PENDING
     state: kinds.JobState = kinds.JobState.QUEUED
+    final_ms: int = 0
 
     def is_expired(self, unix_ms: int, crowded: bool) -> bool:
         """Claims are deleted by bucket, never one by one."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,6 +9,7 @@
 from dandelionpick import claim_state
 from dandelionpick import claims
 from dandelionpick import dispatch
+from dandelionpick import job_state
 from dandelionpick import kinds
 from dandelionpick import state as state_lib
 from standins import store as store_lib
@@ -170,6 +171,41 @@
             self.assertEqual(bucket not in built.store.entries, deleted)
 
 
+class JobClaimSweepTest(unittest.TestCase):
+    """The claims of jobs must not fill the store."""
+
+    def test_only_claims_of_ended_jobs_are_deleted(self):
+        """Guards against claims that stay, and against a second run."""
+        built = cases.small_fabric(executors=0)
+        now_ms = built.moment().unix_ms
+        table = [
+            (kinds.Outcome.COMPLETED, now_ms - 2 * DAY_MS, True),
+            (kinds.Outcome.COMPLETED, now_ms - DAY_MS // 2, False),
+            (kinds.Outcome.PENDING, 0, False),
+        ]
+        expected = {}
+        for number, (outcome, final_ms, deleted) in enumerate(table):
+            key = builders.uuid7(number, now_ms + 60_000 - 2 * DAY_MS)
+            claim = job_state.JobClaim(
+                digest="",
+                failure_domain="a",
+                claimed_ms=0,
+                outcome=outcome,
+                final_ms=final_ms,
+            )
+            bucket = claim_buckets.bucket_key(
+                "ward", key, claim_buckets.JOB_CLAIMS
+            )
+            self.assertNotIn(bucket, expected)
+            expected[bucket] = deleted
+            content = {"records": {f"ward/{key}": claim}, "writes": []}
+            text = msgspec.json.encode(content).decode()
+            built.store.entries[bucket] = store_lib.Entry(1, text)
+        built.run_for(185.0)
+        for bucket, deleted in expected.items():
+            self.assertEqual(bucket not in built.store.entries, deleted)
+
+
 class TaskFailureTest(unittest.TestCase):
     """The claim keeps the failure of a task for later retries."""
 
