Add mutants of safety mechanisms and a fuzz target

Cause: nothing showed whether the tests notice when a safety mechanism is missing.

Change: `make mutants` switches off 24 mechanisms, one in each process, and fails if no test fails; `make fuzz` runs the stateful tests with a given seed and example count.

Ruled out: patching source files, which needs a copy of the tree for each mutant and breaks when the code is moved.

The mutants have not all been run yet.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 EXAMPLES ?= 200
 
-.PHONY: setup test lint format demo slopes bench-path
+.PHONY: setup test lint format demo slopes bench-path fuzz mutants
 
 setup: $(STAMP)
 
@@ -34,3 +34,12 @@
 
 bench-path: setup
 	$(PY) -m bench.path
+
+fuzz: export FUZZ_SEED := $(SEED)
+fuzz: export FUZZ_EXAMPLES := $(EXAMPLES)
+fuzz: setup
+	@echo "replay: make fuzz SEED=$(SEED) EXAMPLES=$(EXAMPLES)"
+	$(PY) -m tests $(basename $(subst /,.,$(wildcard tests/test_*_fuzz.py)))
+
+mutants: setup
+	$(PY) -m tests.mutants $(MUTANTS)
--- /dev/null
+++ b/tests/mutant_list.py
@@ -0,0 +1,393 @@
+"""Safety mechanisms that can be switched off, with the tests that notice.
+
+A patch replaces attributes of loaded modules, or handlers, in a process that
+is started for it. `tests.mutants` runs the tests.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+
+from dandelionpick import adoption
+from dandelionpick import claimed_requests
+from dandelionpick import claims
+from dandelionpick import configuration
+from dandelionpick import dispatch
+from dandelionpick import drain
+from dandelionpick import executor_messages
+from dandelionpick import gangs
+from dandelionpick import guarantee_fit
+from dandelionpick import kinds
+from dandelionpick import outcomes
+from dandelionpick import placement
+from dandelionpick import progress
+from dandelionpick import proposals
+from dandelionpick import routing
+from dandelionpick import runs
+from dandelionpick import schedule
+from dandelionpick import stalls
+from dandelionpick import store_messages
+
+# Cheap and specific modules come first, because a run ends at the first
+# failing test.
+REQUESTS = (
+    "tests.test_claims",
+    "tests.test_requests",
+    "tests.test_outcomes",
+    "tests.test_lookup",
+    "tests.test_request_fuzz",
+)
+ROUTING = ("tests.test_routing", "tests.test_requests")
+EDITS = (
+    "tests.test_edits",
+    "tests.test_distribution",
+    "tests.test_configuration_fuzz",
+)
+GANGS = ("tests.test_gangs", "tests.test_gang_faults", "tests.test_gang_fuzz")
+PLACEMENT = ("tests.test_placement", "tests.test_plan", *GANGS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutant:
+    """A safety mechanism that is switched off.
+
+    Attributes:
+        switched_off: the mechanism that no longer works.
+        patch: changes the loaded modules.
+        modules: test modules that should fail.
+    """
+
+    switched_off: str
+    patch: Callable[[], None]
+    modules: tuple[str, ...]
+
+    @property
+    def name(self) -> str:
+        """Name on the command line."""
+        return self.patch.__name__
+
+
+def ignore(*arguments, **options) -> None:
+    """Replaces a function that returns nothing."""
+
+
+def dispatch_unclaimed() -> None:
+    """Sends the start together with the claim and ignores the verdict."""
+    claim = claims.claim
+
+    def claim_and_start(state, step, record, context, **options):
+        claim(state, step, record, context, **options)
+        if isinstance(context, claimed_requests.ClaimWritten):
+            claimed_requests._start_claimed(
+                state, step, context.request, context.entry, record
+            )
+
+    claims.claim = claim_and_start
+    claims.decided.register(claimed_requests.ClaimWritten, ignore)
+
+
+def confirm_lost_write() -> None:
+    """Handles a lost reply to a write of a bucket like its confirmation."""
+    failed = dispatch.failed.dispatch(claims.BucketWritten)
+    returned = dispatch.returned.dispatch(claims.BucketWritten)
+
+    def assume_written(context, state, step, failure):
+        if failure is not kinds.CallFailure.LOST:
+            failed(context, state, step, failure)
+            return
+        version = state.claims.buckets[context.key].version + 1
+        returned(
+            context, state, step, store_messages.Written(context.key, version)
+        )
+
+    dispatch.failed.register(claims.BucketWritten, assume_written)
+
+
+def trust_exclusive_refusal() -> None:
+    """Takes any refusal of a non-idempotent start as proof."""
+    refuse = progress.refuse
+
+    def refuse_finally(state, step, request, run):
+        if request.job_class.idempotent or request.answer is not None:
+            refuse(state, step, request, run)
+        else:
+            progress.close(state, step, request, run, runs.NOT_RUN)
+
+    progress.refuse = refuse_finally
+
+
+def settle_untold() -> None:
+    """Takes refused idempotent starts as not run at the deadline."""
+
+    def settle(state, step, request):
+        for run in list(request.starts):
+            if run.state is runs.REFUSED:
+                run.state = runs.NOT_RUN
+                request.starts.remove(run)
+
+    progress.settle = settle
+
+
+def trust_other_incarnation() -> None:
+    """Judges replies as if the run's own incarnation had sent them."""
+    judge = runs.judge
+
+    def judge_any(run, reply, unix_ms):
+        same = msgspec.structs.replace(reply, incarnation=run.incarnation)
+        return judge(run, same, unix_ms)
+
+    runs.judge = judge_any
+
+
+def accept_damaged() -> None:
+    """Checks neither length nor digest of a result."""
+    executor_messages.is_whole = lambda result, task_id: True
+
+
+def tell_retries_not_run() -> None:
+    """Tells every submission what is proved for the first one only."""
+    outcomes.told = lambda request, answer, attempt: answer
+
+
+def adopt_lower_from_peer() -> None:
+    """Adopts whatever another instance sends."""
+
+    def adopt(state, step, text, source):
+        document = adoption.parse(text)
+        if document is not None and text != state.configuration.text:
+            adoption._check_and_adopt(state, step, document, text, source)
+
+    adoption.adopt = adopt
+
+
+def adopt_lower_from_store() -> None:
+    """Adopts whatever the store holds."""
+
+    def take(state, step, text):
+        document = adoption.parse(text)
+        if document is None:
+            return 0
+        adoption._check_and_adopt(state, step, document, text, adoption.STORE)
+        return document.revision
+
+    adoption.take_from_store = take
+
+
+def leave_store_restored() -> None:
+    """Writes no newer document to a store that was restored."""
+    configuration.repair_if_lower = ignore
+
+
+def forget_edits() -> None:
+    """Finds no edit in the document after a lost reply."""
+    proposals.find_edit = lambda document, message: None
+
+
+def accept_unfit_guarantees() -> None:
+    """Accepts guarantees that no workers can hold."""
+    guarantee_fit.check = lambda before, after, entries: None
+
+
+def confirm_early() -> None:
+    """Confirms the started parts while others are only held."""
+    start = gangs.start
+
+    def start_and_confirm(state, step, gang):
+        start(state, step, gang)
+        gangs.confirm(state, step, gang)
+
+    gangs.start = start_and_confirm
+
+
+def start_unplaced() -> None:
+    """Starts non-idempotent gangs that the store does not name."""
+    gangs._is_placed = lambda state, step, gang, record: True
+
+
+def trust_old_parts() -> None:
+    """Drives gangs by what was known before a stall or a long silence."""
+    gangs.is_known = lambda state, step, gang: True
+
+
+def keep_claims_after_stall() -> None:
+    """Writes buckets as they were known before a stall."""
+    claims.stalled = ignore
+
+
+def keep_workers_after_stall() -> None:
+    """Schedules by what workers said before a stall."""
+    schedule.stalled = ignore
+
+
+def keep_peers_after_stall() -> None:
+    """Acts on what peers and the list said before a stall."""
+    stalls.stalled = ignore
+
+
+def exit_with_requests() -> None:
+    """Exits although requests are in progress."""
+    drain.requests_left = lambda state: []
+
+
+def exit_without_hand_over() -> None:
+    """Exits before claims are written and work is handed over."""
+    drain.hand_over_all = lambda state, step: True
+
+
+def use_leaving() -> None:
+    """Sends work to executors that said that they leave."""
+
+    def is_available(state, entry):
+        health = state.routing.health.get(entry.id)
+        return health is None or health.unanswered < routing.MAX_UNANSWERED
+
+    routing.is_available = is_available
+
+
+def stop_any_gang() -> None:
+    """Stops gangs that can't run again, for a guaranteed shape."""
+    placement._is_victim = lambda site, gang, shape: True
+
+
+def reclaim_nothing() -> None:
+    """Never takes a guaranteed shape back."""
+    placement._claim = lambda site, record, kept, claimed: None
+
+
+def borrow_for_any_job() -> None:
+    """Lets jobs that can't be stopped use shapes of other organisations."""
+
+    def pools(site, record):
+        return [
+            {
+                worker: set(range(entry.accelerators))
+                for worker, entry in site.entries.items()
+            }
+        ]
+
+    placement.pools = pools
+
+
+MUTANTS = (
+    Mutant(
+        "nothing is dispatched before its claim is confirmed",
+        dispatch_unclaimed,
+        REQUESTS,
+    ),
+    Mutant(
+        "a lost reply of the store is resolved by reading the bucket",
+        confirm_lost_write,
+        REQUESTS,
+    ),
+    Mutant(
+        "a refused non-idempotent start gets a tombstone",
+        trust_exclusive_refusal,
+        REQUESTS,
+    ),
+    Mutant(
+        "refused starts get tombstones before not_run is told",
+        settle_untold,
+        REQUESTS,
+    ),
+    Mutant(
+        "another incarnation's word proves nothing about a run",
+        trust_other_incarnation,
+        REQUESTS,
+    ),
+    Mutant(
+        "a damaged reply is treated as a lost one",
+        accept_damaged,
+        REQUESTS,
+    ),
+    Mutant(
+        "a retry is not told not_run unless the key is proved not run",
+        tell_retries_not_run,
+        REQUESTS,
+    ),
+    Mutant(
+        "a lower revision is not adopted from a peer",
+        adopt_lower_from_peer,
+        EDITS,
+    ),
+    Mutant(
+        "a lower revision is not adopted from the store",
+        adopt_lower_from_store,
+        EDITS,
+    ),
+    Mutant(
+        "a store that was restored from an older copy is repaired",
+        leave_store_restored,
+        EDITS,
+    ),
+    Mutant(
+        "the edit id is looked up after a lost reply",
+        forget_edits,
+        EDITS,
+    ),
+    Mutant(
+        "guarantees that do not fit are refused",
+        accept_unfit_guarantees,
+        EDITS,
+    ),
+    Mutant(
+        "no part is confirmed before every start is acknowledged",
+        confirm_early,
+        GANGS,
+    ),
+    Mutant(
+        "the placement of a non-idempotent job is written before its start",
+        start_unplaced,
+        GANGS,
+    ),
+    Mutant(
+        "gangs are driven only by recent knowledge of their parts",
+        trust_old_parts,
+        GANGS,
+    ),
+    Mutant(
+        "claim buckets are read again after a stall",
+        keep_claims_after_stall,
+        REQUESTS,
+    ),
+    Mutant(
+        "workers are listed again after a stall",
+        keep_workers_after_stall,
+        GANGS,
+    ),
+    Mutant(
+        "peers and the list are heard again after a stall",
+        keep_peers_after_stall,
+        ("tests.test_membership", *ROUTING),
+    ),
+    Mutant(
+        "a planned stop waits for requests in progress",
+        exit_with_requests,
+        ("tests.test_drain",),
+    ),
+    Mutant(
+        "a planned stop waits until work is handed over",
+        exit_without_hand_over,
+        ("tests.test_drain", "tests.test_claims", "tests.test_edits"),
+    ),
+    Mutant(
+        "an executor that leaves gets no new work",
+        use_leaving,
+        ROUTING,
+    ),
+    Mutant(
+        "only gangs that can run again are stopped for a guarantee",
+        stop_any_gang,
+        PLACEMENT,
+    ),
+    Mutant(
+        "guaranteed shapes are taken back when their organisation needs them",
+        reclaim_nothing,
+        PLACEMENT,
+    ),
+    Mutant(
+        "jobs that can't be stopped keep off other organisations' shapes",
+        borrow_for_any_job,
+        PLACEMENT,
+    ),
+)
