Add the tests that four mutants survived without

Cause: in the first run of the mutants no test noticed that refused idempotent starts got no tombstones at the deadline (settle_untold), that claim buckets were not read again after a stall (keep_claims_after_stall), or that workers were not listed again after one (keep_workers_after_stall). Made narrower, stop_any_gang survived too: gangs that can't run again were stopped for a guaranteed shape.

Change: one test for each; the stall test of gangs also covers a stall that is shorter than the lease. Patches of placement and of adoption from the store now switch off one condition only.

Ruled out: a fault in the product. The new tests pass without the patches. A write after a stall is also rejected by its version, so that keep_claims_after_stall costs a write that conflicts, but no promise.

--- a/tests/mutant_list.py
+++ b/tests/mutant_list.py
@@ -162,12 +162,14 @@
 
 
 def adopt_lower_from_store() -> None:
-    """Adopts whatever the store holds."""
+    """Adopts valid documents of the store with any revision."""
+    take_from_store = adoption.take_from_store
 
     def take(state, step, text):
         document = adoption.parse(text)
-        if document is None:
-            return 0
+        held = state.configuration.document.revision
+        if document is None or document.revision >= held:
+            return take_from_store(state, step, text)
         adoption._check_and_adopt(state, step, document, text, adoption.STORE)
         return document.revision
 
@@ -247,7 +249,14 @@
 
 def stop_any_gang() -> None:
     """Stops gangs that can't run again, for a guaranteed shape."""
-    placement._is_victim = lambda site, gang, shape: True
+    is_victim = placement._is_victim
+
+    def is_any_victim(site, gang, shape):
+        rerunnable = site.rerunnable | {gang.gang_id}
+        every = dataclasses.replace(site, rerunnable=rerunnable)
+        return is_victim(every, gang, shape)
+
+    placement._is_victim = is_any_victim
 
 
 def reclaim_nothing() -> None:
@@ -257,16 +266,12 @@
 
 def borrow_for_any_job() -> None:
     """Lets jobs that can't be stopped use shapes of other organisations."""
+    pools = placement.pools
 
-    def pools(site, record):
-        return [
-            {
-                worker: set(range(entry.accelerators))
-                for worker, entry in site.entries.items()
-            }
-        ]
+    def pools_of_any(site, record):
+        return pools(site, msgspec.structs.replace(record, idempotent=True))
 
-    placement.pools = pools
+    placement.pools = pools_of_any
 
 
 MUTANTS = (
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,6 +9,7 @@
 from dandelionpick import claim_state
 from dandelionpick import claims
 from dandelionpick import dispatch
+from dandelionpick import events
 from dandelionpick import kinds
 from dandelionpick import state as state_lib
 from standins import store as store_lib
@@ -100,6 +101,21 @@
         self.assertEqual(self.statuses(), ["confirmed"])
         self.assertEqual(self.built.store.calls["Write"], writes)
 
+    def test_a_bucket_is_read_before_a_write_after_a_stall(self):
+        """Guards against a write of records known before the stall."""
+        first = record_of(self.state(), self.key)
+        self.claim(first)
+        self.built.run_for(1.0)
+        other = record_of(self.state("entry-2"), self.key)
+        self.claim(other, "entry-2", expected=first)
+        self.built.run_for(1.0)
+        writes = self.built.store.calls["Write"]
+        self.built.deliver("entry-1", events.Stalled(self.built.moment(), 1.0))
+        self.claim(record_of(self.state(), self.key), expected=first)
+        self.built.run_for(1.0)
+        self.assertEqual(self.statuses(), ["confirmed", "confirmed", "exists"])
+        self.assertEqual(self.built.store.calls["Write"], writes)
+
     def test_no_verdict_in_time_is_unavailable(self):
         self.built.store_fault = fabric.StoreFault.SILENT
         self.claim(record_of(self.state(), self.key))
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -246,21 +246,27 @@
         self.assertEqual(states, {kinds.JobState.FINISHED})
 
     def test_renews_nothing_after_a_stall_before_listing(self):
-        """Guards against a lease that is renewed on old knowledge."""
-        built = gang_fabric(instances=1)
-        add_work(built, range(1, 2), 300.0, tasks=3, accelerators=8)
-        built.run_for(20.0)
-        state = built.instances["a-entry-1"].state
-        moment = events.Moment(built.now_s + 90.0, 0, 0.5)
-        reducer.reduce(state, events.Stalled(moment, 90.0))
-        emitted = reducer.reduce(state, events.Tick(moment))
-        messages = [
-            effect.message
-            for effect in emitted
-            if isinstance(effect, effects.Call)
-            and isinstance(effect.message, worker_messages.RenewLeases)
-        ]
-        self.assertEqual([m.gang_ids for m in messages], [[], [], []])
+        """Guards against a lease that is renewed on old knowledge.
+
+        After the shorter stall the lease still holds, but another instance may
+        have stopped the gang.
+        """
+        for stall_s in (90.0, 30.0):
+            with self.subTest(stall_s=stall_s):
+                built = gang_fabric(instances=1)
+                add_work(built, range(1, 2), 300.0, tasks=3, accelerators=8)
+                built.run_for(20.0)
+                state = built.instances["a-entry-1"].state
+                moment = events.Moment(built.now_s + stall_s, 0, 0.5)
+                reducer.reduce(state, events.Stalled(moment, stall_s))
+                emitted = reducer.reduce(state, events.Tick(moment))
+                messages = [
+                    effect.message
+                    for effect in emitted
+                    if isinstance(effect, effects.Call)
+                    and isinstance(effect.message, worker_messages.RenewLeases)
+                ]
+                self.assertEqual([m.gang_ids for m in messages], [[], [], []])
 
     def test_quarantines_a_worker_that_fails_everything(self):
         """Guards against a broken worker that attracts all work."""
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -55,6 +55,31 @@
         return super().handle(self.held, built.now_s, unix_ms)
 
 
+class FullExecutor(executor_lib.Executor):
+    """An executor that refuses every start and keeps a copy of it."""
+
+    def __init__(self, incarnation: str):
+        super().__init__(8, incarnation)
+        self.held: list[executor_messages.StartTask] = []
+
+    def handle(self, message: Any, now_s: float, unix_ms: int) -> Any:
+        if not isinstance(message, executor_messages.StartTask):
+            return super().handle(message, now_s, unix_ms)
+        self.held.append(message)
+        return self.reply(
+            executor_messages.TaskRefused,
+            now_s,
+            task_id=message.task_id,
+            reason=kinds.TaskRefusal.BUSY,
+        )
+
+    def deliver(self, built: fabric.Fabric, late_ms: int) -> None:
+        """Lets second copies of all starts arrive by a clock that is late."""
+        unix_ms = built.moment().unix_ms - late_ms
+        for start in self.held:
+            super().handle(start, built.now_s, unix_ms)
+
+
 class RestartingExecutor(executor_lib.Executor):
     """An executor that restarts after the first question."""
 
@@ -172,6 +197,30 @@
         self.assertEqual(told.body, message.body[::-1])
 
 
+class RefusedTest(unittest.TestCase):
+    """Refusals prove nothing about other copies of the refused starts."""
+
+    def test_refused_starts_have_tombstones_when_not_run_is_told(self):
+        """Guards against a late copy that runs after not_run was told.
+
+        The executor's clock is late, so that the start's deadline does not
+        stop the copy.
+        """
+        outcomes = []
+        for deadline_s in (0.5, 0.8, 1.1):
+            built = cases.small_fabric(executors=1)
+            # The reply tells the instance the executor's incarnation.
+            built.ask("entry-1", builders.request("first"))
+            model = FullExecutor(built.targets["executor-1"].incarnation)
+            built.targets["executor-1"] = model
+            message = builders.request("k", deadline_s=deadline_s)
+            outcomes.append(built.ask("entry-1", message).outcome)
+            if outcomes[-1] is NOT_RUN:
+                model.deliver(built, late_ms=900)
+                self.assertEqual(sum(model.runs.values()), 0)
+        self.assertIn(NOT_RUN, outcomes)
+
+
 class ExclusiveTest(unittest.TestCase):
     """Non-idempotent work runs at most once, whatever is lost or late."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -66,6 +66,18 @@
             built.run_until(lambda: gangs.running(built, 9), CLAIM_S)
         )
 
+    def test_work_that_must_not_run_twice_is_not_stopped_for_a_claim(self):
+        """Guards against a reclaim that ends a job that can't run again."""
+        built = gangs.gang_fabric(tree=TREE, workers=2)
+        guarded(built, 1, job_class="stretch", tasks=1, payload='{"run_s": 15}')
+        built.run_for(5.0)
+        self.assertTrue(gangs.running(built, 1))
+        guarded(built, 2, payload='{"run_s": 1}')
+        status = gangs.await_end(built, 1, "guarded")
+        self.assertEqual(status.state, kinds.JobState.FINISHED)
+        status = gangs.await_end(built, 2, "guarded")
+        self.assertEqual(status.state, kinds.JobState.FINISHED)
+
     def test_refuses_work_that_only_fits_where_it_may_not_borrow(self):
         """Guards against a job that waits for ever (found by the fuzzer)."""
         built = gangs.gang_fabric(tree=TREE)
