Test that no lower revision is adopted from a peer or the store

Cause: only the stateful test caught the mutants adopt_lower_from_peer and adopt_lower_from_store, without saying what had reverted.

Change: a focused test for both; a mutant run that ends without a failing test shows its output as well as its error stream.

Ruled out: the test of a restored store as the guard, since the document converges to the highest revision there even if an instance reverts meanwhile.

Conclusion: a reverted configuration fails a test that names it.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -94,7 +94,7 @@
             command, capture_output=True, text=True, timeout=LIMIT_S
         )
         output, status = done.stdout, done.returncode
-        seen = SURVIVED if status == 0 else done.stderr.strip()[-300:]
+        seen = SURVIVED if status == 0 else (output + done.stderr)[-300:]
     except subprocess.TimeoutExpired as expired:
         output = (expired.stdout or b"").decode()
         seen = f"no test failed in {LIMIT_S} s"
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 import unittest
 
 from dandelionpick import adoption
+from dandelionpick import dispatch
 from dandelionpick import errors
 from dandelionpick import operator_messages as messages
 from dandelionpick import store_messages
@@ -68,6 +69,19 @@
                 refused = isinstance(reply, messages.EditRefused)
                 self.assertEqual(refused, higher)
 
+    def test_a_lower_revision_is_adopted_from_nobody(self):
+        """Guards against a configuration that reverts on an old document."""
+        built = small_fabric()
+        state = built.instances["a1"].state
+        older = state.configuration.text
+        built.ask("a1", edit("e"))
+        newer = state.configuration.document
+        step = dispatch.Step(built.moment())
+        adoption.adopt(state, step, older, "a2")
+        self.assertEqual(state.configuration.document, newer)
+        adoption.take_from_store(state, step, older)
+        self.assertEqual(state.configuration.document, newer)
+
     def test_a_restored_store_gets_the_highest_revision_back(self):
         built = small_fabric()
         backup = built.store.copy_entries()
