Use the field's terms for what the reducer knows and answers

Cause: reading as a newcomer, several names needed explaining: blind, told, distrust, fate.

Change: is_settling, answer_for_attempt, invalidate; docstrings of predicates begin with "Returns whether". Behaviour stays as it is.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -191,7 +191,7 @@
 async def ready(
     runtime: runtime_lib.Runtime, request: http.Request
 ) -> responses.Response:
-    """Tells whether the balancer may send requests here."""
+    """Returns whether the balancer may send requests here."""
     state = runtime.state
     if state.drain.requested_s is not None:
         return responses.PlainTextResponse("leaving\n", status_code=503)
--- a/dandelionpick/cancel.py
+++ b/dandelionpick/cancel.py
@@ -90,7 +90,7 @@
 def names_exclusive_class(
     state: state_lib.State, message: caller_messages.CancelRequest
 ) -> bool:
-    """Tells whether the caller named a class that is not idempotent."""
+    """Returns whether the caller named a class that is not idempotent."""
     organisation = state.configuration.organisations.get(message.organisation)
     if organisation is None:
         return False
--- a/dandelionpick/claim_answers.py
+++ b/dandelionpick/claim_answers.py
@@ -18,7 +18,7 @@
 
 
 def is_exclusive(record: claim_state.ClaimRecord) -> bool:
-    """Tells whether a claim's key certainly names non-idempotent work."""
+    """Returns whether a claim's key certainly names non-idempotent work."""
     return record.exclusive or record.task_id != ""
 
 
--- a/dandelionpick/claim_buckets.py
+++ b/dandelionpick/claim_buckets.py
@@ -56,7 +56,7 @@
 
 
 def is_writable(bucket: claim_state.Bucket, change: claim_state.Change) -> bool:
-    """Tells whether the known value allows a change that is not yet there."""
+    """Returns whether the known value allows a change that is not yet there."""
     if change.record is None:
         return False
     current = bucket.records.get(change.name)
--- a/dandelionpick/claimed_requests.py
+++ b/dandelionpick/claimed_requests.py
@@ -58,7 +58,7 @@
 
 
 def is_expired(key: ids.RequestKey, unix_ms: int) -> bool:
-    """Tells whether a UUIDv7 key is older than the retention of claims."""
+    """Returns whether a UUIDv7 key is older than the retention of claims."""
     time_ms = ids.key_time_ms(key)
     return time_ms is not None and unix_ms - time_ms > RETENTION_MS
 
@@ -66,7 +66,7 @@
 def must_look_first(
     request: request_state.Request, step: dispatch.Step
 ) -> bool:
-    """Tells whether a claim of the key is likely, or the key has expired."""
+    """Returns whether a claim of the key is likely, or the key has expired."""
     if request.job_class.idempotent:
         return False
     submission = request.submission
--- a/dandelionpick/claims.py
+++ b/dandelionpick/claims.py
@@ -312,7 +312,7 @@
 
 @drain.on_leaving
 def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
-    """Tells whether no change waits, so that the process may exit."""
+    """Returns whether no change waits, so that the process may exit."""
     return not any(
         bucket.waiting or bucket.in_flight
         for bucket in state.claims.buckets.values()
--- a/dandelionpick/drain.py
+++ b/dandelionpick/drain.py
@@ -36,12 +36,12 @@
 
 
 def is_requested(state: state_lib.State) -> bool:
-    """Tells whether a planned stop is under way."""
+    """Returns whether a planned stop is under way."""
     return state.drain.requested_s is not None
 
 
 def refuses_new_work(state: state_lib.State, now_s: float) -> bool:
-    """Tells whether the notice period of a planned stop is over."""
+    """Returns whether the notice period of a planned stop is over."""
     requested_s = state.drain.requested_s
     if requested_s is None:
         return False
--- a/dandelionpick/edit_intake.py
+++ b/dandelionpick/edit_intake.py
@@ -50,5 +50,5 @@
 
 @drain.on_leaving
 def _finished(state: state_lib.State, step: dispatch.Step) -> bool:
-    """Tells whether every edit was answered, so that the process may exit."""
+    """Returns whether every edit was answered, so that the process may exit."""
     return not (state.edits.queue or state.edits.accepted)
--- a/dandelionpick/edit_queue.py
+++ b/dandelionpick/edit_queue.py
@@ -27,7 +27,7 @@
     attempt: int,
     phase: edit_state.Phase,
 ) -> bool:
-    """Tells whether an attempt still waits for the reply to a call."""
+    """Returns whether an attempt still waits for the reply to a call."""
     queue = state.edits.queue
     return (
         bool(queue)
--- a/dandelionpick/edits.py
+++ b/dandelionpick/edits.py
@@ -76,7 +76,7 @@
 def _is_current(
     state: state_lib.State, context: AttemptCall, phase: Phase
 ) -> bool:
-    """Tells whether an attempt still waits for the reply to a call."""
+    """Returns whether an attempt still waits for the reply to a call."""
     return edit_queue.is_current(state, context.edit, context.attempt, phase)
 
 
--- a/dandelionpick/estimates.py
+++ b/dandelionpick/estimates.py
@@ -184,7 +184,7 @@
     def is_short(
         self, key: ClassKey, declared: bool, short_max_s: float
     ) -> bool:
-        """Tells whether a class counts as short.
+        """Returns whether a class counts as short.
 
         A class that the operators did not permit the slots for short work is
         never short. One that they did loses them while its tasks run long. It
--- a/dandelionpick/executor_messages.py
+++ b/dandelionpick/executor_messages.py
@@ -136,7 +136,7 @@
 
 
 def is_whole(result: TaskResult, task_id: ids.TaskId) -> bool:
-    """Tells whether a result is complete and belongs to task_id."""
+    """Returns whether a result is complete and belongs to task_id."""
     return (
         result.task_id == task_id
         and result.length == len(result.body)
--- a/dandelionpick/forward_choice.py
+++ b/dandelionpick/forward_choice.py
@@ -15,12 +15,12 @@
 def has_room(
     state: state_lib.State, request: request_state.Request, now_s: float
 ) -> bool:
-    """Tells whether a peer elsewhere could take a request now."""
+    """Returns whether a peer elsewhere could take a request now."""
     return choose(state, request, now_s, 0.0, free_only=True) is not None
 
 
 def is_same_region(state: state_lib.State, peer: state_lib.Peer) -> bool:
-    """Tells whether a peer is in this instance's region."""
+    """Returns whether a peer is in this instance's region."""
     return peer.entry.region == state.identity.region
 
 
--- a/dandelionpick/forwarding.py
+++ b/dandelionpick/forwarding.py
@@ -248,7 +248,7 @@
 def is_answer_to(
     request: request_state.Request, answer: caller_messages.Answer
 ) -> bool:
-    """Tells whether a peer's answer is whole and belongs to the request."""
+    """Returns whether a peer's answer is whole and belongs to the request."""
     submission = request.submission
     if (answer.organisation, answer.key) != (
         submission.organisation,
--- a/dandelionpick/gang_adoption.py
+++ b/dandelionpick/gang_adoption.py
@@ -264,7 +264,7 @@
     gang: job_state.Gang,
     record: job_state.JobRecord,
 ) -> bool:
-    """Tells whether a found gang is not the one that the store allows."""
+    """Returns whether a found gang is not the one that the store allows."""
     if record.idempotent or not gang.adopted:
         return False
     if document.confirmed_s - gang.created_s <= DOCUMENT_LAG_S:
--- a/dandelionpick/gang_parts.py
+++ b/dandelionpick/gang_parts.py
@@ -84,7 +84,7 @@
 
 
 def is_proved_not_run(gang: job_state.Gang) -> bool:
-    """Tells whether no part of a stopped gang ever ran, or ever will.
+    """Returns whether no part of a stopped gang ever ran, or ever will.
 
     Each worker holds a tombstone and says that its part was not confirmed.
     """
@@ -95,12 +95,12 @@
 
 
 def is_open(part: job_state.Part) -> bool:
-    """Tells whether a part of a stopped gang may still occupy its worker."""
+    """Returns whether a part of a stopped gang may still occupy its worker."""
     return not (part.stopped or part.gone)
 
 
 def occupies(part: job_state.Part) -> bool:
-    """Tells whether a part has accelerators, as far as known."""
+    """Returns whether a part has accelerators, as far as known."""
     if part.stopped or part.gone:
         return False
     return part.state is None or part.state in job_state.OCCUPYING
--- a/dandelionpick/gangs.py
+++ b/dandelionpick/gangs.py
@@ -211,7 +211,7 @@
 def is_known(
     state: state_lib.State, step: dispatch.Step, gang: job_state.Gang
 ) -> bool:
-    """Tells whether all that is known of a gang is recent enough to act on.
+    """Returns whether all that is known of a gang is recent enough to act on.
 
     What was known before a stall of the event loop is not: leases may have
     lapsed and another instance may have stopped the gang meanwhile.
@@ -259,7 +259,7 @@
     gang: job_state.Gang,
     record: job_state.JobRecord,
 ) -> bool:
-    """Tells whether the store names this gang; writes that if nothing is."""
+    """Returns whether the store names this gang; writes that if nothing is."""
     if gang.placed or gang.placing:
         return gang.placed
     if record.placement is not None:
--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -68,7 +68,7 @@
         return getattr(self.transport, name)
 
     def is_closing(self) -> bool:
-        """Tells whether nothing more can be written."""
+        """Returns whether nothing more can be written."""
         return self.lingering or self.transport.is_closing()
 
     def write(self, data: bytes) -> None:
--- a/dandelionpick/in_force.py
+++ b/dandelionpick/in_force.py
@@ -1,4 +1,4 @@
-"""Tells in which failure domains a revision is in force."""
+"""Returns in which failure domains a revision is in force."""
 
 from dandelionpick import dispatch
 from dandelionpick import edit_state
--- a/dandelionpick/job_lookup.py
+++ b/dandelionpick/job_lookup.py
@@ -141,7 +141,7 @@
 
 
 def is_ended(claim: job_state.JobClaim | None) -> bool:
-    """Tells whether a claim says that its job has ended.
+    """Returns whether a claim says that its job has ended.
 
     An open claim without an entry proves nothing: the job was not accepted.
     """
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -84,7 +84,7 @@
     claim_final: bool = False
 
     def is_expired(self, unix_ms: int, crowded: bool) -> bool:
-        """Tells whether the record may be dropped."""
+        """Returns whether the record may be dropped."""
         retention_ms = FINISHED_RETENTION_MS
         if crowded:
             retention_ms = CROWDED_RETENTION_MS
--- a/dandelionpick/lanes.py
+++ b/dandelionpick/lanes.py
@@ -134,7 +134,7 @@
 
 
 def is_open_to_long(state: state_lib.State) -> bool:
-    """Tells whether long work may use another slot."""
+    """Returns whether long work may use another slot."""
     return state.routing.long_running < state.routing.long_limit
 
 
--- a/dandelionpick/listing.py
+++ b/dandelionpick/listing.py
@@ -151,7 +151,7 @@
     implausible: set[tuple[kinds.Role, ids.FailureDomain]],
     now_s: float,
 ) -> bool:
-    """Tells whether an entry that the list lacks is still believed.
+    """Returns whether an entry that the list lacks is still believed.
 
     A peer that is heard directly is alive whatever the list says.
     """
--- a/dandelionpick/lookup.py
+++ b/dandelionpick/lookup.py
@@ -213,7 +213,7 @@
     lookup: lookup_state.Lookup,
     stage: lookup_state.Stage,
 ) -> bool:
-    """Tells whether a lookup still waits for replies of a stage."""
+    """Returns whether a lookup still waits for replies of a stage."""
     active = lookup.exchange_id in state.lookups.active
     return active and lookup.stage is stage
 
@@ -347,7 +347,7 @@
 
 
 def is_nowhere(answer: caller_messages.Answer) -> bool:
-    """Tells whether every place was asked in vain."""
+    """Returns whether every place was asked in vain."""
     problem = answer.problem
     return problem is not None and problem.kind in (
         errors.ProblemKind.UNKNOWN_KEY,
--- a/dandelionpick/membership.py
+++ b/dandelionpick/membership.py
@@ -34,8 +34,8 @@
     """Sends heartbeats when they are due."""
     now_s = step.moment.now_s
     members = state.members
-    if members.blind_until_s is None:
-        members.blind_until_s = now_s + state.limits.suspect_after_s
+    if members.settling_until_s is None:
+        members.settling_until_s = now_s + state.limits.suspect_after_s
     if now_s - members.heartbeat_sent_s >= state.limits.heartbeat_period_s:
         members.heartbeat_sent_s = now_s
         members.rounds += 1
@@ -239,7 +239,7 @@
 
 
 def is_leaving(peer: state_lib.Peer) -> bool:
-    """Tells whether the list or the peer itself said that it leaves.
+    """Returns whether the list or the peer itself said that it leaves.
 
     What a peer said holds for its incarnation, whatever arrives later.
     """
@@ -252,7 +252,7 @@
 def is_peer_usable(
     state: state_lib.State, peer: state_lib.Peer, now_s: float
 ) -> bool:
-    """Tells whether a peer lives, as far as known, and takes new work."""
+    """Returns whether a peer lives, as far as known, and takes new work."""
     if is_leaving(peer):
         return False
     suspect_after_s = state.limits.suspect_after_s
@@ -299,16 +299,16 @@
         yield peer.entry.id
 
 
-def is_blind(state: state_lib.State, now_s: float) -> bool:
-    """Tells whether this instance has not yet heard enough of its peers.
+def is_settling(state: state_lib.State, now_s: float) -> bool:
+    """Returns whether this instance has not yet heard enough of its peers.
 
     That is so after its start and after a long stall, until every peer of the
     failure domain was heard or has had the time to be suspected.
     """
     members = state.members
-    if members.blind_until_s is None:
+    if members.settling_until_s is None:
         return True
-    if now_s >= members.blind_until_s:
+    if now_s >= members.settling_until_s:
         return False
     peers = [
         peer
@@ -324,11 +324,11 @@
 
     Rendezvous hashing over the live set: when an instance joins or leaves,
     only the failure domains that it wins or held change their scheduler.
-    An instance that is blind does not consider itself, and names no instance
+    An instance that is settling does not consider itself, and names no instance
     if it knows no other.
     """
     domain = state.identity.failure_domain
-    if is_blind(state, now_s):
+    if is_settling(state, now_s):
         live = [
             peer.entry.id
             for peer in state.members.peers.values()
--- a/dandelionpick/outcomes.py
+++ b/dandelionpick/outcomes.py
@@ -40,7 +40,7 @@
 
 
 def is_proved_not_run(request: request_state.Request) -> bool:
-    """Tells whether no start for the request ran or ever can."""
+    """Returns whether no start for the request ran or ever can."""
     if request.key_not_run:
         return True
     return not request.foreign and not request.starts
@@ -64,7 +64,7 @@
     finish(state, step, request, answer)
 
 
-def told(
+def answer_for_attempt(
     request: request_state.Request,
     answer: caller_messages.Answer,
     attempt: int,
@@ -107,13 +107,13 @@
     """Records the answer and sends it to every waiting exchange."""
     submission = request.submission
     requests = state.requests
-    request.answer = told(request, answer, submission.attempt)
+    request.answer = answer_for_attempt(request, answer, submission.attempt)
     request_queue.withdraw(state, request)
     request.phase = request_state.Phase.DONE
     request.done_s = step.moment.now_s
     for exchange_id in request.waiting:
         attempt = request.attempts.get(exchange_id, submission.attempt)
-        step.respond(exchange_id, told(request, answer, attempt))
+        step.respond(exchange_id, answer_for_attempt(request, answer, attempt))
     request.waiting.clear()
     request.attempts.clear()
     # The digest is enough to recognise the key's body from now on.
@@ -141,7 +141,9 @@
     if state.requests.by_name.get(request.name()) is not request:
         return
     state.requests.answer_bytes -= size_of(request)
-    request.answer = told(request, answer, request.submission.attempt)
+    request.answer = answer_for_attempt(
+        request, answer, request.submission.attempt
+    )
     state.requests.answer_bytes += size_of(request)
 
 
--- a/dandelionpick/placement.py
+++ b/dandelionpick/placement.py
@@ -192,7 +192,7 @@
 
 
 def fills(tasks: int, accelerators: int, shape: plan_lib.PlannedShape) -> bool:
-    """Tells whether a gang is large enough to count as use of a shape.
+    """Returns whether a gang is large enough to count as use of a shape.
 
     A smaller gang would leave most of the shape idle while the shape counts
     as used; it only borrows.
@@ -237,7 +237,7 @@
 def _is_victim(
     site: Site, gang: job_state.Gang, shape: plan_lib.PlannedShape
 ) -> bool:
-    """Tells whether a gang has to make way for a claim of a shape."""
+    """Returns whether a gang has to make way for a claim of a shape."""
     if gang.gang_id not in site.rerunnable and gang.stop is None:
         return False
     if gang.labels.organisation != shape.name.organisation:
--- a/dandelionpick/problems.py
+++ b/dandelionpick/problems.py
@@ -32,7 +32,7 @@
 
 
 def claimed() -> errors.Problem:
-    """Builds the problem of a key whose executor has not told its fate."""
+    """Builds the problem of a key whose outcome is not known yet."""
     return errors.Problem(
         errors.ProblemKind.TARGET_LOST,
         "The key is claimed and no response of its task is known.",
--- a/dandelionpick/quarantine.py
+++ b/dandelionpick/quarantine.py
@@ -48,14 +48,14 @@
 
 
 def is_quarantined(state: state_lib.State, target: ids.InstanceId) -> bool:
-    """Tells whether an executor is out of use, also while it is probed."""
+    """Returns whether an executor is out of use, also while it is probed."""
     return target in state.routing.quarantined
 
 
 def is_probe_due(
     state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> bool:
-    """Tells whether a quarantined executor may take one idempotent request."""
+    """Returns whether a quarantined executor may take one request."""
     health = health_of(state, target)
     if health.quarantined_until_s is None:
         return False
@@ -167,7 +167,7 @@
     failed: list[routing_state.TaskOutcome],
     elsewhere: list[routing_state.TaskOutcome],
 ) -> bool:
-    """Tells whether tasks of the failed ones' classes succeed elsewhere."""
+    """Returns whether tasks of the failed ones' classes succeed elsewhere."""
     classes = {o.class_key for o in failed}
     comparable = [o for o in elsewhere if o.class_key in classes]
     succeeded = sum(o.succeeded for o in comparable)
@@ -179,7 +179,7 @@
 def _is_slow(
     state: state_lib.State, target: ids.InstanceId, now_s: float
 ) -> bool:
-    """Tells whether tasks of a class take much longer than elsewhere."""
+    """Returns whether tasks of a class take much longer than elsewhere."""
     recent = _recent(health_of(state, target), now_s)
     for class_key in {o.class_key for o in recent}:
         here = _times(recent, class_key)
--- a/dandelionpick/queueing.py
+++ b/dandelionpick/queueing.py
@@ -296,5 +296,5 @@
 
 
 def is_worth_more(item: Item, other: Item) -> bool:
-    """Tells whether an item is more valuable, or as valuable and urgent."""
+    """Returns whether an item is more valuable, or as valuable and urgent."""
     return (item.worth, -item.deadline_s) > (other.worth, -other.deadline_s)
--- a/dandelionpick/request_state.py
+++ b/dandelionpick/request_state.py
@@ -122,7 +122,7 @@
         return (self.submission.organisation, self.submission.key)
 
     def may_have_run(self) -> bool:
-        """Tells whether anything was sent for the request."""
+        """Returns whether anything was sent for the request."""
         return bool(self.starts) or self.foreign
 
 
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -183,7 +183,7 @@
     message: caller_messages.SubmitRequest,
     digest: str,
 ) -> bool:
-    """Tells whether a submission is a retry of one that had no result."""
+    """Returns whether a submission is a retry of one that had no result."""
     if known.answer is None or known.key_not_run or digest != known.digest:
         return False
     if known.answer.outcome is kinds.Outcome.COMPLETED:
@@ -205,7 +205,9 @@
         answer = outcomes.refusal(message, problem, proved=False)
         step.respond(exchange_id, answer)
     elif request.answer is not None:
-        answer = outcomes.told(request, request.answer, message.attempt)
+        answer = outcomes.answer_for_attempt(
+            request, request.answer, message.attempt
+        )
         step.respond(exchange_id, answer)
     else:
         await_answer(step, request, message, exchange_id)
--- a/dandelionpick/reservations.py
+++ b/dandelionpick/reservations.py
@@ -40,7 +40,7 @@
 
 
 def overlaps(state: state_lib.State, gang: job_state.Gang) -> bool:
-    """Tells whether a gang is on reserved accelerators."""
+    """Returns whether a gang is on reserved accelerators."""
     reservation = state.jobs.reservation
     return reservation is not None and any(
         reservation.accelerators.get(worker, frozenset()).intersection(
--- a/dandelionpick/routing.py
+++ b/dandelionpick/routing.py
@@ -36,7 +36,7 @@
 
 
 def is_unreachable(state: state_lib.State, target: ids.InstanceId) -> bool:
-    """Tells whether the last starts on an executor all got no reply."""
+    """Returns whether the last starts on an executor all got no reply."""
     health = state.routing.health.get(target)
     return health is not None and health.unanswered >= MAX_UNANSWERED
 
@@ -44,7 +44,7 @@
 def is_available(
     state: state_lib.State, entry: list_messages.InstanceEntry
 ) -> bool:
-    """Tells whether an executor can be reached and does not leave.
+    """Returns whether an executor can be reached and does not leave.
 
     It leaves if the list or the executor itself said so.
     """
--- a/dandelionpick/schedule.py
+++ b/dandelionpick/schedule.py
@@ -45,7 +45,7 @@
         return
     if state.jobs.preferred_s is None:
         state.jobs.preferred_s = now_s
-        worker_views.distrust(state, now_s)
+        worker_views.invalidate(state, now_s)
         step.note(effects.Part.JOBS, "scheduling this failure domain")
     document = job_status.own_document(state)
     if now_s - document.read_s >= READ_PERIOD_S:
@@ -63,7 +63,7 @@
     state: state_lib.State, step: dispatch.Step, stall_s: float
 ) -> None:
     """Acts on nothing that was known before a stall of the event loop."""
-    worker_views.distrust(state, step.moment.now_s)
+    worker_views.invalidate(state, step.moment.now_s)
 
 
 def _stop_scheduling(state: state_lib.State, step: dispatch.Step) -> None:
@@ -84,7 +84,7 @@
 
 
 def _may_place(state: state_lib.State, now_s: float) -> bool:
-    """Tells whether enough is known to place jobs.
+    """Returns whether enough is known to place jobs.
 
     The peers must have had time to be heard, and every worker that can be
     reached must have reported, or gangs that run would be started again.
@@ -170,7 +170,7 @@
 def _waits_for_store(
     state: state_lib.State, record: job_state.JobRecord
 ) -> bool:
-    """Tells whether a write decides whether the job may run again."""
+    """Returns whether a write decides whether the job may run again."""
     if record.placement is not None:
         return True
     outcome = state.jobs.outcomes.get(sites.name_of(record))
--- a/dandelionpick/sites.py
+++ b/dandelionpick/sites.py
@@ -54,7 +54,7 @@
 def is_usable(
     state: state_lib.State, entry: list_messages.InstanceEntry, now_s: float
 ) -> bool:
-    """Tells whether a worker may take new parts."""
+    """Returns whether a worker may take new parts."""
     view = worker_views.view_of(state, entry.id)
     return (
         entry.state is kinds.Liveness.LIVE
--- a/dandelionpick/stalls.py
+++ b/dandelionpick/stalls.py
@@ -28,7 +28,7 @@
     if stall_s <= state.limits.suspect_after_s:
         return
     members.stalls += 1
-    members.blind_until_s = step.moment.now_s + state.limits.suspect_after_s
+    members.settling_until_s = step.moment.now_s + state.limits.suspect_after_s
     for peer in members.peers.values():
         peer.heard_s = float("-inf")
     state.routing.hold = True
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -76,7 +76,7 @@
         heard: monotonic seconds of the last reply of a target, by id.
         has_self: whether the last list contains this instance.
         stalls: long stalls of the event loop so far.
-        blind_until_s: until then the silence of peers proves nothing; None
+        settling_until_s: until then the silence of peers proves nothing; None
             before the first tick.
     """
 
@@ -99,7 +99,7 @@
     heard: dict[ids.InstanceId, float] = dataclasses.field(default_factory=dict)
     has_self: bool = False
     stalls: int = 0
-    blind_until_s: float | None = None
+    settling_until_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandelionpick/tree.py
+++ b/dandelionpick/tree.py
@@ -105,7 +105,7 @@
 
 
 def overlap(one: str, other: str) -> bool:
-    """Tells whether a change of one path touches the other path."""
+    """Returns whether a change of one path touches the other path."""
     if not one or not other:
         return True
     return f"{one}/".startswith(f"{other}/") or f"{other}/".startswith(
--- a/dandelionpick/worker_views.py
+++ b/dandelionpick/worker_views.py
@@ -55,7 +55,7 @@
     return view
 
 
-def distrust(state: state_lib.State, now_s: float) -> None:
+def invalidate(state: state_lib.State, now_s: float) -> None:
     """Drops what is known of the workers until they are listed again."""
     state.jobs.trusted_s = now_s
     for view in state.jobs.workers.values():
@@ -65,17 +65,17 @@
 
 
 def is_fresh(state: state_lib.State, view: job_state.WorkerView) -> bool:
-    """Tells whether a worker has reported since it was last distrusted."""
+    """Returns whether a worker has reported since it was last invalidated."""
     return view.report_sent_s >= state.jobs.trusted_s
 
 
 def is_silent(view: job_state.WorkerView, now_s: float) -> bool:
-    """Tells whether a worker's last report is too old to place parts."""
+    """Returns whether a worker's last report is too old to place parts."""
     return now_s - view.report_sent_s > SILENT_S
 
 
 def all_tried(state: state_lib.State) -> bool:
-    """Tells whether every worker has reported, or could not be reached."""
+    """Returns whether every worker has reported, or could not be reached."""
     return all(view_of(state, entry.id).tried for entry in entries(state))
 
 
@@ -123,7 +123,7 @@
     gang: job_state.Gang,
     worker: ids.InstanceId,
 ) -> bool:
-    """Tells whether a part's full lease may be renewed.
+    """Returns whether a part's full lease may be renewed.
 
     A finished part is named as well, so that its worker keeps reporting it.
     """
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -282,7 +282,7 @@
 
 
 async def is_in_force(run: Run, revision: int) -> bool:
-    """Tells whether every instance has a revision before the limit."""
+    """Returns whether every instance has a revision before the limit."""
     end_s = time.monotonic() + IN_FORCE_LIMIT_S
     while time.monotonic() < end_s:
         statuses = [
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -333,7 +333,7 @@
 
 
 def is_ready(address: str) -> bool:
-    """Tells whether an entry instance says that it is ready."""
+    """Returns whether an entry instance says that it is ready."""
     try:
         urllib.request.urlopen(
             f"http://{address}/readyz", timeout=PROBE_TIMEOUT_S
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -90,7 +90,7 @@
         return _handle(message, self, now_s, unix_ms)
 
     def loses_reply(self, message: Any) -> bool:
-        """Tells whether the reply to a message is lost on its way."""
+        """Returns whether the reply to a message is lost on its way."""
         lossy = self.fault is ExecutorFault.LOSES_REPLIES
         return lossy and isinstance(message, messages.StartTask)
 
--- a/tests/mutant_list.py
+++ b/tests/mutant_list.py
@@ -147,7 +147,7 @@
 
 def tell_retries_not_run() -> None:
     """Tells every submission what is proved for the first one only."""
-    outcomes.told = lambda request, answer, attempt: answer
+    outcomes.answer_for_attempt = lambda request, answer, attempt: answer
 
 
 def adopt_lower_from_peer() -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -261,7 +261,7 @@
 
 
 class FirstListTest(unittest.TestCase):
-    def test_new_instance_is_blind_until_it_heard_its_peers(self):
+    def test_new_instance_settles_until_it_heard_its_peers(self):
         """Guards against a new instance that considers itself preferred."""
         built = fabric.Fabric(1)
         built.list.lag_s = 0.0
