--- a/dandelionpick/jobs.py
+++ b/dandelionpick/jobs.py
@@ -13,7 +13,6 @@
 from dandelionpick import caller_messages
 from dandelionpick import dispatch
 from dandelionpick import document_results
-from dandelionpick import drain
 from dandelionpick import effects
 from dandelionpick import errors
 from dandelionpick import ids
@@ -26,6 +25,7 @@
 from dandelionpick import membership
 from dandelionpick import peer_messages
 from dandelionpick import state as state_lib
+from dandelionpick import submission_checks
 
 MAX_KEY_FUTURE_MS = 60_000
 KEY_RETENTION_MS = 24 * 3_600_000
@@ -178,33 +178,12 @@
     job: caller_messages.SubmitJob,
 ) -> errors.Problem | None:
     """Returns why a job can't be taken, or None."""
-    if drain.refuses_new_work(state, step.moment.now_s):
-        return errors.Problem(
-            errors.ProblemKind.LEAVING,
-            "This instance is about to stop.",
-            "Send the job again; the balancer will use another instance.",
-        )
-    if state.configuration.document.revision == 0:
-        return errors.Problem(
-            errors.ProblemKind.NO_CONFIGURATION,
-            "This instance has no configuration yet.",
-            "Send the job again later or to another instance.",
-        )
-    organisation = state.configuration.organisations.get(job.organisation)
-    if organisation is None:
-        return errors.Problem(
-            errors.ProblemKind.UNKNOWN_ORGANISATION,
-            f'Organisation "{job.organisation}" does not exist.',
-            "Check the name, or ask the operators to create it in the tree.",
-        )
-    if job.job_class not in organisation.classes:
-        return errors.Problem(
-            errors.ProblemKind.UNKNOWN_CLASS,
-            f'Organisation "{job.organisation}" has no job class'
-            f' "{job.job_class}".',
-            "Use one of: " + ", ".join(sorted(organisation.classes)) + ".",
-        )
-    return check_key(step, job) or check_shape(job)
+    return (
+        submission_checks.leaving_problem(state, step.moment.now_s)
+        or submission_checks.class_problem(state, job)
+        or check_key(step, job)
+        or check_shape(job)
+    )
 
 
 def check_key(
--- a/dandelionpick/request_checks.py
+++ b/dandelionpick/request_checks.py
@@ -4,6 +4,7 @@
 from dandelionpick import errors
 from dandelionpick import ids
 from dandelionpick import state as state_lib
+from dandelionpick import submission_checks
 from dandelionpick import tree_state
 
 MAX_KEY_CHARACTERS = 128
@@ -19,30 +20,15 @@
     unix_ms: int,
 ) -> errors.Problem | None:
     """Returns what is wrong with a submission, or None."""
-    problem = _problem_of_numbers(message) or problem_of_key(message.key)
+    problem = (
+        _problem_of_numbers(message)
+        or problem_of_key(message.key)
+        or submission_checks.class_problem(state, message)
+    )
     if problem is not None:
         return problem
-    if state.configuration.document.revision == 0:
-        return errors.Problem(
-            errors.ProblemKind.NO_CONFIGURATION,
-            "This instance has no configuration yet.",
-            "Send the request to an instance that is ready.",
-        )
-    organisation = state.configuration.organisations.get(message.organisation)
-    if organisation is None:
-        return errors.Problem(
-            errors.ProblemKind.UNKNOWN_ORGANISATION,
-            f'Organisation "{message.organisation}" does not exist.',
-            "Check the name, or ask the operators to create it in the tree.",
-        )
-    job_class = organisation.classes.get(message.job_class)
-    if job_class is None:
-        return errors.Problem(
-            errors.ProblemKind.UNKNOWN_CLASS,
-            f'Organisation "{message.organisation}" has no job class'
-            f' "{message.job_class}".',
-            "Use one of: " + ", ".join(sorted(organisation.classes)) + ".",
-        )
+    organisation = state.configuration.organisations[message.organisation]
+    job_class = organisation.classes[message.job_class]
     return _problem_in_class(message, job_class, unix_ms)
 
 
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -4,7 +4,6 @@
 from dandelionpick import caller_messages
 from dandelionpick import claimed_requests
 from dandelionpick import dispatch
-from dandelionpick import drain
 from dandelionpick import errors
 from dandelionpick import executor_messages
 from dandelionpick import ids
@@ -21,6 +20,7 @@
 from dandelionpick import routing
 from dandelionpick import runs
 from dandelionpick import state as state_lib
+from dandelionpick import submission_checks
 
 # The start that these replies are about may still take up a slot.
 OPEN_REPLIES = (executor_messages.TaskRunning, executor_messages.TaskUnknown)
@@ -219,13 +219,9 @@
     message: caller_messages.SubmitRequest,
 ) -> errors.Problem | None:
     """Returns why a request can't be taken, or None."""
-    if drain.refuses_new_work(state, step.moment.now_s):
-        return errors.Problem(
-            errors.ProblemKind.LEAVING,
-            "This instance is about to stop.",
-            "Send the request again; the balancer will use another instance.",
-        )
-    return request_checks.problem_of(state, message, step.moment.unix_ms)
+    return submission_checks.leaving_problem(
+        state, step.moment.now_s
+    ) or request_checks.problem_of(state, message, step.moment.unix_ms)
 
 
 def dispatch_queued(state: state_lib.State, step: dispatch.Step) -> None:
