Look labelled metrics up once

Cause: a profile of 3,000 requests through an entry instance showed the metrics library's look-up by labels among the largest single items.

Ruled out: fewer metrics; an operator needs each of them.

Change: the children of labelled metrics are cached, at most 1,024 of each kind.

The rest of the cost is spread over many small items.

--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -1,7 +1,12 @@
 """Metrics of an entry instance, declared in one place."""
 
+import functools
+
 import prometheus_client
 
+# Combinations of a metric and its labels that are looked up quickly.
+MAX_LABELLED = 1_024
+
 COUNTERS = {
     "requests_total": prometheus_client.Counter(
         "dandelionpick_requests_total",
@@ -91,14 +96,28 @@
 
 def add(metric: str, labels: tuple[str, ...], amount: float) -> None:
     """Adds to a counter."""
-    counter = COUNTERS[metric]
-    (counter.labels(*labels) if labels else counter).inc(amount)
+    _counter(metric, labels).inc(amount)
 
 
 def observe(metric: str, labels: tuple[str, ...], value: float) -> None:
     """Records a value in a histogram."""
+    _histogram(metric, labels).observe(value)
+
+
+# The library's look-up of labelled metrics took 13 of the 730 us of processor
+# time of a small request.
+@functools.lru_cache(MAX_LABELLED)
+def _counter(metric: str, labels: tuple[str, ...]) -> prometheus_client.Counter:
+    counter = COUNTERS[metric]
+    return counter.labels(*labels) if labels else counter
+
+
+@functools.lru_cache(MAX_LABELLED)
+def _histogram(
+    metric: str, labels: tuple[str, ...]
+) -> prometheus_client.Histogram:
     histogram = HISTOGRAMS[metric]
-    (histogram.labels(*labels) if labels else histogram).observe(value)
+    return histogram.labels(*labels) if labels else histogram
 
 
 def put(metric: str, value: float) -> None:
