Remove a constant that a merge left unused; correct a docstring

Cause: reading the whole change, a search for names that occur once found LOST_REPLY_S in standins/serve.py, which a merge had kept beside SILENCE_S; and a bulk change of predicates had turned the docstring of a module into one of a function.

Change: both lines. Behaviour stays as it is.

--- a/dandelionpick/in_force.py
+++ b/dandelionpick/in_force.py
@@ -1,4 +1,4 @@
-"""Returns in which failure domains a revision is in force."""
+"""Finds the failure domains in which a revision is in force."""
 
 from dandelionpick import dispatch
 from dandelionpick import edit_state
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -33,8 +33,6 @@
 POLL_S = 0.005
 # Longer than any timeout of a caller, so that the reply counts as lost.
 SILENCE_S = 30.0
-# Longer than the timeout of calls to workers, so that the reply is lost.
-LOST_REPLY_S = 3.0
 
 Handle = Callable[[Any], Awaitable[Any]]
 Control = Callable[[dict[str, Any]], None]
