Separate the runtime from the reducer that it drives

The runtime now takes the reducing function, so that a second composition can drive other handlers. Its clock also runs while the machine is suspended: leases elsewhere expire during a suspension, which the monotonic clock hides.

--- a/dandelionpick/dispatch.py
+++ b/dandelionpick/dispatch.py
@@ -3,12 +3,35 @@
 import dataclasses
 import functools
 from typing import Any
+from typing import Protocol
 
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick import kinds
-from dandelionpick import state as state_lib
+
+
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call that has neither returned nor failed."""
+
+    destination: effects.Destination
+    context: Any
+    trace: str
+
+
+class CallerState(Protocol):
+    """What a reducer's state needs in order to make calls.
+
+    Attributes:
+        incarnation: makes call ids unique among processes.
+        calls: calls in progress.
+        calls_made: calls so far.
+    """
+
+    incarnation: ids.Incarnation
+    calls: dict[ids.CallId, PendingCall]
+    calls_made: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +66,7 @@
 
 
 def call(
-    state: state_lib.State,
+    state: CallerState,
     step: Step,
     destination: effects.Destination,
     message: Any,
@@ -65,9 +88,7 @@
     """
     state.calls_made += 1
     call_id = ids.CallId(f"{state.incarnation}-{state.calls_made}")
-    state.calls[call_id] = state_lib.PendingCall(
-        destination, context, step.trace
-    )
+    state.calls[call_id] = PendingCall(destination, context, step.trace)
     step.emit(
         effects.Call(call_id, destination, message, timeout_s, step.trace)
     )
@@ -77,7 +98,7 @@
 @functools.singledispatch
 def receive(
     message: Any,
-    state: state_lib.State,
+    state: Any,
     step: Step,
     exchange_id: ids.ExchangeId,
 ) -> None:
@@ -86,9 +107,7 @@
 
 
 @functools.singledispatch
-def returned(
-    context: Any, state: state_lib.State, step: Step, reply: Any
-) -> None:
+def returned(context: Any, state: Any, step: Step, reply: Any) -> None:
     """Handles the reply to a call that was made with this context."""
     raise TypeError(f"no handler for context {type(context).__name__}")
 
@@ -96,7 +115,7 @@
 @functools.singledispatch
 def failed(
     context: Any,
-    state: state_lib.State,
+    state: Any,
     step: Step,
     failure: kinds.CallFailure,
 ) -> None:
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -1,8 +1,6 @@
 """The one reducer over all events."""
 
-import dataclasses
 import functools
-from collections.abc import Callable
 from collections.abc import Sequence
 from types import ModuleType
 
@@ -26,6 +24,7 @@
 from dandelionpick import membership
 from dandelionpick import operator_reads
 from dandelionpick import quarantine
+from dandelionpick import reduction
 from dandelionpick import requests
 from dandelionpick import schedule
 from dandelionpick import shedding
@@ -33,8 +32,6 @@
 from dandelionpick import state as state_lib
 from dandelionpick import targets
 
-Handler = Callable[[state_lib.State, dispatch.Step], None]
-
 # These only register handlers of messages.
 HANDLERS: tuple[ModuleType, ...] = (
     cancel,
@@ -65,18 +62,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reduction:
-    """Effects of an event, and the handlers that failed.
-
-    Attributes:
-        faults: exceptions, in order.
-    """
-
-    effects: list[effects.Effect]
-    faults: list[Exception]
-
-
 def reduce(state: state_lib.State, event: events.Event) -> list[effects.Effect]:
     """Applies an event to the state, in place.
 
@@ -93,24 +78,14 @@
     return step.emitted
 
 
-def reduce_guarded(state: state_lib.State, event: events.Event) -> Reduction:
-    """Applies an event and contains the exceptions of its handlers.
-
-    The state stays as a failed handler left it, and the effects that it had
-    emitted are returned: the state already counts on them, as in the case of
-    a pending call. The other handlers of a tick run.
-    """
-    step = dispatch.Step(event.moment)
-    faults = []
-    for handler in _handlers(event):
-        try:
-            handler(state, step)
-        except Exception as error:
-            faults.append(error)
-    return Reduction(step.emitted, faults)
+def reduce_guarded(
+    state: state_lib.State, event: events.Event
+) -> reduction.Reduction:
+    """Applies an event and contains the exceptions of its handlers."""
+    return reduction.apply_guarded(_handlers(event), state, event)
 
 
-def _handlers(event: events.Event) -> Sequence[Handler]:
+def _handlers(event: events.Event) -> Sequence[reduction.Handler]:
     if isinstance(event, events.Tick):
         return TICKS
     return (functools.partial(_apply, event),)
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -20,8 +20,7 @@
 from dandelionpick import kinds
 from dandelionpick import metrics
 from dandelionpick import peer_messages
-from dandelionpick import reducer
-from dandelionpick import state as state_lib
+from dandelionpick import reduction as reduction_lib
 from dandelionpick import tracing
 
 TICK_S = 0.1
@@ -43,6 +42,7 @@
 )
 
 Sender = Callable[[effects.Call], Awaitable[Result[Any, kinds.CallFailure]]]
+Reduce = Callable[[Any, events.Event], reduction_lib.Reduction]
 
 
 class Runtime:
@@ -51,16 +51,18 @@
     Attributes:
         state: the reducer's state.
         exited: set when the reducer asks the process to exit.
-        ticked_s: monotonic seconds of the last tick, or of its stall.
+        ticked_s: seconds of `clock_s` of the last tick, or of its stall.
     """
 
     def __init__(
         self,
-        state: state_lib.State,
+        state: Any,
+        reduce: Reduce,
         send: Sender,
         tracer: tracing.Tracer,
     ):
         self.state = state
+        self.reduce = reduce
         self.send = send
         self.tracer = tracer
         self.exited = asyncio.Event()
@@ -68,12 +70,12 @@
         self.calls: set[asyncio.Task] = set()
         self.random = random.Random()
         self.numbers = itertools.count(1)
-        self.ticked_s = time.monotonic()
+        self.ticked_s = clock_s()
 
     def moment(self) -> events.Moment:
         """Reads the clocks and draws a random number."""
         return events.Moment(
-            now_s=time.monotonic(),
+            now_s=clock_s(),
             unix_ms=time.time_ns() // 1_000_000,
             draw=self.random.random(),
         )
@@ -97,7 +99,7 @@
         self._apply(events.Stalled(self.moment(), stall_s))
 
     def _apply(self, event: events.Event) -> None:
-        reduction = reducer.reduce_guarded(self.state, event)
+        reduction = self.reduce(self.state, event)
         for effect in reduction.effects:
             try:
                 _perform(effect, self)
@@ -131,7 +133,7 @@
 
     async def run_ticks(self) -> None:
         """Delivers ticks and measures how late each one is."""
-        self.ticked_s = time.monotonic()
+        self.ticked_s = clock_s()
         while not self.exited.is_set():
             await asyncio.sleep(TICK_S)
             moment = self.moment()
@@ -143,9 +145,8 @@
             self._measure_state()
 
     def _measure_state(self) -> None:
-        state = self.state
-        metrics.put("revision", state.configuration.document.revision)
-        metrics.put("leaving", float(state.drain.requested_s is not None))
+        for gauge, value in self.state.gauges().items():
+            metrics.put(gauge, value)
         metrics.put("open_exchanges", len(self.exchanges))
         metrics.put("open_calls", len(self.calls))
 
@@ -181,6 +182,15 @@
         await asyncio.gather(*calls, return_exceptions=True)
 
 
+def clock_s() -> float:
+    """Returns seconds of a steady clock that also runs during a suspension.
+
+    Leases on other machines expire while this one is suspended, which the
+    monotonic clock would not show.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def patience_s_of(message: Any) -> float:
     """Returns the seconds after which a missing response is a fault."""
     submission = getattr(message, "request", message)
--- a/dandelionpick/state.py
+++ b/dandelionpick/state.py
@@ -1,9 +1,9 @@
 """State of the reducer of one entry instance."""
 
 import dataclasses
-from typing import Any
 
 from dandelionpick import claim_state
+from dandelionpick import dispatch
 from dandelionpick import edit_state
 from dandelionpick import effects
 from dandelionpick import ids
@@ -28,15 +28,6 @@
     list_address: str
 
 
-@dataclasses.dataclass(slots=True)
-class PendingCall:
-    """A call that has neither returned nor failed."""
-
-    destination: effects.Destination
-    context: Any
-    trace: str
-
-
 @dataclasses.dataclass(slots=True)
 class Peer:
     """Another entry instance.
@@ -136,7 +127,7 @@
     identity: Identity
     incarnation: ids.Incarnation
     limits: Limits = dataclasses.field(default_factory=Limits)
-    calls: dict[ids.CallId, PendingCall] = dataclasses.field(
+    calls: dict[ids.CallId, dispatch.PendingCall] = dataclasses.field(
         default_factory=dict
     )
     calls_made: int = 0
@@ -167,3 +158,10 @@
         return effects.Destination(
             kinds.Service.STORE, "", self.identity.store_address
         )
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the metrics that are derived from the state."""
+        return {
+            "revision": self.configuration.document.revision,
+            "leaving": float(self.drain.requested_s is not None),
+        }
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -11,6 +11,7 @@
 from dandelionpick import events
 from dandelionpick import http_client
 from dandelionpick import ids
+from dandelionpick import reducer
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import settings as settings_lib
@@ -52,6 +53,7 @@
     async with http_client.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings),
+            reducer.reduce_guarded,
             functools.partial(http_client.send, pools),
             tracer,
         )
--- a/tests/http_instance.py
+++ b/tests/http_instance.py
@@ -18,6 +18,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import list_messages
+from dandelionpick import reducer
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import state as state_lib
@@ -64,7 +65,13 @@
     state = state_lib.State(
         builders.identity("entry-1", "a"), ids.Incarnation("i1")
     )
-    return runtime_lib.Runtime(state, send, tracing.Tracer("entry-1", 1.0))
+    return runtime_lib.Runtime(
+        state,
+        # Looked up for each event, so that a test can replace it.
+        lambda *args: reducer.reduce_guarded(*args),
+        send,
+        tracing.Tracer("entry-1", 1.0),
+    )
 
 
 async def runtime_with(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,6 +13,7 @@
 from dandelionpick import events
 from dandelionpick import http_protocol
 from dandelionpick import reducer
+from dandelionpick import reduction
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import wire
 from tests import builders
@@ -226,7 +227,7 @@
 
         def record(state, event):
             seen.append(type(event))
-            return reducer.Reduction([], [])
+            return reduction.Reduction([], [])
 
         with mock.patch.object(reducer, "reduce_guarded", record):
             self.runtime.deliver(events.Tick(self.runtime.moment()))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 from dandelionpick import listing
 from dandelionpick import membership
 from dandelionpick import peer_messages
+from dandelionpick import reducer
 from dandelionpick import runtime
 from tests import builders
 from tests import fabric
@@ -190,7 +191,9 @@
     def test_stall_is_delivered_before_the_event_that_shows_it(self):
         """Guards against acting on a message that waited out a pause."""
         state = cases.build({"a": (1, 1)}).instances["a-entry-1"].state
-        driver = runtime.Runtime(state, mock.Mock(), mock.Mock())
+        driver = runtime.Runtime(
+            state, reducer.reduce_guarded, mock.Mock(), mock.Mock()
+        )
         now_s = driver.ticked_s + 20.0
         with mock.patch.object(runtime, "_perform"):
             request = builders.request("k")
