--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -8,16 +8,15 @@
 
 import msgspec
 from starlette import applications
-from starlette import datastructures
 from starlette import exceptions
 from starlette import middleware
 from starlette import requests as http
 from starlette import responses
 from starlette import routing
-from starlette import types
 
 from dandelionpick import caller_messages
 from dandelionpick import errors
+from dandelionpick import http_middleware
 from dandelionpick import metrics
 from dandelionpick import operator_messages
 from dandelionpick import page
@@ -253,34 +252,6 @@
     return respond(runtime_lib.INTERNAL)
 
 
-class CloseWhileLeaving:
-    """Ends each connection after its response during a planned stop.
-
-    Clients then open their next connection to another instance, and no
-    connection is idle when the process exits.
-    """
-
-    def __init__(
-        self, app: types.ASGIApp, runtime: runtime_lib.Runtime
-    ) -> None:
-        self.app = app
-        self.runtime = runtime
-
-    async def __call__(
-        self, scope: types.Scope, receive: types.Receive, send: types.Send
-    ) -> None:
-        """Adds the header to responses."""
-
-        async def send_closing(message: types.Message) -> None:
-            starts = message["type"] == "http.response.start"
-            if starts and self.runtime.state.drain.requested_s is not None:
-                headers = datastructures.MutableHeaders(scope=message)
-                headers["connection"] = "close"
-            await send(message)
-
-        await self.app(scope, receive, send_closing)
-
-
 def build(
     runtime: runtime_lib.Runtime, body_timeout_s: float
 ) -> applications.Starlette:
@@ -322,7 +293,11 @@
         routes.append(post(endpoint.path, endpoint.message))
     return applications.Starlette(
         routes=routes,
-        middleware=[middleware.Middleware(CloseWhileLeaving, runtime=runtime)],
+        middleware=[
+            middleware.Middleware(
+                http_middleware.CloseWhileLeaving, runtime=runtime
+            )
+        ],
         exception_handlers={
             exceptions.HTTPException: on_http_error,
             Exception: on_fault,
--- /dev/null
+++ b/dandelionpick/batch/fencing.py
@@ -0,0 +1,32 @@
+"""Notices that a target has seen a higher epoch."""
+
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import target_api
+
+
+def is_fenced(reply: Any) -> bool:
+    """Returns whether a target refuses the epoch of an order."""
+    return (
+        isinstance(reply, target_api.Rejected)
+        and reply.problem is target_api.OrderProblem.FENCED
+    )
+
+
+def note_fenced(
+    state: state_lib.State, step: dispatch.Step, epoch: ids.Epoch
+) -> None:
+    """Stops giving orders: another instance is the scheduler."""
+    authority = state.authority
+    if authority.role is not state_lib.Role.LEADING or authority.epoch != epoch:
+        return
+    step.note(
+        effects.Part.SCHEDULER,
+        f"a target refuses epoch {epoch}; another scheduler has taken over",
+        warning=True,
+    )
+    authority.fenced = True
--- /dev/null
+++ b/dandelionpick/batch/inspection.py
@@ -0,0 +1,187 @@
+"""Answers questions about jobs and queues.
+
+The scheduler knows the state of all jobs. Without it, an instance reads the
+job in the store, which holds every end that callers have seen.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import errors
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import admission
+from dandelionpick.batch import messages
+from dandelionpick.batch import model
+from dandelionpick.batch import open_requests
+from dandelionpick.batch import relaying
+from dandelionpick.batch import saving
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgressContext:
+    """The progress of a job is read."""
+
+    exchange_id: ids.ExchangeId
+    job_id: ids.JobId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordContext:
+    """The record of a job is read; its progress is not in the store, or open.
+
+    Attributes:
+        found: the state that the progress shows.
+    """
+
+    exchange_id: ids.ExchangeId
+    found: model.JobState
+
+
+def is_ready_scheduler(state: state_lib.State) -> bool:
+    """Returns whether this instance knows the state of all jobs."""
+    schedule = state.schedule
+    return schedule is not None and schedule.stage is schedule_state.Stage.READY
+
+
+def inspect(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+    admitted: admission.Admitted,
+) -> None:
+    """Answers a question, here or at the scheduler."""
+    if is_ready_scheduler(state):
+        _answer(state, step, request, admitted)
+    elif request.scheduler_silent and admitted.job_id is not None:
+        _read(state, step, request, admitted.job_id)
+    elif request.relayed or not relaying.relay(state, step, request):
+        request.scheduler_silent = True
+        open_requests.retry_later(state, step, request)
+
+
+def _answer(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+    admitted: admission.Admitted,
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    if admitted.job_id is None:
+        pending = sum(
+            job.record.queue == admitted.queue.name
+            and job.first_start_s is None
+            and not job.ended
+            for job in schedule.jobs.values()
+        )
+        open_requests.finish(state, step, request, messages.QueueView(pending))
+        return
+    job = schedule.jobs.get(admitted.job_id)
+    if job is None:
+        # The watch may not have shown a new job yet.
+        _read(state, step, request, admitted.job_id)
+        return
+    shown = job.shown
+    if shown is model.JobState.QUEUED and job.first_start_s is not None:
+        shown = model.JobState.ACTIVE
+    open_requests.finish(state, step, request, messages.JobView(shown))
+
+
+def _read(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+    job_id: ids.JobId,
+) -> None:
+    state_lib.call_store(
+        state,
+        step,
+        store_api.Read(saving.key_of(job_id)),
+        ProgressContext(request.exchange_id, job_id),
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: ProgressContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    request = state.open_requests.get(context.exchange_id)
+    if request is None:
+        return
+    if not isinstance(reply, store_api.Item):
+        open_requests.retry_later(state, step, request)
+        return
+    found = model.JobState.QUEUED
+    if reply.revision:
+        try:
+            found = model.decode_progress(reply.value).state
+        except msgspec.DecodeError as error:
+            step.note(
+                effects.Part.INTAKE,
+                f"unreadable {reply.key}: {error}",
+                warning=True,
+            )
+        if found in model.ENDED_STATES:
+            open_requests.finish(state, step, request, messages.JobView(found))
+            return
+        found = model.JobState.ACTIVE
+    state_lib.call_store(
+        state,
+        step,
+        store_api.Read(state_lib.JOBS + context.job_id),
+        RecordContext(context.exchange_id, found),
+    )
+
+
+@dispatch.returned.register
+def _(
+    context: RecordContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    request = state.open_requests.get(context.exchange_id)
+    if request is None:
+        return
+    if not isinstance(reply, store_api.Item):
+        open_requests.retry_later(state, step, request)
+    elif reply.revision:
+        view = messages.JobView(context.found)
+        open_requests.finish(state, step, request, view)
+    else:
+        open_requests.finish(state, step, request, unknown_job())
+
+
+def unknown_job() -> messages.Refused:
+    """Returns the response about a job that does not exist."""
+    return admission.refuse(
+        errors.ProblemKind.UNKNOWN_KEY,
+        "No such job exists.",
+        "Check the id; ended jobs are forgotten after a while.",
+    )
+
+
+def _retry(
+    context: ProgressContext | RecordContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    request = state.open_requests.get(context.exchange_id)
+    if request is not None:
+        open_requests.retry_later(state, step, request)
+
+
+dispatch.failed.register(ProgressContext, _retry)
+dispatch.failed.register(RecordContext, _retry)
--- /dev/null
+++ b/dandelionpick/batch/job_ends.py
@@ -0,0 +1,45 @@
+"""Ends jobs: completed, failed or cancelled."""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick.batch import job_progress
+from dandelionpick.batch import model
+from dandelionpick.batch import orders
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+
+
+def end(
+    state: state_lib.State,
+    step: dispatch.Step,
+    job: schedule_state.Job,
+    job_state: model.JobState,
+) -> None:
+    """Ends a job and stops what still runs of it."""
+    schedule = state.schedule
+    if schedule is None or job.ended:
+        return
+    job_progress.end(job, job_state, step.moment.unix_ms)
+    schedule.unsaved.add(job.id)
+    schedule.dirty = True
+    step.note(
+        effects.Part.SCHEDULER,
+        f"job {job.id} {job_state.value} in epoch {schedule.epoch}",
+    )
+    orders.stop_job(state, step, job)
+
+
+def cancel(
+    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+) -> None:
+    """Cancels a job that has not ended."""
+    job.cancelled = True
+    end(state, step, job, model.JobState.CANCELLED)
+
+
+def end_if_complete(
+    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+) -> None:
+    """Ends a job whose last task is done."""
+    if not job.ended and job_progress.is_complete(job):
+        end(state, step, job, model.JobState.COMPLETED)
--- /dev/null
+++ b/dandelionpick/batch/job_intake.py
@@ -0,0 +1,118 @@
+"""Jobs and cancellations as the scheduler reads them from the store."""
+
+import msgspec
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick.batch import job_ends
+from dandelionpick.batch import job_progress
+from dandelionpick.batch import model
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+from dandelionpick.batch import watches
+from dandelionpick.batch import watching
+
+
+def job_id_of(key: str) -> ids.JobId:
+    """Returns the job that a key of the store belongs to."""
+    return ids.JobId(key.rpartition("/")[2])
+
+
+@watching.apply_item.register
+def _(
+    watch: watches.ProgressWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    item: store_api.Item,
+) -> None:
+    if state.schedule is None:
+        return
+    try:
+        progress = model.decode_progress(item.value)
+    except msgspec.DecodeError as error:
+        step.note(
+            effects.Part.INTAKE, f"unreadable {item.key}: {error}", warning=True
+        )
+        return
+    state.schedule.early_progress[job_id_of(item.key)] = (
+        progress,
+        item.revision,
+    )
+
+
+@watching.apply_removal.register
+def _(
+    watch: watches.ProgressWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+) -> None:
+    """Nothing removes progress while it is read."""
+
+
+@watching.apply_item.register
+def _(
+    watch: watches.IntakeWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    item: store_api.Item,
+) -> None:
+    schedule = state.schedule
+    if schedule is None:
+        return
+    job_id = job_id_of(item.key)
+    if item.key.startswith(state_lib.CANCELS):
+        job = schedule.jobs.get(job_id)
+        if job is None:
+            schedule.early_cancels.add(job_id)
+        else:
+            job_ends.cancel(state, step, job)
+    elif job_id not in schedule.jobs:
+        _add(schedule, state, step, job_id, item)
+
+
+def _add(
+    schedule: schedule_state.Schedule,
+    state: state_lib.State,
+    step: dispatch.Step,
+    job_id: ids.JobId,
+    item: store_api.Item,
+) -> None:
+    try:
+        record = model.decode_job(item.value)
+    except msgspec.DecodeError as error:
+        step.note(
+            effects.Part.INTAKE, f"unreadable {item.key}: {error}", warning=True
+        )
+        return
+    progress, revision = schedule.early_progress.pop(job_id, (None, 0))
+    job = job_progress.build(job_id, record, item.revision, progress)
+    job.progress_revision = revision
+    schedule.jobs[job_id] = job
+    schedule.dirty = True
+    if job_id in schedule.early_cancels:
+        schedule.early_cancels.discard(job_id)
+        job_ends.cancel(state, step, job)
+
+
+@watching.apply_removal.register
+def _(
+    watch: watches.IntakeWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+) -> None:
+    # Only the scheduler removes jobs, after it has forgotten them.
+    return
+
+
+def build_all(state: state_lib.State, step: dispatch.Step) -> None:
+    """Opens steps, and ends jobs whose last task had ended, at takeover."""
+    schedule = state.schedule
+    assert schedule is not None
+    schedule.early_progress.clear()
+    for job in schedule.jobs.values():
+        if not job.ended and job_progress.is_complete(job):
+            job_ends.end(state, step, job, model.JobState.COMPLETED)
--- /dev/null
+++ b/dandelionpick/batch/job_progress.py
@@ -0,0 +1,103 @@
+"""How a job advances: steps open, tasks end, the job ends."""
+
+from dandelionpick import ids
+from dandelionpick.batch import model
+from dandelionpick.batch import schedule_state
+
+
+def build(
+    job_id: ids.JobId,
+    record: model.JobRecord,
+    accepted_revision: int,
+    progress: model.Progress | None,
+) -> schedule_state.Job:
+    """Builds a job from what the store holds."""
+    job = schedule_state.Job(job_id, record, accepted_revision)
+    if progress is not None:
+        job.progress = progress
+        job.shown = progress.state
+    for occurrence in range(max(1, record.spec.occurrences)):
+        for number, spec in enumerate(record.spec.steps):
+            job.steps[occurrence, number] = _step(job, occurrence, number, spec)
+    return job
+
+
+def _step(
+    job: schedule_state.Job,
+    occurrence: int,
+    number: int,
+    spec: model.StepSpec,
+) -> schedule_state.StepRun:
+    done = set(job.progress.done.get(f"{occurrence}.{number}", ()))
+    tasks = []
+    for index in range(spec.tasks):
+        key = model.TaskKey(job.id, occurrence, number, index)
+        task = schedule_state.Task(key, index in done)
+        task.failures = len(job.progress.failures.get(key.task_name(), ()))
+        tasks.append(task)
+    left = spec.tasks - len(done)
+    return schedule_state.StepRun(spec, occurrence, number, tasks, left)
+
+
+def due_ms(job: schedule_state.Job, occurrence: int) -> int:
+    """Returns the Unix milliseconds before which an occurrence can't start."""
+    spec = job.record.spec
+    if not spec.occurrences:
+        return 0
+    return spec.first_due_ms + occurrence * spec.interval_ms
+
+
+def open_steps(
+    job: schedule_state.Job, now_s: float, unix_ms: int, early_s: float
+) -> bool:
+    """Opens the steps whose turn has come; returns whether there are any."""
+    opened = False
+    for step in job.steps.values():
+        if step.open or not step.left:
+            continue
+        if unix_ms < due_ms(job, step.occurrence) - early_s * 1_000 / 2:
+            continue
+        if all(
+            job.steps[step.occurrence, earlier].left == 0
+            for earlier in step.spec.after
+        ):
+            step.open = True
+            step.open_s = now_s
+            opened = True
+    return opened
+
+
+def note_done(
+    job: schedule_state.Job, step: schedule_state.StepRun, task_index: int
+) -> None:
+    """Takes note that a task ended as done."""
+    task = step.tasks[task_index]
+    if task.done:
+        return
+    task.done = True
+    step.left -= 1
+    job.progress.done.setdefault(task.key.step_name(), []).append(task_index)
+    job.version += 1
+
+
+def note_failure(
+    job: schedule_state.Job, task: schedule_state.Task, attempt: ids.Attempt
+) -> None:
+    """Counts a failed attempt of a task, once."""
+    attempts = job.progress.failures.setdefault(task.key.task_name(), [])
+    if attempt not in attempts:
+        attempts.append(attempt)
+        task.failures = len(attempts)
+        job.version += 1
+
+
+def is_complete(job: schedule_state.Job) -> bool:
+    """Returns whether all tasks have ended as done."""
+    return all(step.left == 0 for step in job.steps.values())
+
+
+def end(job: schedule_state.Job, state: model.JobState, unix_ms: int) -> None:
+    """Ends a job; callers see it once it is stored."""
+    job.progress.state = state
+    job.progress.ended_ms = unix_ms
+    job.version += 1
--- /dev/null
+++ b/dandelionpick/batch/leaving.py
@@ -0,0 +1,40 @@
+"""Planned stop: hands the scheduler's role over and ends when idle."""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick.batch import leadership
+from dandelionpick.batch import state as state_lib
+
+# The balancer stops sending after two missed probes, one each second.
+NOTICE_S = 2.5
+# Left of the time before the process is killed.
+KILL_MARGIN_S = 0.7
+
+
+def request(state: state_lib.State, step: dispatch.Step) -> None:
+    """Begins a planned stop: no longer ready, no longer the scheduler."""
+    if state.drain.requested_s is not None:
+        return
+    state.drain.requested_s = step.moment.now_s
+    step.note(
+        effects.Part.DRAIN,
+        f"leaving with {len(state.open_requests)} open requests",
+    )
+    leadership.resign(state, step)
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Ends the process once nothing is open, or just before it is killed."""
+    drain = state.drain
+    if drain.requested_s is None or drain.exit_sent:
+        return
+    waited_s = step.moment.now_s - drain.requested_s
+    idle = waited_s >= NOTICE_S and not state.open_requests
+    if idle or waited_s >= state.limits.drain_s - KILL_MARGIN_S:
+        drain.exit_sent = True
+        step.note(
+            effects.Part.DRAIN,
+            f"exit after {waited_s:.1f} s with {len(state.open_requests)} open"
+            " requests",
+        )
+        step.emit(effects.Exit())
--- /dev/null
+++ b/dandelionpick/batch/model.py
@@ -0,0 +1,216 @@
+"""Jobs as callers describe them and as the store holds them."""
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from dandelionpick import ids
+
+
+class JobState(enum.Enum):
+    """State of a job as its caller sees it."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED_STATES = frozenset(
+    (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+)
+
+
+class Ending(enum.Enum):
+    """How a run ended on its target.
+
+    BROKEN means that another member of the gang ended, ALONE that the other
+    members did not come in time, LAPSED that the target's lease expired.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An amount of what a target has.
+
+    Attributes:
+        cpu_millis: thousandths of a processor core.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Returns whether this amount is at most `room`."""
+        return (
+            self.accelerators <= room.accelerators
+            and self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+        )
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Returns the sum."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Returns the difference, which may be negative."""
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Returns a multiple."""
+        return Resources(
+            self.cpu_millis * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
+
+class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Equal tasks of a job that may start at the same time.
+
+    Attributes:
+        needs: what each task occupies.
+        estimate_ms: the caller's rough estimate of a task's run time.
+        after: earlier steps that must be done first, counted from 0.
+        checkpoints: a stopped task can resume from its last checkpoint.
+        gang: the tasks work only while all of them are present.
+        one_rack: the gang is slower if it spans racks.
+        data_rack: tasks are slower on any other rack; "" if none.
+        required_label: a label that the target must have; "" if none.
+        max_per_target: most tasks of the step on one target; 0 if unlimited.
+        duplicates_allowed: the first of several copies to finish counts.
+        until_cancelled: tasks run until the job is cancelled and are
+            restarted however they end.
+        tail_target_ms: response time that a serving task has to keep.
+        filler: uses processor time that other tasks leave unused.
+        tolerated_absent: serving tasks that may be away at the same time.
+    """
+
+    tasks: int
+    needs: Resources = Resources()
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    one_rack: bool = False
+    data_rack: str = ""
+    required_label: str = ""
+    max_per_target: int = 0
+    duplicates_allowed: bool = False
+    until_cancelled: bool = False
+    image: str = ""
+    tail_target_ms: int = 0
+    filler: bool = False
+    tolerated_absent: int = 0
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a caller submits.
+
+    Attributes:
+        payload: handed to each task unchanged.
+        occurrences: how often the steps run at given times; 0 for a job that
+            runs once, at once.
+        first_due_ms: Unix milliseconds of the first occurrence.
+        interval_ms: milliseconds between two occurrences.
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    occurrences: int = 0
+    first_due_ms: int = 0
+    interval_ms: int = 0
+
+
+class QueueTerms(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a queue says about its jobs.
+
+    Attributes:
+        pool: the targets that run them.
+        priority: 0 comes first and may preempt others.
+        max_attempts: a job fails with this many failed runs of a task.
+        objective_factor: aimed duration as a multiple of the run time.
+        objective_extra_s: seconds added to it.
+    """
+
+    pool: ids.PoolName
+    priority: int = 0
+    max_attempts: int = 1
+    objective_factor: float = 1.0
+    objective_extra_s: float = 0.0
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An accepted job; written once.
+
+    Attributes:
+        terms: the queue's terms when the job was accepted; they hold if the
+            queue is removed later.
+        accepted_ms: Unix milliseconds.
+    """
+
+    queue: ids.QueueName
+    organisation: ids.OrganisationId
+    terms: QueueTerms
+    spec: JobSpec
+    accepted_ms: int
+
+
+class Progress(msgspec.Struct, omit_defaults=True):
+    """What has to survive the scheduler.
+
+    Attributes:
+        state: QUEUED until the first task has started.
+        done: indices of tasks that ended as done, by "occurrence.step".
+        failures: attempts that failed, by "occurrence.step.index"; those of
+            a gang are under its first task.
+        ended_ms: Unix milliseconds of the job's end; 0 before it.
+    """
+
+    state: JobState = JobState.QUEUED
+    done: dict[str, list[int]] = msgspec.field(default_factory=dict)
+    failures: dict[str, list[ids.Attempt]] = msgspec.field(default_factory=dict)
+    ended_ms: int = 0
+
+
+class TaskKey(NamedTuple):
+    """Names a task of all jobs."""
+
+    job_id: ids.JobId
+    occurrence: int
+    step: int
+    index: int
+
+    def step_name(self) -> str:
+        """Returns the key of Progress.done."""
+        return f"{self.occurrence}.{self.step}"
+
+    def task_name(self) -> str:
+        """Returns the key of Progress.failures."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
+
+def encode(record: msgspec.Struct) -> bytes:
+    """Encodes a record for the store."""
+    return msgspec.json.encode(record)
+
+
+decode_job = msgspec.json.Decoder(JobRecord).decode
+decode_progress = msgspec.json.Decoder(Progress).decode
--- /dev/null
+++ b/dandelionpick/batch/open_requests.py
@@ -0,0 +1,81 @@
+"""Ends requests of callers, or puts them off."""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import errors
+from dandelionpick.batch import messages
+from dandelionpick.batch import state as state_lib
+
+# Pause before a request is tried again while a dependency is away; short
+# against the 3 s that callers wait.
+RETRY_S = 0.1
+
+
+def is_open(state: state_lib.State, request: state_lib.OpenRequest) -> bool:
+    """Returns whether a request has no response yet."""
+    return request.exchange_id in state.open_requests
+
+
+def finish(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+    reply: messages.Reply,
+) -> None:
+    """Responds to a request."""
+    if state.open_requests.pop(request.exchange_id, None) is None:
+        return
+    catalog = state.catalog.current
+    in_doubt = request.uncertain or request.writes > 0
+    if (
+        in_doubt
+        and isinstance(reply, messages.Refused)
+        and isinstance(request.request, messages.Submit)
+        and reply.problem.kind is not errors.ProblemKind.KEY_REUSED
+    ):
+        reply = unknown_outcome()
+    if isinstance(reply, messages.Refused):
+        _note_refusal(step, request, reply, catalog.version if catalog else 0)
+    if request.relayed:
+        version = catalog.version if catalog else 0
+        step.respond(request.exchange_id, messages.Relayed(reply, version))
+    else:
+        step.respond(request.exchange_id, reply)
+
+
+def _note_refusal(
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+    reply: messages.Refused,
+    version: int,
+) -> None:
+    step.count("job_refusals_total", reply.problem.kind.value)
+    if request.relayed:
+        return
+    step.note(
+        effects.Part.INTAKE,
+        f"{type(request.request).__name__} {request.request.path} refused:"
+        f" {reply.problem.kind.value} by configuration {version} after"
+        f" {step.moment.now_s - request.received_s:.3f} s",
+    )
+
+
+def retry_later(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+) -> None:
+    """Takes a request up again after a pause."""
+    at_s = step.moment.now_s + RETRY_S
+    state.waiting.append(state_lib.Waiting(at_s, request))
+
+
+def unknown_outcome() -> messages.Refused:
+    """Returns the response to a request that may take effect later."""
+    return messages.Refused(
+        errors.Problem(
+            errors.ProblemKind.OUTCOME_UNKNOWN,
+            "It is not known whether the request took effect.",
+            "Send the request again with the same id.",
+        )
+    )
--- /dev/null
+++ b/dandelionpick/batch/orders.py
@@ -0,0 +1,284 @@
+"""Orders to targets: starts and stops, and what their replies prove."""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import fencing
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import runs
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import target_api
+
+# Twice the round trip between regions and the work of a slow target; a start
+# that takes longer is listed or stopped.
+START_TIMEOUT_S = 0.8
+STOP_TIMEOUT_S = 0.8
+STOP_RETRY_S = 0.5
+# A target that refused a start, or gave no reply, gets none for this long.
+BACKOFF_S = 0.7
+# Below the longest lease, so that rounding and drift shorten nothing.
+LEASE_MARGIN_S = 0.1
+CLOCK_SLACK_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartContext:
+    """A start of a run."""
+
+    epoch: ids.Epoch
+    run: schedule_state.Run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopContext:
+    """A stop of a run."""
+
+    epoch: ids.Epoch
+    run: schedule_state.Run
+
+
+def destination(target: schedule_state.Target) -> effects.Destination:
+    """Returns where a target takes its orders."""
+    return effects.Destination(kinds.Service.WORKER, target.id, target.address)
+
+
+def lease_until_ms(
+    state: state_lib.State, target: schedule_state.Target, now_s: float
+) -> int:
+    """Returns the end of a lease from now on, on the target's clock.
+
+    Also takes note of when the lease ends at the latest, on a slow clock.
+    """
+    lease_s = state.limits.run_lease_s - LEASE_MARGIN_S
+    clock_ms = target.clock_ms + (now_s - target.clock_s) * 1_000
+    elapsed_s = now_s - target.clock_s
+    ends_s = (
+        target.clock_s + (elapsed_s + lease_s) * leadership_bounds.SLOW_CLOCK
+    )
+    ends_s += CLOCK_SLACK_S
+    target.lease_ends_s = max(target.lease_ends_s, ends_s)
+    return int(clock_ms + lease_s * 1_000)
+
+
+def start(
+    state: state_lib.State,
+    step: dispatch.Step,
+    task: schedule_state.Task,
+    step_run: schedule_state.StepRun,
+    target_id: ids.TargetId,
+    attempt: ids.Attempt,
+) -> None:
+    """Starts a task on a target."""
+    schedule = state.schedule
+    assert schedule is not None
+    job = schedule.jobs[task.key.job_id]
+    target = schedule.targets[target_id]
+    now_s = step.moment.now_s
+    run = schedule_state.Run(
+        task.key,
+        attempt,
+        target_id,
+        runs.occupied(step_run.spec),
+        schedule_state.RunState.ORDERED,
+        now_s,
+        progressed_s=now_s,
+        percent=task.percent,
+        checkpoint=task.checkpoint,
+    )
+    runs.add(schedule, run, task)
+    message = target_api.StartRun(
+        target_id,
+        schedule.epoch,
+        task.key,
+        attempt,
+        job.record.spec.payload,
+        lease_until_ms(state, target, now_s),
+        task.checkpoint,
+    )
+    context = StartContext(schedule.epoch, run)
+    dispatch.call(
+        state, step, destination(target), message, context, START_TIMEOUT_S
+    )
+
+
+def stop(
+    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+) -> None:
+    """Stops a run; its room is free once its end is listed."""
+    schedule = state.schedule
+    assert schedule is not None
+    if run.state is not schedule_state.RunState.UNRESOLVED:
+        run.state = schedule_state.RunState.STOPPING
+    if run.stop_pending or run.stopped_s < step.moment.now_s:
+        return
+    target = schedule.targets.get(run.target)
+    if target is None:
+        return
+    run.stop_pending = True
+    run.stop_sent_s = step.moment.now_s
+    message = target_api.StopRun(
+        run.target, schedule.epoch, run.task, run.attempt
+    )
+    context = StopContext(schedule.epoch, run)
+    dispatch.call(
+        state, step, destination(target), message, context, STOP_TIMEOUT_S
+    )
+
+
+def stop_job(
+    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+) -> None:
+    """Stops all runs of a job."""
+    for step_run in job.steps.values():
+        stop_step(state, step, step_run)
+
+
+def stop_step(
+    state: state_lib.State,
+    step: dispatch.Step,
+    step_run: schedule_state.StepRun,
+) -> None:
+    """Stops all runs of a step."""
+    for task in step_run.tasks:
+        for run in list(task.runs.values()):
+            stop(state, step, run)
+
+
+def stop_attempt(
+    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+) -> None:
+    """Stops the other members of a run's gang, which can't work without it."""
+    schedule = state.schedule
+    assert schedule is not None
+    job = schedule.jobs.get(run.task.job_id)
+    step_run = job and job.steps.get((run.task.occurrence, run.task.step))
+    if not step_run or not step_run.spec.gang:
+        return
+    for task in step_run.tasks:
+        other = task.runs.get(run.attempt)
+        if other is not None and other is not run:
+            stop(state, step, other)
+
+
+def _current(
+    state: state_lib.State,
+    epoch: ids.Epoch,
+    run: schedule_state.Run,
+) -> schedule_state.Target | None:
+    """Returns the target of a run that still counts, or None."""
+    schedule = state.schedule
+    if schedule is None or schedule.epoch != epoch:
+        return None
+    target = schedule.targets.get(run.target)
+    if target is None or target.runs.get((run.task, run.attempt)) is not run:
+        return None
+    return target
+
+
+@dispatch.returned.register
+def _(
+    context: StartContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    run = context.run
+    if isinstance(reply, target_api.Rejected):
+        step.count("orders_total", "start", reply.problem.value)
+    if fencing.is_fenced(reply):
+        fencing.note_fenced(state, step, context.epoch)
+        return
+    target = _current(state, context.epoch, run)
+    if target is None:
+        return
+    if isinstance(reply, target_api.Obeyed):
+        if run.state in (
+            schedule_state.RunState.ORDERED,
+            schedule_state.RunState.UNRESOLVED,
+        ):
+            run.state = schedule_state.RunState.RUNNING
+        run.confirmed_s = min(run.confirmed_s, step.moment.now_s)
+        return
+    _not_started(state, step, run, target, str(reply.problem.value))
+
+
+@dispatch.failed.register
+def _(
+    context: StartContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    run = context.run
+    step.count("orders_total", "start", failure.value)
+    target = _current(state, context.epoch, run)
+    if target is None:
+        return
+    if failure is kinds.CallFailure.NOT_SENT:
+        _not_started(state, step, run, target, failure.value)
+        return
+    target.backoff_until_s = step.moment.now_s + BACKOFF_S
+    if run.state is schedule_state.RunState.ORDERED:
+        run.state = schedule_state.RunState.UNRESOLVED
+
+
+def _not_started(
+    state: state_lib.State,
+    step: dispatch.Step,
+    run: schedule_state.Run,
+    target: schedule_state.Target,
+    reason: str,
+) -> None:
+    """Frees the room of a run that the target has refused."""
+    schedule = state.schedule
+    assert schedule is not None
+    step.note(
+        effects.Part.TARGETS,
+        f"{target.id} did not start {run.task.job_id}.{run.task.task_name()}:"
+        f" {reason}",
+        warning=True,
+    )
+    target.backoff_until_s = step.moment.now_s + BACKOFF_S
+    task = schedule.task_of(run.task)
+    if task is not None:
+        task.avoided.add(target.id)
+    stop_attempt(state, step, run)
+    runs.remove(schedule, run)
+
+
+@dispatch.returned.register
+def _(
+    context: StopContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    run = context.run
+    run.stop_pending = False
+    if fencing.is_fenced(reply):
+        fencing.note_fenced(state, step, context.epoch)
+        return
+    target = _current(state, context.epoch, run)
+    if target is None:
+        return
+    if isinstance(reply, target_api.Obeyed):
+        run.stopped_s = min(run.stopped_s, step.moment.now_s)
+        target.poll_at_s = step.moment.now_s
+    else:
+        step.count("orders_total", "stop", reply.problem.value)
+
+
+@dispatch.failed.register
+def _(
+    context: StopContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    step.count("orders_total", "stop", failure.value)
+    context.run.stop_pending = False
--- /dev/null
+++ b/dandelionpick/batch/peer_api.py
@@ -0,0 +1,98 @@
+"""The interface between instances."""
+
+import asyncio
+import functools
+from typing import Any
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from starlette import applications
+from starlette import requests as http
+from starlette import responses
+from starlette import routing
+
+from dandelionpick import effects
+from dandelionpick import http_client
+from dandelionpick import http_requests
+from dandelionpick import kinds
+from dandelionpick import metrics
+from dandelionpick import runtime as runtime_lib
+from dandelionpick.batch import messages
+
+RELAY_PATH = "/v1/relay"
+HTTP_OK = 200
+# Peers are on the same network; a body that stops coming is given up.
+BODY_TIMEOUT_S = 2.0
+
+_relay_decoder = msgspec.json.Decoder(messages.Relay)
+_reply_decoder = msgspec.json.Decoder(messages.RelayReply)
+
+
+async def send(
+    pools: http_client.Pools, call: effects.Call
+) -> Result[Any, kinds.CallFailure]:
+    """Hands a request to another instance.
+
+    Returns:
+        Its reply, or what is known about a call without one.
+    """
+    result = await http_requests.request(
+        pools,
+        call.destination.address,
+        "POST",
+        RELAY_PATH,
+        call.timeout_s,
+        call.message,
+        {"traceparent": call.trace} if call.trace else None,
+    )
+    return result.bind(_decode)
+
+
+def _decode(
+    exchange: http_requests.Exchange,
+) -> Result[messages.RelayReply, kinds.CallFailure]:
+    status, body = exchange
+    if status != HTTP_OK:
+        return Failure(kinds.CallFailure.LOST)
+    try:
+        return Success(_reply_decoder.decode(body))
+    except msgspec.DecodeError:
+        return Failure(kinds.CallFailure.LOST)
+
+
+async def _relay(
+    runtime: runtime_lib.Runtime, request: http.Request
+) -> responses.Response:
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            message = _relay_decoder.decode(await request.body())
+    except (TimeoutError, msgspec.DecodeError) as error:
+        return responses.PlainTextResponse(f"{error}\n", status_code=400)
+    name = type(message.request).__name__
+    traceparent = request.headers.get("traceparent", "")
+    with runtime.tracer.server_span(name, traceparent) as trace:
+        reply = await runtime.exchange(message, trace)
+    if not isinstance(reply, messages.RelayReply):
+        return responses.PlainTextResponse("failed\n", status_code=500)
+    return responses.Response(
+        msgspec.json.encode(reply), media_type="application/json"
+    )
+
+
+async def _show_metrics(request: http.Request) -> responses.Response:
+    text, content_type = metrics.render()
+    return responses.Response(text, media_type=content_type)
+
+
+def build(runtime: runtime_lib.Runtime) -> applications.Starlette:
+    """Builds the application that peers and the metrics' readers call."""
+    return applications.Starlette(
+        routes=[
+            routing.Route(
+                RELAY_PATH, functools.partial(_relay, runtime), methods=["POST"]
+            ),
+            routing.Route("/metrics", _show_metrics),
+        ]
+    )
--- /dev/null
+++ b/dandelionpick/batch/polling.py
@@ -0,0 +1,328 @@
+"""Lists what each target runs, which also extends the lease of it."""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import fencing
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import model
+from dandelionpick.batch import orders
+from dandelionpick.batch import run_endings
+from dandelionpick.batch import runs
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import target_api
+
+# A listing waits this long for an end. A silent connection is noticed soon
+# after, well within the lease.
+WAIT_S = 1.0
+# The same where a start or a stop without a reply has to be resolved.
+RESOLVE_WAIT_S = 0.15
+# Targets that run nothing are listed this often, so that their clock is known
+# and a dead one is found before work is sent to it.
+IDLE_PERIOD_S = 3.0
+RETRY_S = 0.25
+# A start without a reply that no listing shows is stopped after this time;
+# well within the time that the other members of a gang wait.
+UNRESOLVED_S = 0.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListContext:
+    """A listing of a target."""
+
+    epoch: ids.Epoch
+    target: ids.TargetId
+    serial: int
+    sent_s: float
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Sends the listings that are due, and resolves runs in doubt."""
+    schedule = state.schedule
+    now_s = step.moment.now_s
+    if schedule is None or not leadership_bounds.may_order(state, now_s):
+        return
+    if schedule.stage is schedule_state.Stage.READING:
+        return
+    for target in list(schedule.targets.values()):
+        _resolve(state, step, target)
+        if not target.poll_pending and now_s >= target.poll_at_s:
+            poll(state, step, target)
+
+
+def poll(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Lists a target's runs."""
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    target.poll_pending = True
+    target.poll_serial += 1
+    fresh = target.read and not target.failed
+    lease_until_ms = (
+        orders.lease_until_ms(state, target, now_s)
+        if fresh and target.runs
+        else None
+    )
+    message = target_api.ListRuns(
+        target.id,
+        schedule.epoch,
+        # A target that has started again counts its ends anew.
+        _acknowledged(schedule, target) if fresh else 0,
+        lease_until_ms,
+        _wait_s(target) if fresh else 0.0,
+    )
+    context = ListContext(schedule.epoch, target.id, target.poll_serial, now_s)
+    dispatch.call(
+        state,
+        step,
+        orders.destination(target),
+        message,
+        context,
+        WAIT_S + 1.0,
+    )
+
+
+def _wait_s(target: schedule_state.Target) -> float:
+    if not target.runs:
+        return 0.0
+    doubtful = any(
+        run.state
+        in (
+            schedule_state.RunState.UNRESOLVED,
+            schedule_state.RunState.STOPPING,
+        )
+        for run in target.runs.values()
+    )
+    return RESOLVE_WAIT_S if doubtful else WAIT_S
+
+
+def _acknowledged(
+    schedule: schedule_state.Schedule, target: schedule_state.Target
+) -> int:
+    """Returns the last end such that it and all before it are stored."""
+    acknowledged = target.processed
+    for number, job_id, version in target.ends:
+        job = schedule.jobs.get(job_id)
+        if job is not None and job.stored_version < version:
+            acknowledged = number - 1
+            break
+    target.ends = [end for end in target.ends if end[0] > acknowledged]
+    return acknowledged
+
+
+def _resolve(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Stops starts without a reply, repeats stops, and ends lost leases."""
+    now_s = step.moment.now_s
+    if target.failed and now_s > target.lease_ends_s and target.runs:
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} has not answered since its lease ended;"
+            f" {len(target.runs)} runs are lost",
+            warning=True,
+        )
+        run_endings.lose_all(state, step, target)
+        return
+    for run in list(target.runs.values()):
+        unresolved = run.state is schedule_state.RunState.UNRESOLVED
+        if unresolved and now_s - run.ordered_s < UNRESOLVED_S:
+            continue
+        stopping = unresolved or run.state is schedule_state.RunState.STOPPING
+        if stopping and now_s - run.stop_sent_s >= orders.STOP_RETRY_S:
+            if unresolved:
+                orders.stop_attempt(state, step, run)
+            orders.stop(state, step, run)
+
+
+@dispatch.failed.register
+def _(
+    context: ListContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    target = _target_of(context, state)
+    if target is None:
+        return
+    _note_failed(step, target, context, failure.value)
+
+
+def _target_of(
+    context: ListContext, state: state_lib.State
+) -> schedule_state.Target | None:
+    schedule = state.schedule
+    if schedule is None or schedule.epoch != context.epoch:
+        return None
+    target = schedule.targets.get(context.target)
+    if target is None or target.poll_serial != context.serial:
+        return None
+    return target
+
+
+def _note_failed(
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    context: ListContext,
+    reason: str,
+) -> None:
+    target.poll_pending = False
+    target.poll_at_s = step.moment.now_s + RETRY_S
+    if not target.failed:
+        target.failed = True
+        target.failing_since_s = context.sent_s
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} can't be listed: {reason}",
+            warning=True,
+        )
+
+
+@dispatch.returned.register
+def _(
+    context: ListContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    if fencing.is_fenced(reply):
+        fencing.note_fenced(state, step, context.epoch)
+        return
+    target = _target_of(context, state)
+    if target is None:
+        return
+    if isinstance(reply, target_api.Rejected):
+        _note_failed(step, target, context, reply.problem.value)
+        return
+    _take_listing(state, step, target, context, reply)
+
+
+def _take_listing(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    context: ListContext,
+    listed: target_api.RunsListed,
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    if target.born_ms and listed.born_ms and listed.born_ms != target.born_ms:
+        run_endings.end_life(state, step, target, listed.born_ms)
+    elif not target.born_ms:
+        target.born_ms = listed.born_ms
+    if target.failed:
+        step.note(effects.Part.TARGETS, f"{target.id} can be listed again")
+    target.poll_pending = False
+    target.failed = False
+    target.failing_since_s = float("inf")
+    target.clock_ms = listed.clock_ms
+    target.clock_s = now_s
+    target.listed_s = context.sent_s
+    if not target.read:
+        target.read = True
+        schedule.dirty = True
+    for ended in sorted(listed.ended, key=lambda ended: ended.number):
+        if ended.number > target.processed:
+            target.processed = ended.number
+            run_endings.take_ended(state, step, target, ended)
+    shown = set()
+    for running in listed.running:
+        shown.add((running.task, running.attempt))
+        _take_running(state, step, target, running)
+    _find_missing(state, step, target, context, shown)
+    target.poll_at_s = now_s if target.runs else now_s + IDLE_PERIOD_S
+    if not target.poll_pending and target.runs:
+        poll(state, step, target)
+
+
+def _take_running(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    running: target_api.Running,
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    if running.attempt <= target.last_attempts.get(running.task, -1):
+        return
+    run = target.runs.get((running.task, running.attempt))
+    if run is None:
+        run = _adopt(state, step, target, running)
+    if run.state in (
+        schedule_state.RunState.ORDERED,
+        schedule_state.RunState.UNRESOLVED,
+    ):
+        run.state = schedule_state.RunState.RUNNING
+    run.confirmed_s = min(run.confirmed_s, now_s)
+    if running.percent > run.percent:
+        run.progressed_s = now_s
+    run.percent = running.percent
+    if running.checkpoint:
+        run.checkpoint = running.checkpoint
+    job = schedule.jobs.get(running.task.job_id)
+    if job is not None and job.first_start_s is None:
+        job.first_start_s = now_s
+
+
+def _adopt(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    running: target_api.Running,
+) -> schedule_state.Run:
+    """Takes over a run that an earlier scheduler has started."""
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    task = schedule.task_of(running.task)
+    job = schedule.jobs.get(running.task.job_id)
+    needs = model.Resources()
+    if task is not None and job is not None:
+        spec = job.steps[running.task.occurrence, running.task.step].spec
+        needs = runs.occupied(spec)
+    run = schedule_state.Run(
+        running.task,
+        running.attempt,
+        target.id,
+        needs,
+        schedule_state.RunState.RUNNING,
+        now_s,
+        known=task is not None,
+        confirmed_s=now_s,
+        progressed_s=now_s,
+    )
+    runs.add(schedule, run, task)
+    unwanted = task is None or job is None or job.ended or task.done
+    if unwanted or len(task.runs) > 1:
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} runs {running.task.job_id}."
+            f"{running.task.task_name()}, which is not wanted; stopping it",
+            warning=True,
+        )
+        orders.stop(state, step, run)
+    return run
+
+
+def _find_missing(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    context: ListContext,
+    shown: set[tuple[Any, ids.Attempt]],
+) -> None:
+    """Frees the room of runs that a later listing proves to be gone."""
+    for key, run in list(target.runs.items()):
+        if key in shown:
+            continue
+        if min(run.confirmed_s, run.stopped_s) < context.sent_s:
+            run_endings.lose(state, step, run)
--- /dev/null
+++ b/dandelionpick/batch/reducer.py
@@ -0,0 +1,118 @@
+"""The reducer over all events of an instance that schedules jobs."""
+
+import functools
+from collections.abc import Iterable
+from types import ModuleType
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import events
+from dandelionpick import reduction
+from dandelionpick.batch import configuration
+from dandelionpick.batch import leadership
+from dandelionpick.batch import leaving
+from dandelionpick.batch import polling
+from dandelionpick.batch import requests
+from dandelionpick.batch import retention
+from dandelionpick.batch import saving
+from dandelionpick.batch import scheduling
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import takeover
+from dandelionpick.batch import target_registry
+from dandelionpick.batch import watching
+
+# These only register handlers of messages.
+HANDLERS: tuple[ModuleType, ...] = (target_registry,)
+
+# Runs in this order on each tick: knowledge first, decisions after it.
+TICKS: tuple[reduction.Handler, ...] = (
+    watching.tick,
+    leadership.tick,
+    takeover.tick,
+    polling.tick,
+    requests.tick,
+    scheduling.tick,
+    saving.tick,
+    retention.tick,
+    leaving.tick,
+)
+# Runs after every other event, so that what it makes possible starts at once.
+FOLLOW_UPS: tuple[reduction.Handler, ...] = (
+    takeover.tick,
+    scheduling.tick,
+    saving.tick,
+)
+
+
+def reduce_guarded(
+    state: state_lib.State, event: events.Event
+) -> reduction.Reduction:
+    """Applies an event and contains the exceptions of its handlers."""
+    return reduction.apply_guarded(_handlers(event), state, event)
+
+
+def _handlers(event: events.Event) -> Iterable[reduction.Handler]:
+    if isinstance(event, events.Tick):
+        return (_start, *TICKS)
+    return (functools.partial(_apply, event), *FOLLOW_UPS)
+
+
+def _start(state: state_lib.State, step: dispatch.Step) -> None:
+    if not state.watches:
+        configuration.start(state, step)
+        leadership.start(state, step)
+
+
+@functools.singledispatch
+def _apply(
+    event: events.Event, state: state_lib.State, step: dispatch.Step
+) -> None:
+    raise TypeError(f"no handler for event {type(event).__name__}")
+
+
+@_apply.register
+def _(
+    event: events.Received, state: state_lib.State, step: dispatch.Step
+) -> None:
+    step.trace = event.trace
+    dispatch.receive(event.message, state, step, event.exchange_id)
+
+
+@_apply.register
+def _(
+    event: events.Returned, state: state_lib.State, step: dispatch.Step
+) -> None:
+    pending = state.calls.pop(event.call_id, None)
+    if pending is not None:
+        step.trace = pending.trace
+        dispatch.returned(pending.context, state, step, event.reply)
+
+
+@_apply.register
+def _(
+    event: events.Failed, state: state_lib.State, step: dispatch.Step
+) -> None:
+    pending = state.calls.pop(event.call_id, None)
+    if pending is not None:
+        step.trace = pending.trace
+        dispatch.failed(pending.context, state, step, event.failure)
+
+
+@_apply.register
+def _(
+    event: events.Stalled, state: state_lib.State, step: dispatch.Step
+) -> None:
+    # Deadlines are judged by a clock that runs on during the stall, and
+    # targets refuse the orders of a scheduler that was replaced meanwhile.
+    step.note(
+        effects.Part.SCHEDULER,
+        f"event loop stalled for {event.stall_s:.1f} s",
+        warning=True,
+    )
+
+
+@_apply.register
+def _(
+    event: events.StopRequested, state: state_lib.State, step: dispatch.Step
+) -> None:
+    leaving.request(state, step)
--- /dev/null
+++ b/dandelionpick/batch/requests.py
@@ -0,0 +1,110 @@
+"""Requests of callers: where each one is decided, and how it ends."""
+
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import errors
+from dandelionpick import ids
+from dandelionpick.batch import admission
+from dandelionpick.batch import inspection
+from dandelionpick.batch import messages
+from dandelionpick.batch import open_requests
+from dandelionpick.batch import relaying
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import submission
+
+# Left of a caller's time when its request ends without a result, so that the
+# response still reaches it.
+RESPONSE_MARGIN_S = 0.15
+
+
+def _receive(
+    message: messages.Request,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+    relayed: bool = False,
+) -> None:
+    now_s = step.moment.now_s
+    patience_s = max(0.0, message.deadline_s - RESPONSE_MARGIN_S)
+    request = state_lib.OpenRequest(
+        exchange_id, message, now_s, now_s + patience_s, step.trace, relayed
+    )
+    state.open_requests[exchange_id] = request
+    handle(state, step, request)
+
+
+for _message_type in (messages.Submit, messages.Inspect, messages.Cancel):
+    dispatch.receive.register(_message_type, _receive)
+
+
+@dispatch.receive.register
+def _(
+    message: messages.Relay,
+    state: state_lib.State,
+    step: dispatch.Step,
+    exchange_id: ids.ExchangeId,
+) -> None:
+    if not inspection.is_ready_scheduler(state):
+        step.respond(exchange_id, messages.NotScheduler())
+        return
+    _receive(message.request, state, step, exchange_id, relayed=True)
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Takes waiting requests up again, and ends those out of time."""
+    now_s = step.moment.now_s
+    for request in list(state.open_requests.values()):
+        if now_s >= request.deadline_s:
+            _expire(state, step, request)
+    for _ in range(len(state.waiting)):
+        waiting = state.waiting.popleft()
+        if not open_requests.is_open(state, waiting.open_request):
+            continue
+        if now_s >= waiting.at_s:
+            handle(state, step, waiting.open_request)
+        else:
+            state.waiting.append(waiting)
+
+
+def handle(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+) -> None:
+    """Decides a request here, or hands it to the scheduler."""
+    step.trace = request.trace
+    decision: Any = admission.check(state, request.request, step.moment.now_s)
+    if isinstance(decision, admission.Stale):
+        _handle_stale(state, step, request)
+    elif isinstance(decision, messages.Refused):
+        open_requests.finish(state, step, request, decision)
+    elif isinstance(request.request, messages.Submit):
+        submission.submit(state, step, request, decision)
+    elif isinstance(request.request, messages.Cancel):
+        submission.cancel(state, step, request, decision)
+    else:
+        inspection.inspect(state, step, request, decision)
+
+
+def _handle_stale(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+) -> None:
+    if request.relayed or not relaying.relay(state, step, request):
+        open_requests.retry_later(state, step, request)
+
+
+def _expire(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+) -> None:
+    reply = admission.refuse(
+        errors.ProblemKind.STORE_UNAVAILABLE,
+        "The request was not carried out in the caller's time.",
+        "Send the request again.",
+        admission.RETRY_AFTER_S,
+    )
+    open_requests.finish(state, step, request, reply)
--- /dev/null
+++ b/dandelionpick/batch/retention.py
@@ -0,0 +1,102 @@
+"""Removes jobs whose state nobody needs any more."""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+from dandelionpick.batch import target_registry
+
+SWEEP_PERIOD_S = 5.0
+# Besides the retention that callers were promised; covers clocks that differ
+# and late repetitions of a submission.
+MARGIN_S = 30.0
+# Each job takes three removals, and the scheduler's key a condition.
+JOBS_PER_COMMIT = (store_api.MAX_COMMIT_ENTRIES - 1) // 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoveContext:
+    """Ended jobs are removed."""
+
+    epoch: ids.Epoch
+    jobs: tuple[ids.JobId, ...]
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Forgets gone targets, and removes jobs that ended long ago."""
+    schedule = state.schedule
+    now_s = step.moment.now_s
+    if (
+        schedule is None
+        or schedule.stage is not schedule_state.Stage.READY
+        or now_s < schedule.sweep_at_s
+    ):
+        return
+    schedule.sweep_at_s = now_s + SWEEP_PERIOD_S
+    target_registry.forget_gone(schedule, now_s)
+    kept_ms = (state.limits.retention_s + MARGIN_S) * 1_000
+    jobs = [
+        job.id
+        for job in schedule.jobs.values()
+        if job.ended
+        and job.stored_version >= job.version
+        and step.moment.unix_ms - job.progress.ended_ms > kept_ms
+        and not any(task.runs for s in job.steps.values() for task in s.tasks)
+    ][:JOBS_PER_COMMIT]
+    if not jobs:
+        return
+    removals = [
+        prefix + job_id
+        for job_id in jobs
+        for prefix in (
+            state_lib.JOBS,
+            state_lib.CANCELS,
+            state_lib.PROGRESS,
+        )
+    ]
+    commit = store_api.Commit(
+        (store_api.Condition(state_lib.SCHEDULER, schedule.epoch),),
+        removals=tuple(removals),
+    )
+    context = RemoveContext(schedule.epoch, tuple(jobs))
+    state_lib.call_store(state, step, commit, context)
+
+
+@dispatch.returned.register
+def _(
+    context: RemoveContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    schedule = state.schedule
+    if schedule is None or schedule.epoch != context.epoch:
+        return
+    if isinstance(reply, store_api.Committed):
+        for job_id in context.jobs:
+            schedule.jobs.pop(job_id, None)
+            schedule.unsaved.discard(job_id)
+    else:
+        step.note(
+            effects.Part.SCHEDULER,
+            f"{len(context.jobs)} ended jobs stay in the store for now",
+        )
+
+
+@dispatch.failed.register
+def _(
+    context: RemoveContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    step.note(
+        effects.Part.SCHEDULER,
+        f"removal of {len(context.jobs)} ended jobs is repeated later",
+    )
--- /dev/null
+++ b/dandelionpick/batch/run_endings.py
@@ -0,0 +1,170 @@
+"""What follows from the end of a run, or from its loss with its target."""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick.batch import job_ends
+from dandelionpick.batch import job_progress
+from dandelionpick.batch import model
+from dandelionpick.batch import orders
+from dandelionpick.batch import runs
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import target_api
+
+
+def end_life(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    born_ms: int,
+) -> None:
+    """Takes note that a target has started again and runs nothing of before."""
+    if target.runs:
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} has started again; {len(target.runs)} runs are lost",
+            warning=True,
+        )
+    lose_all(state, step, target)
+    target.born_ms = born_ms
+    target.processed = 0
+    target.ends.clear()
+    target.last_attempts.clear()
+    target.read = False
+    target.poll_serial += 1
+    target.poll_pending = False
+    target.poll_at_s = step.moment.now_s
+
+
+def lose_all(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Takes note that nothing runs on a target any more."""
+    for run in list(target.runs.values()):
+        lose(state, step, run)
+
+
+def lose(
+    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+) -> None:
+    """Takes note that a run is gone without an end."""
+    schedule = state.schedule
+    assert schedule is not None
+    step.count("runs_total", "lost")
+    runs.keep_checkpoint(schedule, run, run.checkpoint, run.percent)
+    orders.stop_attempt(state, step, run)
+    runs.remove(schedule, run)
+
+
+def take_ended(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    ended: target_api.Ended,
+) -> None:
+    """Applies an end that a target lists."""
+    schedule = state.schedule
+    assert schedule is not None
+    step.count("runs_total", ended.ending.value)
+    target.last_attempts[ended.task] = max(
+        ended.attempt, target.last_attempts.get(ended.task, ended.attempt)
+    )
+    run = target.runs.get((ended.task, ended.attempt))
+    if run is not None:
+        runs.keep_checkpoint(schedule, run, ended.checkpoint, run.percent)
+        runs.remove(schedule, run)
+    job = schedule.jobs.get(ended.task.job_id)
+    if job is None:
+        target.ends.append((ended.number, ended.task.job_id, 0))
+        return
+    _apply(state, step, target, job, ended)
+    target.ends.append((ended.number, job.id, job.version))
+
+
+def _apply(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    job: schedule_state.Job,
+    ended: target_api.Ended,
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    task = schedule.task_of(ended.task)
+    if task is None:
+        return
+    step_run = job.steps[ended.task.occurrence, ended.task.step]
+    lasting = step_run.spec.until_cancelled
+    if ended.ending is model.Ending.DONE and not lasting:
+        _note_done(job, step_run, ended)
+        schedule.unsaved.add(job.id)
+        _stop_copies(state, step, step_run, ended)
+        job_ends.end_if_complete(state, step, job)
+    elif ended.ending is model.Ending.FAILED and not task.done:
+        task.avoided.add(target.id)
+        _note_failed(state, step, job, step_run, ended)
+    else:
+        step.note(
+            effects.Part.SCHEDULER,
+            f"task {job.id}.{task.key.task_name()} {ended.ending.value} on"
+            f" {target.id}",
+        )
+
+
+def _note_failed(
+    state: state_lib.State,
+    step: dispatch.Step,
+    job: schedule_state.Job,
+    step_run: schedule_state.StepRun,
+    ended: target_api.Ended,
+) -> None:
+    """Counts a failed run; those of a gang count under its first task."""
+    schedule = state.schedule
+    assert schedule is not None
+    index = 0 if step_run.spec.gang else ended.task.index
+    task = step_run.tasks[index]
+    job_progress.note_failure(job, task, ended.attempt)
+    schedule.unsaved.add(job.id)
+    step.note(
+        effects.Part.SCHEDULER,
+        f"task {job.id}.{ended.task.task_name()} failed, for the"
+        f" {task.failures}. time of {job.record.terms.max_attempts}",
+    )
+    if step_run.spec.until_cancelled or job.ended:
+        return
+    if task.failures >= job.record.terms.max_attempts:
+        job_ends.end(state, step, job, model.JobState.FAILED)
+
+
+def _note_done(
+    job: schedule_state.Job,
+    step_run: schedule_state.StepRun,
+    ended: target_api.Ended,
+) -> None:
+    """Counts an end; that of one member of a gang stands for all."""
+    if step_run.spec.gang:
+        for task in step_run.tasks:
+            job_progress.note_done(job, step_run, task.key.index)
+    else:
+        job_progress.note_done(job, step_run, ended.task.index)
+
+
+def _stop_copies(
+    state: state_lib.State,
+    step: dispatch.Step,
+    step_run: schedule_state.StepRun,
+    ended: target_api.Ended,
+) -> None:
+    """Stops other attempts of a task that is done.
+
+    Members of a gang that ended together list their own ends.
+    """
+    tasks = (
+        step_run.tasks
+        if step_run.spec.gang
+        else [step_run.tasks[ended.task.index]]
+    )
+    for task in tasks:
+        for run in list(task.runs.values()):
+            if run.attempt != ended.attempt:
+                orders.stop(state, step, run)
--- /dev/null
+++ b/dandelionpick/batch/runs.py
@@ -0,0 +1,66 @@
+"""Keeps tasks, targets and the room of runs consistent."""
+
+from dandelionpick import ids
+from dandelionpick.batch import model
+from dandelionpick.batch import schedule_state
+
+ATTEMPT_MASK = (1 << schedule_state.ATTEMPT_BITS) - 1
+
+
+def occupied(spec: model.StepSpec) -> model.Resources:
+    """Returns the room that a task of a step takes on a target."""
+    if not spec.filler:
+        return spec.needs
+    return model.Resources(0, spec.needs.memory_mb, spec.needs.accelerators)
+
+
+def add(
+    schedule: schedule_state.Schedule,
+    run: schedule_state.Run,
+    task: schedule_state.Task | None,
+) -> None:
+    """Adds a run to its task and its target."""
+    target = schedule.targets[run.target]
+    target.runs[run.task, run.attempt] = run
+    target.used = target.used.plus(run.needs)
+    if task is not None:
+        task.runs[run.attempt] = run
+
+
+def remove(schedule: schedule_state.Schedule, run: schedule_state.Run) -> None:
+    """Frees the room of a run that is gone."""
+    target = schedule.targets.get(run.target)
+    if target is not None and target.runs.pop((run.task, run.attempt), None):
+        target.used = target.used.minus(run.needs)
+    task = schedule.task_of(run.task)
+    if task is not None:
+        task.runs.pop(run.attempt, None)
+    schedule.dirty = True
+
+
+def keep_checkpoint(
+    schedule: schedule_state.Schedule,
+    run: schedule_state.Run,
+    checkpoint: str,
+    percent: float,
+) -> None:
+    """Keeps the newest checkpoint of a task, or of its whole gang."""
+    task = schedule.task_of(run.task)
+    if task is None or not checkpoint:
+        return
+    job = schedule.jobs[run.task.job_id]
+    step = job.steps[run.task.occurrence, run.task.step]
+    members = step.tasks if step.spec.gang else [task]
+    for member in members:
+        if percent >= member.percent or not member.checkpoint:
+            member.checkpoint = checkpoint
+            member.percent = percent
+
+
+def next_attempt(
+    schedule: schedule_state.Schedule, step: schedule_state.StepRun
+) -> ids.Attempt:
+    """Returns an attempt that is higher than all before, of any epoch."""
+    step.attempts = min(step.attempts + 1, ATTEMPT_MASK)
+    base = schedule.epoch << schedule_state.ATTEMPT_BITS
+    return ids.Attempt(base + step.attempts)
--- /dev/null
+++ b/dandelionpick/batch/saving.py
@@ -0,0 +1,172 @@
+"""Stores the progress of jobs before anybody relies on it."""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import model
+from dandelionpick.batch import polling
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+
+# Each job takes a condition and a write, and the scheduler's key a condition.
+JOBS_PER_COMMIT = (store_api.MAX_COMMIT_ENTRIES - 1) // 2
+RETRY_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Saved:
+    """Progress of one job as it was sent."""
+
+    job_id: ids.JobId
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SaveContext:
+    """A commit of progress."""
+
+    epoch: ids.Epoch
+    saved: tuple[Saved, ...]
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Commits the progress that has changed, one commit at a time."""
+    schedule = state.schedule
+    if (
+        schedule is None
+        or schedule.saving
+        or not schedule.unsaved
+        or schedule.stage is schedule_state.Stage.READING
+        or step.moment.now_s < schedule.save_at_s
+    ):
+        return
+    jobs = [
+        schedule.jobs[job_id]
+        for job_id in list(schedule.unsaved)[:JOBS_PER_COMMIT]
+    ]
+    saved = tuple(
+        Saved(job.id, job.version, model.encode(job.progress)) for job in jobs
+    )
+    commit = store_api.Commit(
+        (
+            store_api.Condition(state_lib.SCHEDULER, schedule.epoch),
+            *(
+                store_api.Condition(key_of(job.id), job.progress_revision)
+                for job in jobs
+            ),
+        ),
+        tuple(
+            store_api.Write(key_of(item.job_id), item.value) for item in saved
+        ),
+    )
+    schedule.saving = True
+    state_lib.call_store(
+        state, step, commit, SaveContext(schedule.epoch, saved)
+    )
+
+
+def key_of(job_id: ids.JobId) -> str:
+    """Returns the key of a job's progress."""
+    return state_lib.PROGRESS + job_id
+
+
+def _schedule_of(
+    context: SaveContext, state: state_lib.State
+) -> schedule_state.Schedule | None:
+    schedule = state.schedule
+    if schedule is None or schedule.epoch != context.epoch:
+        return None
+    schedule.saving = False
+    return schedule
+
+
+@dispatch.returned.register
+def _(
+    context: SaveContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    schedule = _schedule_of(context, state)
+    if schedule is None:
+        return
+    if isinstance(reply, store_api.Committed):
+        for saved in context.saved:
+            _note_saved(schedule, saved, reply.revision)
+        _acknowledge_soon(schedule, step)
+    elif isinstance(reply, store_api.Conflict):
+        _take_conflict(schedule, state, step, context, reply)
+    else:
+        schedule.save_at_s = step.moment.now_s + RETRY_S
+    tick(state, step)
+
+
+@dispatch.failed.register
+def _(
+    context: SaveContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    # The next commit has the same conditions: it conflicts if this one took
+    # effect, and keeps it from taking effect later.
+    schedule = _schedule_of(context, state)
+    if schedule is not None:
+        schedule.save_at_s = step.moment.now_s + RETRY_S
+
+
+def _note_saved(
+    schedule: schedule_state.Schedule, saved: Saved, revision: int
+) -> None:
+    job = schedule.jobs.get(saved.job_id)
+    if job is None:
+        return
+    job.progress_revision = revision
+    job.stored_version = max(job.stored_version, saved.version)
+    if job.stored_version >= job.version:
+        schedule.unsaved.discard(job.id)
+        job.shown = job.progress.state
+
+
+def _acknowledge_soon(
+    schedule: schedule_state.Schedule, step: dispatch.Step
+) -> None:
+    """Lists idle targets once more, so that their last ends are forgotten."""
+    for target in schedule.targets.values():
+        if target.ends and not target.runs:
+            target.poll_at_s = min(
+                target.poll_at_s, step.moment.now_s + polling.RETRY_S
+            )
+
+
+def _take_conflict(
+    schedule: schedule_state.Schedule,
+    state: state_lib.State,
+    step: dispatch.Step,
+    context: SaveContext,
+    conflict: store_api.Conflict,
+) -> None:
+    items = {item.key: item for item in conflict.items}
+    if items[state_lib.SCHEDULER].revision != schedule.epoch:
+        step.note(
+            effects.Part.SCHEDULER,
+            "progress can't be stored: another epoch has begun",
+            warning=True,
+        )
+        state.authority.fenced = True
+        return
+    for saved in context.saved:
+        item = items[key_of(saved.job_id)]
+        job = schedule.jobs.get(saved.job_id)
+        if job is None:
+            continue
+        if item.value == saved.value:
+            _note_saved(schedule, saved, item.revision)
+        else:
+            job.progress_revision = item.revision
--- /dev/null
+++ b/dandelionpick/batch/scheduling.py
@@ -0,0 +1,243 @@
+"""Starts the tasks whose turn has come, the most urgent ones first."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick.batch import job_progress
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import model
+from dandelionpick.batch import orders
+from dandelionpick.batch import placement
+from dandelionpick.batch import reclaim
+from dandelionpick.batch import runs
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import takeover
+from dandelionpick.batch import target_api
+
+# Changes that come together, such as the ends of a gang, share a pass.
+PASS_PERIOD_S = 0.02
+# Without a change, times such as due occurrences are looked at this often.
+IDLE_PASS_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unit:
+    """Tasks that are placed together.
+
+    Attributes:
+        tasks: those without a run; all tasks of a gang.
+        urgency: lower comes first.
+    """
+
+    job: schedule_state.Job
+    step_run: schedule_state.StepRun
+    tasks: list[schedule_state.Task]
+    urgency: tuple[float, ...]
+
+    @property
+    def key(self) -> tuple[ids.JobId, int, int]:
+        """Names the step."""
+        return self.job.id, self.step_run.occurrence, self.step_run.number
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Runs a scheduling pass if something has changed."""
+    schedule = state.schedule
+    now_s = step.moment.now_s
+    if (
+        schedule is None
+        or schedule.stage is not schedule_state.Stage.READY
+        or not leadership_bounds.may_order(state, now_s)
+        or state.drain.requested_s is not None
+    ):
+        return
+    since_s = now_s - schedule.passed_s
+    if since_s < (PASS_PERIOD_S if schedule.dirty else IDLE_PASS_S):
+        return
+    schedule.dirty = False
+    schedule.passed_s = now_s
+    _drop_old_reservations(schedule, now_s)
+    for unit in sorted(_units(state, step), key=lambda unit: unit.urgency):
+        place(state, step, unit)
+
+
+def _drop_old_reservations(
+    schedule: schedule_state.Schedule, now_s: float
+) -> None:
+    for key, reservation in list(schedule.reservations.items()):
+        job = schedule.jobs.get(key[0])
+        if now_s >= reservation.expires_s or job is None or job.ended:
+            del schedule.reservations[key]
+
+
+def _units(state: state_lib.State, step: dispatch.Step) -> Iterator[Unit]:
+    schedule = state.schedule
+    assert schedule is not None
+    moment = step.moment
+    unread = takeover.unread_targets(schedule, moment.now_s)
+    for job in schedule.jobs.values():
+        if job.ended:
+            continue
+        job_progress.open_steps(
+            job, moment.now_s, moment.unix_ms, state.limits.early_s
+        )
+        # An earlier scheduler can't know a job that was accepted later.
+        if unread and job.accepted_revision <= schedule.epoch:
+            continue
+        for step_run in job.steps.values():
+            tasks = _startable(step_run)
+            if tasks:
+                yield Unit(job, step_run, tasks, urgency(job, step_run))
+
+
+def _startable(
+    step_run: schedule_state.StepRun,
+) -> list[schedule_state.Task]:
+    if not step_run.open or not step_run.left:
+        return []
+    tasks = [task for task in step_run.tasks if not task.done and not task.runs]
+    if step_run.spec.gang and len(tasks) < len(step_run.tasks):
+        return []
+    return tasks
+
+
+def urgency(
+    job: schedule_state.Job, step_run: schedule_state.StepRun
+) -> tuple[float, ...]:
+    """Returns the order of a step: by priority, then by its objective."""
+    terms = job.record.terms
+    started_ms = max(
+        job.record.accepted_ms, job_progress.due_ms(job, step_run.occurrence)
+    )
+    aim_s = (
+        terms.objective_factor * step_run.spec.estimate_ms / 1_000
+        + terms.objective_extra_s
+    )
+    return (terms.priority, started_ms / 1_000 + aim_s)
+
+
+def place(state: state_lib.State, step: dispatch.Step, unit: Unit) -> None:
+    """Starts as many tasks of a unit as fit, or frees room for it."""
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    demand = demand_of(unit, now_s)
+    rooms = rooms_for(schedule, unit, now_s)
+    chosen = placement.choose(demand, rooms)
+    if not chosen:
+        if unit.job.record.terms.priority == 0:
+            reclaim.free_room(state, step, unit, demand, rooms)
+        return
+    schedule.reservations.pop(unit.key, None)
+    attempt = runs.next_attempt(schedule, unit.step_run)
+    if unit.job.first_start_s is None:
+        unit.job.first_start_s = now_s
+        waited_s = step.moment.unix_ms / 1_000 - (
+            unit.job.record.accepted_ms / 1_000
+        )
+        step.emit(
+            effects.Observe(
+                "queue_wait_seconds",
+                max(0.0, waited_s),
+                (unit.job.record.queue,),
+            )
+        )
+    step.note(
+        effects.Part.SCHEDULER,
+        f"start {unit.job.id}.{unit.step_run.occurrence}"
+        f".{unit.step_run.number} attempt {attempt}: {len(chosen)} of"
+        f" {len(unit.tasks)} tasks on {','.join(sorted(set(chosen)))}",
+    )
+    for task, target_id in zip(unit.tasks, chosen, strict=False):
+        orders.start(state, step, task, unit.step_run, target_id, attempt)
+        target = schedule.targets[target_id]
+        target.poll_at_s = min(target.poll_at_s, now_s)
+
+
+def demand_of(unit: Unit, now_s: float) -> placement.Demand:
+    """Returns what a unit asks for."""
+    spec = unit.step_run.spec
+    waited_s = now_s - unit.step_run.open_s
+    return placement.Demand(
+        needs=runs.occupied(spec),
+        count=len(unit.tasks),
+        whole=spec.gang,
+        one_rack=spec.gang and spec.one_rack,
+        data_rack=spec.data_rack,
+        far_allowed=waited_s > spec.estimate_ms / 1_000,
+    )
+
+
+def rooms_for(
+    schedule: schedule_state.Schedule, unit: Unit, now_s: float
+) -> list[placement.Room]:
+    """Returns the targets that may take tasks of a unit."""
+    spec = unit.step_run.spec
+    avoided = set.union(*(task.avoided for task in unit.tasks))
+    reserved = _reserved(schedule, unit)
+    rooms = []
+    for target in schedule.targets.values():
+        if not is_usable(target, unit, now_s):
+            continue
+        entry = target.entry
+        assert entry is not None
+        free = target.free()
+        if target.id in reserved:
+            free = free.minus(reserved[target.id])
+        rooms.append(
+            placement.Room(
+                target.id,
+                entry.rack,
+                free,
+                _most(unit, target, spec),
+                1.0 if target.id in avoided else 0.0,
+            )
+        )
+    return rooms
+
+
+def is_usable(target: schedule_state.Target, unit: Unit, now_s: float) -> bool:
+    """Returns whether tasks of a unit may be started on a target."""
+    entry = target.entry
+    label = unit.step_run.spec.required_label
+    return (
+        entry is not None
+        and entry.pool == unit.job.record.terms.pool
+        and entry.state is target_api.TargetState.READY
+        and (not label or label in entry.labels)
+        and target.read
+        and not target.failed
+        and now_s >= target.backoff_until_s
+        and all(run.known for run in target.runs.values())
+    )
+
+
+def _most(
+    unit: Unit, target: schedule_state.Target, spec: model.StepSpec
+) -> int:
+    if not spec.max_per_target:
+        return spec.tasks
+    here = sum(
+        run.target == target.id
+        for task in unit.step_run.tasks
+        for run in task.runs.values()
+    )
+    return spec.max_per_target - here
+
+
+def _reserved(
+    schedule: schedule_state.Schedule, unit: Unit
+) -> dict[ids.TargetId, model.Resources]:
+    """Returns the room that is kept for other units."""
+    total: dict[ids.TargetId, model.Resources] = {}
+    for key, reservation in schedule.reservations.items():
+        if key == unit.key:
+            continue
+        for target_id, room in reservation.rooms.items():
+            before = total.get(target_id, model.Resources())
+            total[target_id] = before.plus(room)
+    return total
--- /dev/null
+++ b/dandelionpick/batch/settings.py
@@ -0,0 +1,110 @@
+"""Settings of an instance that schedules jobs, read from an INI file."""
+
+from typing import Annotated
+
+import msgspec
+from returns.result import Result
+
+from dandelionpick import ids
+from dandelionpick import settings as common
+from dandelionpick.batch import state as state_lib
+
+Milliseconds = Annotated[
+    float,
+    msgspec.Meta(ge=0, description="give milliseconds, 0 or more"),
+]
+
+
+class InstanceSection(msgspec.Struct, frozen=True):
+    """Who this instance is."""
+
+    name: common.Name
+    failure_domain: common.Name
+    region: common.Name
+
+
+class ListenSection(msgspec.Struct, frozen=True):
+    """Where it listens.
+
+    Attributes:
+        callers: for requests about jobs.
+        health: for the probes of the load balancer.
+        peers: for other instances, and for metrics.
+    """
+
+    callers: common.Address
+    health: common.Address
+    peers: common.Address
+
+
+class StoreSection(msgspec.Struct, frozen=True):
+    """Where the store is."""
+
+    address: common.Address
+
+
+class BoundsSection(msgspec.Struct, frozen=True):
+    """What the platform promises and asks for; see Limits."""
+
+    revoke_ms: Milliseconds
+    run_lease_ms: Milliseconds
+    gang_timeout_ms: Milliseconds
+    stop_timeout_ms: Milliseconds
+    reclaim_ms: Milliseconds
+    restore_ms: Milliseconds
+    early_ms: Milliseconds
+    retention_s: common.Seconds
+    drain_s: common.Seconds
+    remote_factor: Annotated[
+        float, msgspec.Meta(ge=1, description="give a number of 1 or more")
+    ]
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """All sections of the settings file."""
+
+    instance: InstanceSection
+    listen: ListenSection
+    store: StoreSection
+    bounds: BoundsSection
+    server: common.ServerSection = common.ServerSection()
+    client: common.ClientSection = common.ClientSection()
+    tracing: common.TracingSection = common.TracingSection()
+    log: common.LogSection = common.LogSection()
+
+
+def load(path: str) -> Result[Settings, list[common.SettingsError]]:
+    """Reads and checks a settings file.
+
+    Returns:
+        The settings, or every error that was found.
+    """
+    return common.read(path, Settings)
+
+
+def identity_of(settings: Settings) -> state_lib.Identity:
+    """Returns who the instance is."""
+    return state_lib.Identity(
+        instance=ids.InstanceId(settings.instance.name),
+        failure_domain=ids.FailureDomain(settings.instance.failure_domain),
+        region=ids.Region(settings.instance.region),
+        store_address=settings.store.address,
+        peer_address=settings.listen.peers,
+    )
+
+
+def limits_of(settings: Settings) -> state_lib.Limits:
+    """Returns the reducer's limits."""
+    bounds = settings.bounds
+    return state_lib.Limits(
+        revoke_s=bounds.revoke_ms / 1_000,
+        run_lease_s=bounds.run_lease_ms / 1_000,
+        gang_timeout_s=bounds.gang_timeout_ms / 1_000,
+        stop_timeout_s=bounds.stop_timeout_ms / 1_000,
+        retention_s=bounds.retention_s,
+        drain_s=bounds.drain_s,
+        reclaim_s=bounds.reclaim_ms / 1_000,
+        remote_factor=bounds.remote_factor,
+        restore_s=bounds.restore_ms / 1_000,
+        early_s=bounds.early_ms / 1_000,
+    )
--- /dev/null
+++ b/dandelionpick/batch/store_api.py
@@ -0,0 +1,150 @@
+"""Messages to the platform's store, and its replies."""
+
+import dataclasses
+
+from dandelionpick import ids
+
+# Entries of one Commit: conditions, writes and removals together.
+MAX_COMMIT_ENTRIES = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key with its value; revision 0 and no value if it does not exist."""
+
+    key: str
+    value: bytes = b""
+    revision: int = 0
+    lease: ids.LeaseId = ids.LeaseId(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Reads a key; replied to with Item."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class List:
+    """Reads the keys with a prefix, from the key behind `after` on."""
+
+    prefix: str
+    after: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """A page of items, and the store's revision at that time."""
+
+    items: tuple[Item, ...]
+    more: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Watch:
+    """Waits up to wait_s for changes later than a revision."""
+
+    prefix: str
+    after_revision: int
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """Changes in their order; a removed key has no value.
+
+    Attributes:
+        revision: where the next watch continues.
+    """
+
+    items: tuple[Item, ...]
+    removed: frozenset[str]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer knows the changes since the given revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """A key has this revision; 0 if it does not exist."""
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """Writes a key, which is removed when its lease ends."""
+
+    key: str
+    value: bytes
+    lease: ids.LeaseId = ids.LeaseId(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Applies all changes if all conditions hold, or none."""
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...] = ()
+    removals: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """The changes were applied at this revision."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A condition did not hold; the items that the conditions name."""
+
+    items: tuple[Item, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Creates a lease."""
+
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepLease:
+    """Renews a lease."""
+
+    lease: ids.LeaseId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndLease:
+    """Ends a lease and removes its keys."""
+
+    lease: ids.LeaseId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseHeld:
+    """The lease runs for ttl_s from the arrival of the call."""
+
+    lease: ids.LeaseId
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """There is no such lease, or not any more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The store did nothing: it is busy, or the call was not valid."""
+
+    status: int
--- /dev/null
+++ b/dandelionpick/batch/target_api.py
@@ -0,0 +1,150 @@
+"""Messages to targets, and their replies."""
+
+import dataclasses
+import enum
+
+from dandelionpick import ids
+from dandelionpick.batch import model
+
+
+class TargetState(enum.Enum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """A target as it registered itself.
+
+    Attributes:
+        born_ms: Unix milliseconds of its start; 0 if unknown. It tells lives
+            of the same id apart.
+        rack: "" if unknown.
+        remaining_s: seconds that a draining target has left, at least.
+    """
+
+    id: ids.TargetId
+    address: str
+    pool: ids.PoolName
+    failure_domain: ids.FailureDomain
+    state: TargetState
+    capacity: model.Resources
+    labels: frozenset[str]
+    rack: ids.Rack
+    born_ms: int = 0
+    remaining_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Starts a task.
+
+    Attributes:
+        target: the life of the target that is meant.
+        epoch: the scheduler's; the target obeys no lower one than it has seen.
+        lease_until_ms: on the target's clock; what runs there ends then.
+        checkpoint: where the task resumes; "" for its beginning.
+    """
+
+    target: ids.TargetId
+    epoch: ids.Epoch
+    task: model.TaskKey
+    attempt: ids.Attempt
+    payload: str
+    lease_until_ms: int
+    checkpoint: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stops a task, and keeps a start of this attempt from running later."""
+
+    target: ids.TargetId
+    epoch: ids.Epoch
+    task: model.TaskKey
+    attempt: ids.Attempt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListRuns:
+    """Lists runs and ends, and extends the lease of what runs.
+
+    Attributes:
+        acknowledged: the target forgets the ends up to this number.
+        lease_until_ms: on the target's clock; None leaves the lease alone.
+        wait_s: how long the reply waits for a new end.
+    """
+
+    target: ids.TargetId
+    epoch: ids.Epoch
+    acknowledged: int
+    lease_until_ms: int | None
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A run in progress.
+
+    Attributes:
+        checkpoint: the last one; "" if there is none.
+        percent: how much of the work is done.
+    """
+
+    task: model.TaskKey
+    attempt: ids.Attempt
+    checkpoint: str
+    percent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A run that ended; number rises within a life of the target."""
+
+    number: int
+    task: model.TaskKey
+    attempt: ids.Attempt
+    ending: model.Ending
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunsListed:
+    """What a target runs, and the ends that are not acknowledged yet.
+
+    Attributes:
+        clock_ms: the target's clock.
+        born_ms: Unix milliseconds of the target's start.
+    """
+
+    clock_ms: int
+    born_ms: int
+    running: tuple[Running, ...]
+    ended: tuple[Ended, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obeyed:
+    """The order took effect, or had done so before."""
+
+
+class OrderProblem(enum.Enum):
+    """Why a target did not obey; each one means that nothing was done."""
+
+    FENCED = "fenced"
+    OLD_ATTEMPT = "old_attempt"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other_life"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The target did nothing."""
+
+    problem: OrderProblem
--- /dev/null
+++ b/dandelionpick/batch/target_registry.py
@@ -0,0 +1,94 @@
+"""Targets as they register themselves in the store."""
+
+from returns import pipeline
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import ids
+from dandelionpick.batch import run_endings
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+from dandelionpick.batch import target_api
+from dandelionpick.batch import watches
+from dandelionpick.batch import watching
+
+
+def remember(
+    schedule: schedule_state.Schedule, target_id: ids.TargetId, address: str
+) -> None:
+    """Adds a target that may run something although it has no entry."""
+    if target_id not in schedule.targets:
+        schedule.targets[target_id] = schedule_state.Target(
+            target_id, address, None
+        )
+
+
+@watching.apply_item.register
+def _(
+    watch: watches.TargetsWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    item: store_api.Item,
+) -> None:
+    schedule = state.schedule
+    if schedule is None:
+        return
+    decoded = state.formats.decode_target(item.key, item.value)
+    if not pipeline.is_successful(decoded):
+        step.note(
+            effects.Part.TARGETS,
+            f"entry {item.key} names no target to use: {decoded.failure()}",
+            warning=True,
+        )
+        _unlist(schedule, step, item.key)
+        return
+    entry: target_api.TargetEntry = decoded.unwrap()
+    target = schedule.targets.get(entry.id)
+    if target is None:
+        target = schedule_state.Target(entry.id, entry.address, entry)
+        schedule.targets[entry.id] = target
+    elif entry.address != target.address:
+        # The same id at another address is another life of the target.
+        target.address = entry.address
+        run_endings.end_life(state, step, target, entry.born_ms)
+    elif entry.born_ms and target.born_ms and entry.born_ms > target.born_ms:
+        run_endings.end_life(state, step, target, entry.born_ms)
+    before = target.entry
+    target.entry = entry
+    schedule.dirty = True
+    if before is None or before.state is not entry.state:
+        step.note(
+            effects.Part.TARGETS,
+            f"{entry.id} at {entry.address} is {entry.state.value}",
+        )
+
+
+@watching.apply_removal.register
+def _(
+    watch: watches.TargetsWatch,
+    state: state_lib.State,
+    step: dispatch.Step,
+    key: str,
+) -> None:
+    if state.schedule is not None:
+        _unlist(state.schedule, step, key)
+
+
+def _unlist(
+    schedule: schedule_state.Schedule, step: dispatch.Step, key: str
+) -> None:
+    target = schedule.targets.get(ids.TargetId(key.rpartition("/")[2]))
+    if target is not None and target.entry is not None:
+        step.note(effects.Part.TARGETS, f"{target.id} has no entry any more")
+        target.entry = None
+
+
+def forget_gone(schedule: schedule_state.Schedule, now_s: float) -> None:
+    """Drops targets without an entry on which nothing can run any more."""
+    for target in list(schedule.targets.values()):
+        if target.entry is not None or target.runs:
+            continue
+        silent = target.read or now_s >= schedule.unread_until_s > 0
+        if silent and now_s > target.lease_ends_s:
+            del schedule.targets[target.id]
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -18,6 +18,7 @@
 from dandelionpick import server
 from dandelionpick import settings as settings_lib
 from dandelionpick import wiring
+from dandelionpick.batch import settings as batch_settings
 from dandelionpick.status import ExitStatus
 
 LOG_LEVELS = {
@@ -81,8 +82,44 @@
         return ExitStatus.OK
 
 
+class ScheduleCommand(command.Command):
+    """Runs an instance that schedules jobs on the users' platform."""
+
+    name = "schedule"
+    description = "Runs an instance on the platform until it is stopped."
+    arguments = [cli_options.PLATFORM_SETTINGS]
+
+    def __init__(self, env: Mapping[str, str]):
+        super().__init__()
+        self.env = env
+
+    def handle(self) -> int:
+        """Loads the settings and serves."""
+        path = self.argument("settings") or self.env.get(
+            cli_options.SETTINGS_VARIABLE, ""
+        )
+        loaded = batch_settings.load(path)
+        if not pipeline.is_successful(loaded):
+            for error in loaded.failure():
+                self.io.error_output.write_line(str(error), type=cli_client.RAW)
+            return ExitStatus.INVALID_SETTINGS
+        settings = loaded.unwrap()
+        logging.use_absl_handler()
+        logging.set_verbosity(LOG_LEVELS[settings.log.level])
+        try:
+            return asyncio.run(wiring.run_scheduler(settings))
+        except (OSError, OverflowError) as error:
+            self.io.error_output.write_line(
+                f"{path}: cannot listen ({error}); give free ports of this"
+                " host in [listen]",
+                type=cli_client.RAW,
+            )
+            return ExitStatus.FAILURE
+
+
 COMMANDS = (RunCommand, CheckSettingsCommand)
-CLIENT_COMMANDS = (
+ENV_COMMANDS = (
+    ScheduleCommand,
     cli_requests.SubmitCommand,
     cli_requests.FetchCommand,
     cli_requests.CancelCommand,
@@ -106,6 +143,6 @@
     app.catch_exceptions(False)
     for command_type in COMMANDS:
         app.add(command_type())
-    for command_type in CLIENT_COMMANDS:
+    for command_type in ENV_COMMANDS:
         app.add(command_type(env))
     return app
--- a/dandelionpick/cli_options.py
+++ b/dandelionpick/cli_options.py
@@ -4,8 +4,14 @@
 
 DEFAULT_DEADLINE_S = 30.0
 SERVER_VARIABLE = "DANDELIONPICK_SERVER"
+SETTINGS_VARIABLE = "DANDELIONPICK_NODE_FILE"
 
 SETTINGS = helpers.argument("settings", "Path of the settings file.")
+PLATFORM_SETTINGS = helpers.argument(
+    "settings",
+    f"Path of the settings file (default: {SETTINGS_VARIABLE}).",
+    optional=True,
+)
 KEY = helpers.argument("key", "Key of the request or job.")
 TREE_PATH = helpers.argument(
     "path", 'Keys from the root of the tree, separated by "/".'
--- a/dandelionpick/effects.py
+++ b/dandelionpick/effects.py
@@ -51,6 +51,10 @@
     JOBS = "jobs"
     MEMBERSHIP = "membership"
     ROUTING = "routing"
+    STORE = "store"
+    SCHEDULER = "scheduler"
+    INTAKE = "intake"
+    TARGETS = "targets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandelionpick/errors.py
+++ b/dandelionpick/errors.py
@@ -35,6 +35,9 @@
     INTERNAL = "internal"
     UNKNOWN_PATH = "unknown_path"
     TOO_SLOW = "too_slow"
+    UNAUTHENTICATED = "unauthenticated"
+    NO_SCHEDULER = "no_scheduler"
+    OUTCOME_UNKNOWN = "outcome_unknown"
 
 
 class Problem(msgspec.Struct, frozen=True):
--- a/dandelionpick/http_client.py
+++ b/dandelionpick/http_client.py
@@ -194,9 +194,9 @@
             # about the connections, which may be busy with long tasks.
             if progress.sending:
                 pools.retire_pool(address, pool)
-            return Failure(_failure(progress))
+            return Failure(failure_of(progress))
         except (aiohttp.ClientError, OSError):
-            return Failure(_failure(progress))
+            return Failure(failure_of(progress))
     return _decode(endpoint, status, body, url)
 
 
@@ -219,7 +219,8 @@
         return response.status, await response.read()
 
 
-def _failure(progress: Progress) -> kinds.CallFailure:
+def failure_of(progress: Progress) -> kinds.CallFailure:
+    """Returns what a call without a reply proves."""
     if progress.sending:
         return kinds.CallFailure.LOST
     return kinds.CallFailure.NOT_SENT
--- /dev/null
+++ b/dandelionpick/http_requests.py
@@ -0,0 +1,65 @@
+"""Sends one HTTP request and returns its status and body."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick import http_client
+from dandelionpick import kinds
+
+Exchange = tuple[int, bytes]
+
+
+async def request(
+    pools: http_client.Pools,
+    address: str,
+    method: str,
+    path: str,
+    timeout_s: float,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> Result[Exchange, kinds.CallFailure]:
+    """Performs a request.
+
+    Args:
+        pools: connections to reuse.
+        address: host and port.
+        method: the HTTP method.
+        path: path and query.
+        timeout_s: seconds until the whole response must have come.
+        body: encoded as JSON; None for no body.
+        headers: additional headers.
+
+    Returns:
+        Status and body, or NOT_SENT if no byte was written, or LOST.
+    """
+    data = None if body is None else msgspec.json.encode(body)
+    sent_headers = dict(headers or {})
+    if data is not None:
+        sent_headers["content-type"] = "application/json"
+    progress = http_client.Progress()
+    async with pools.use(address) as pool:
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                pool.session.request(
+                    method,
+                    f"http://{address}{path}",
+                    data=data,
+                    headers=sent_headers,
+                    allow_redirects=False,
+                    trace_request_ctx=progress,
+                ) as response,
+            ):
+                return Success((response.status, await response.read()))
+        except TimeoutError:
+            if progress.sending:
+                pools.retire_pool(address, pool)
+            return Failure(http_client.failure_of(progress))
+        except (aiohttp.ClientError, OSError):
+            return Failure(http_client.failure_of(progress))
--- a/dandelionpick/ids.py
+++ b/dandelionpick/ids.py
@@ -15,6 +15,14 @@
 ExchangeId = NewType("ExchangeId", str)
 EditId = NewType("EditId", str)
 Incarnation = NewType("Incarnation", str)
+JobId = NewType("JobId", str)
+TargetId = NewType("TargetId", str)
+QueueName = NewType("QueueName", str)
+PoolName = NewType("PoolName", str)
+Rack = NewType("Rack", str)
+LeaseId = NewType("LeaseId", int)
+Epoch = NewType("Epoch", int)
+Attempt = NewType("Attempt", int)
 
 UUID7_VERSION = 7
 TIMESTAMP_SHIFT_BITS = 80
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -55,6 +55,29 @@
         "Requests forwarded to another failure domain, by region.",
         ["same_region"],
     ),
+    "takeovers_total": prometheus_client.Counter(
+        "dandelionpick_takeovers_total",
+        "Times that this instance became the scheduler.",
+    ),
+    "runs_total": prometheus_client.Counter(
+        "dandelionpick_runs_total",
+        "Runs of tasks, by how they ended.",
+        ["ending"],
+    ),
+    "orders_total": prometheus_client.Counter(
+        "dandelionpick_orders_total",
+        "Starts and stops sent to targets, by result.",
+        ["order", "result"],
+    ),
+    "preemptions_total": prometheus_client.Counter(
+        "dandelionpick_preemptions_total",
+        "Runs stopped for work of a higher priority.",
+    ),
+    "job_refusals_total": prometheus_client.Counter(
+        "dandelionpick_job_refusals_total",
+        "Requests about jobs that were refused, by problem.",
+        ["problem"],
+    ),
 }
 HISTOGRAMS = {
     "request_seconds": prometheus_client.Histogram(
@@ -72,6 +95,12 @@
         "Seconds of an outgoing call, by service.",
         ["service"],
     ),
+    "queue_wait_seconds": prometheus_client.Histogram(
+        "dandelionpick_queue_wait_seconds",
+        "Seconds from a job's acceptance to its first start, by queue.",
+        ["queue"],
+        buckets=(0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300, 1800),
+    ),
     "loop_lag_seconds": prometheus_client.Histogram(
         "dandelionpick_loop_lag_seconds",
         "Seconds by which the event loop ran a tick too late.",
@@ -85,6 +114,12 @@
     "leaving": prometheus_client.Gauge(
         "dandelionpick_leaving", "1 during a planned stop."
     ),
+    "scheduler": prometheus_client.Gauge(
+        "dandelionpick_scheduler", "1 while this instance is the scheduler."
+    ),
+    "jobs": prometheus_client.Gauge(
+        "dandelionpick_jobs", "Jobs that the scheduler keeps."
+    ),
     "open_exchanges": prometheus_client.Gauge(
         "dandelionpick_open_exchanges", "Inbound messages without a response."
     ),
--- /dev/null
+++ b/dandelionpick/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speaks the users' platform: translates its messages, and decides nothing."""
--- /dev/null
+++ b/dandelionpick/platform/configuration.py
@@ -0,0 +1,95 @@
+"""Decodes the operators' configuration."""
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick import ids
+from dandelionpick.batch import catalog
+from dandelionpick.batch import model
+
+
+class Route(msgspec.Struct):
+    """A queue.
+
+    Attributes:
+        service: the pool of targets that run the queue's tasks.
+        target_latency_ms: added to the stretched run time; it is no limit.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch_factor: float = 1.0
+    target_latency_ms: float = 0.0
+    anonymous: bool = False
+
+
+class Tenant(msgspec.Struct):
+    """An organisation; `guaranteed` counts accelerators under "gpu"."""
+
+    name: str
+    api_keys: list[str] = []
+    guaranteed: dict[str, float] = {}
+
+
+class Limits(msgspec.Struct):
+    """Limits on requests."""
+
+    max_body_bytes: int = 262_144
+
+
+class Document(msgspec.Struct):
+    """One version of the configuration."""
+
+    version: int
+    routes: list[Route] = []
+    tenants: list[Tenant] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+_decoder = msgspec.json.Decoder(Document)
+
+
+def decode(value: bytes) -> Result[catalog.Catalog, str]:
+    """Returns the catalog, or what is wrong with the value."""
+    try:
+        document = _decoder.decode(value)
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
+    return Success(
+        catalog.Catalog(
+            version=document.version,
+            queues=tuple(map(_queue, document.routes)),
+            organisations=tuple(map(_organisation, document.tenants)),
+            max_body_bytes=document.limits.max_body_bytes,
+        )
+    )
+
+
+def _queue(route: Route) -> catalog.Queue:
+    return catalog.Queue(
+        name=ids.QueueName(route.name),
+        host=route.host,
+        prefix=route.prefix,
+        terms=model.QueueTerms(
+            pool=ids.PoolName(route.service),
+            priority=route.priority,
+            max_attempts=max(1, route.max_attempts),
+            objective_factor=route.stretch_factor,
+            objective_extra_s=route.target_latency_ms / 1_000,
+        ),
+        anonymous=route.anonymous,
+    )
+
+
+def _organisation(tenant: Tenant) -> catalog.Organisation:
+    return catalog.Organisation(
+        name=ids.OrganisationId(tenant.name),
+        keys=tuple(tenant.api_keys),
+        guaranteed_accelerators=int(tenant.guaranteed.get("gpu", 0)),
+    )
--- /dev/null
+++ b/dandelionpick/platform/jobs.py
@@ -0,0 +1,116 @@
+"""Decodes jobs as callers send them."""
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick.batch import model
+
+MAX_SPEC_BYTES = 4_000
+
+
+class Phase(msgspec.Struct):
+    """A step.
+
+    Attributes:
+        count: tasks of the step.
+        cpu: thousandths of a core for each task.
+        gpu: accelerators for each task.
+        affinity: the rack where the task's data is.
+        anti_affinity: most tasks of the step on one target.
+        requirements: a label that the target must have.
+        long_running: the tasks run until the job is cancelled.
+        fills: the step's `cpu` takes no capacity.
+        missable: serving tasks that may be away at the same time.
+    """
+
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    missable: int = 0
+
+
+class Submission(msgspec.Struct):
+    """A job."""
+
+    phases: tuple[Phase, ...]
+    spec: str = ""
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+_decoder = msgspec.json.Decoder(Submission)
+
+
+def decode(body: bytes) -> Result[model.JobSpec, str]:
+    """Returns the job, or what is wrong with the body."""
+    try:
+        job = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+    problem = _problem_of(job)
+    if problem:
+        return Failure(problem)
+    return Success(
+        model.JobSpec(
+            payload=job.spec,
+            steps=tuple(map(_step, job.phases)),
+            occurrences=job.repeat_count,
+            first_due_ms=job.start_at_ms,
+            interval_ms=job.interval_ms,
+        )
+    )
+
+
+def _problem_of(job: Submission) -> str:
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        return f"spec is longer than {MAX_SPEC_BYTES} bytes"
+    if not job.phases:
+        return "phases is empty"
+    if job.repeat_count < 0 or job.interval_ms < 0:
+        return "repeat_count or interval_ms is negative"
+    for number, phase in enumerate(job.phases):
+        if phase.count < 1:
+            return f"phase {number} has a count below 1"
+        if min(phase.cpu, phase.mem_mb, phase.gpu, phase.anti_affinity) < 0:
+            return f"phase {number} has a negative amount"
+        if any(not 0 <= earlier < number for earlier in phase.after):
+            return f"phase {number} comes after a phase that is not earlier"
+    return ""
+
+
+def _step(phase: Phase) -> model.StepSpec:
+    return model.StepSpec(
+        tasks=phase.count,
+        needs=model.Resources(phase.cpu, phase.mem_mb, phase.gpu),
+        estimate_ms=int(phase.estimate_ms),
+        after=phase.after,
+        checkpoints=phase.checkpointing,
+        gang=phase.gang,
+        one_rack=phase.same_rack,
+        data_rack=phase.affinity,
+        required_label=phase.requirements,
+        max_per_target=phase.anti_affinity,
+        duplicates_allowed=phase.allow_duplicates,
+        until_cancelled=phase.long_running,
+        image=phase.image,
+        tail_target_ms=phase.target_ms,
+        filler=phase.fills,
+        tolerated_absent=phase.missable,
+    )
--- /dev/null
+++ b/dandelionpick/platform/keys.py
@@ -0,0 +1,4 @@
+"""Keys of the store that the platform and the operators write."""
+
+CONFIGURATION = "op/config"
+TARGETS = "servers/"
--- /dev/null
+++ b/dandelionpick/platform/store.py
@@ -0,0 +1,249 @@
+"""The client of the platform's store."""
+
+import base64
+import binascii
+import functools
+import urllib.parse
+from typing import Any
+
+import msgspec
+from absl import logging
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from dandelionpick import http_client
+from dandelionpick import http_requests
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import store_api
+
+# What a reply to a watch may take longer than the wait that was asked for.
+WATCH_MARGIN_S = 0.6
+
+
+class WireItem(msgspec.Struct):
+    """An item, or the removal of one.
+
+    Attributes:
+        value: base64 text.
+        revision: the item's last change.
+        lease: 0 if the item has none.
+    """
+
+    key: str
+    value: str = ""
+    revision: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+class WireItems(msgspec.Struct):
+    """Items of a range, of a watch or of a conflict."""
+
+    items: list[WireItem] = []
+    events: list[WireItem] = []
+    has_more: bool = False
+    store_revision: int = 0
+
+
+class WireChange(msgspec.Struct):
+    """Replies to changes and leases."""
+
+    revision: int = 0
+    lease: int = 0
+    ttl_ms: float = 0
+
+
+_item_decoder = msgspec.json.Decoder(WireItem)
+_items_decoder = msgspec.json.Decoder(WireItems)
+_change_decoder = msgspec.json.Decoder(WireChange)
+
+Outcome = Result[Any, kinds.CallFailure]
+# What each status means besides 200, by message.
+_SPECIAL: dict[tuple[type, int], Any] = {
+    (store_api.Watch, 410): store_api.HistoryLost(),
+    (store_api.KeepLease, 404): store_api.LeaseEnded(),
+    (store_api.EndLease, 404): store_api.LeaseEnded(),
+    (store_api.Commit, 404): store_api.LeaseEnded(),
+}
+
+
+async def send(
+    pools: http_client.Pools, address: str, message: Any, timeout_s: float
+) -> Outcome:
+    """Performs a call to the store.
+
+    Returns:
+        The reply, or what is known about a call without one.
+    """
+    method, path, body = _request(message)
+    if isinstance(message, store_api.Watch):
+        timeout_s = message.wait_s + WATCH_MARGIN_S
+    result = await http_requests.request(
+        pools, address, method, path, timeout_s, body
+    )
+    return result.bind(functools.partial(_decode, message))
+
+
+def _decode(message: Any, exchange: http_requests.Exchange) -> Outcome:
+    status, body = exchange
+    special = _SPECIAL.get((type(message), status))
+    if special is not None:
+        return Success(special)
+    try:
+        if isinstance(message, store_api.Read) and status == 404:
+            return Success(store_api.Item(message.key))
+        if isinstance(message, store_api.Commit) and status == 412:
+            return Success(_conflict(message, body))
+        if status == 200:
+            return Success(_reply(message, body))
+    except (msgspec.DecodeError, binascii.Error, ValueError) as error:
+        logging.warning(
+            "store: malformed reply to %s: %s", type(message).__name__, error
+        )
+        return Failure(kinds.CallFailure.LOST)
+    if status in (429, 503) or 400 <= status < 500:
+        return Success(store_api.Refused(status))
+    return Failure(kinds.CallFailure.LOST)
+
+
+def _query(**fields: Any) -> str:
+    return "?" + urllib.parse.urlencode(fields)
+
+
+@functools.singledispatch
+def _request(message: Any) -> tuple[str, str, Any]:
+    raise TypeError(f"no call for {type(message).__name__}")
+
+
+@_request.register
+def _(message: store_api.Read) -> tuple[str, str, Any]:
+    return "GET", "/kv-key" + _query(key=message.key), None
+
+
+@_request.register
+def _(message: store_api.List) -> tuple[str, str, Any]:
+    fields = {"prefix": message.prefix}
+    if message.after:
+        fields["after"] = message.after
+    return "GET", "/kv-range" + _query(**fields), None
+
+
+@_request.register
+def _(message: store_api.Watch) -> tuple[str, str, Any]:
+    query = _query(
+        prefix=message.prefix,
+        after=message.after_revision,
+        wait_ms=round(message.wait_s * 1_000),
+    )
+    return "GET", "/kv-watch" + query, None
+
+
+@_request.register
+def _(message: store_api.Commit) -> tuple[str, str, Any]:
+    body = {
+        "expected_rev": [
+            {"key": condition.key, "revision": condition.revision}
+            for condition in message.conditions
+        ],
+        "writes": [_write(write) for write in message.writes],
+        "remove": list(message.removals),
+    }
+    return "POST", "/kv-txn", body
+
+
+def _write(write: store_api.Write) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        "key": write.key,
+        "value": base64.b64encode(write.value).decode(),
+    }
+    if write.lease:
+        fields["lease"] = write.lease
+    return fields
+
+
+@_request.register
+def _(message: store_api.GrantLease) -> tuple[str, str, Any]:
+    return "POST", "/kv-lease", {"ttl_ms": round(message.ttl_s * 1_000)}
+
+
+@_request.register
+def _(message: store_api.KeepLease) -> tuple[str, str, Any]:
+    return "POST", f"/kv-keep/{message.lease}", None
+
+
+@_request.register
+def _(message: store_api.EndLease) -> tuple[str, str, Any]:
+    return "DELETE", f"/kv-lease-end/{message.lease}", None
+
+
+def _item(wire: WireItem) -> store_api.Item:
+    return store_api.Item(
+        wire.key,
+        base64.b64decode(wire.value, validate=True),
+        wire.revision,
+        ids.LeaseId(wire.lease),
+    )
+
+
+def _conflict(message: store_api.Commit, body: bytes) -> store_api.Conflict:
+    """Adds the keys that do not exist, which the store may leave out."""
+    found = {
+        wire.key: _item(wire) for wire in _items_decoder.decode(body).items
+    }
+    return store_api.Conflict(
+        tuple(
+            found.get(condition.key, store_api.Item(condition.key))
+            for condition in message.conditions
+        )
+    )
+
+
+@functools.singledispatch
+def _reply(message: Any, body: bytes) -> Any:
+    raise TypeError(f"no reply for {type(message).__name__}")
+
+
+@_reply.register
+def _(message: store_api.Read, body: bytes) -> Any:
+    return _item(_item_decoder.decode(body))
+
+
+@_reply.register
+def _(message: store_api.List, body: bytes) -> Any:
+    wire = _items_decoder.decode(body)
+    items = tuple(map(_item, wire.items))
+    return store_api.Listed(items, wire.has_more, wire.store_revision)
+
+
+@_reply.register
+def _(message: store_api.Watch, body: bytes) -> Any:
+    wire = _items_decoder.decode(body)
+    return store_api.Changed(
+        tuple(map(_item, wire.events)),
+        frozenset(event.key for event in wire.events if event.deleted),
+        wire.store_revision,
+    )
+
+
+@_reply.register
+def _(message: store_api.Commit, body: bytes) -> Any:
+    return store_api.Committed(_change_decoder.decode(body).revision)
+
+
+@_reply.register
+def _(message: store_api.GrantLease, body: bytes) -> Any:
+    wire = _change_decoder.decode(body)
+    return store_api.LeaseHeld(ids.LeaseId(wire.lease), wire.ttl_ms / 1_000)
+
+
+@_reply.register
+def _(message: store_api.KeepLease, body: bytes) -> Any:
+    wire = _change_decoder.decode(body) if body else WireChange()
+    return store_api.LeaseHeld(message.lease, wire.ttl_ms / 1_000)
+
+
+@_reply.register
+def _(message: store_api.EndLease, body: bytes) -> Any:
+    return store_api.LeaseEnded()
--- a/dandelionpick/server.py
+++ b/dandelionpick/server.py
@@ -4,10 +4,12 @@
 import signal
 import socket
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
 
 import uvicorn
 from absl import logging
-from starlette import applications
+from starlette import types
 
 from dandelionpick import http_protocol
 
@@ -54,22 +56,42 @@
     return listener
 
 
+def by_port(apps: Mapping[socket.socket, types.ASGIApp]) -> types.ASGIApp:
+    """Returns an application that serves each listener with its own one."""
+    by_number = {
+        listener.getsockname()[1]: app for listener, app in apps.items()
+    }
+
+    async def app(
+        scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        await by_number[scope["server"][1]](scope, receive, send)
+
+    return app
+
+
+def _ignore_reload() -> None:
+    logging.info("server: SIGHUP ignored; settings are read at the start")
+
+
 async def serve_until(
-    app: applications.Starlette,
-    listener: socket.socket,
+    app: types.ASGIApp,
+    listeners: Sequence[socket.socket],
     exited: asyncio.Event,
     request_stop: Callable[[], None],
     limits: http_protocol.InboundLimits,
+    on_reload: Callable[[], None] | None = None,
 ) -> bool:
     """Serves until `exited` is set, then closes idle connections.
 
     Args:
         app: the application.
-        listener: a bound socket.
+        listeners: bound sockets.
         exited: set when the process should end.
         request_stop: called on the first SIGTERM or SIGINT; the second one
             ends the process at once.
         limits: limits on inbound connections.
+        on_reload: called on SIGHUP.
 
     Returns:
         False if a second signal cut the planned stop short.
@@ -101,7 +123,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    serving = asyncio.ensure_future(server.serve(sockets=[listener]))
+    loop.add_signal_handler(signal.SIGHUP, on_reload or _ignore_reload)
+    serving = asyncio.ensure_future(server.serve(sockets=list(listeners)))
     await exited.wait()
     server.should_exit = True
     await serving
--- a/dandelionpick/settings.py
+++ b/dandelionpick/settings.py
@@ -3,10 +3,12 @@
 import configparser
 import dataclasses
 import enum
+import functools
 import pathlib
 from collections.abc import Iterator
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 from returns.result import Failure
@@ -150,14 +152,23 @@
         return ": ".join(filter(None, parts))
 
 
-SECTION_TYPES: dict[str, type] = {
-    field.name: field.type for field in msgspec.structs.fields(Settings)
-}
+Sections = TypeVar("Sections", bound=msgspec.Struct)
 
 
 def load(path: str) -> Result[Settings, list[SettingsError]]:
     """Reads and checks a settings file.
 
+    Returns:
+        The settings, or every error that was found.
+    """
+    return read(path, Settings).bind(functools.partial(_check_limits, path))
+
+
+def read(
+    path: str, settings_type: type[Sections]
+) -> Result[Sections, list[SettingsError]]:
+    """Reads a settings file whose sections are the fields of a struct.
+
     Returns:
         The settings, or every error that was found.
     """
@@ -177,12 +188,21 @@
     except configparser.Error as error:
         return Failure([_syntax_error(path, error)])
     sections = {name: dict(parser[name]) for name in parser.sections()}
-    found = list(_check(sections, path))
+    found = list(_check(sections, path, section_types(settings_type)))
     if found:
         return Failure(found)
-    settings = msgspec.convert(sections, Settings, strict=False)
-    found = list(_check_together(settings, path))
-    return Failure(found) if found else Success(settings)
+    return Success(msgspec.convert(sections, settings_type, strict=False))
+
+
+def section_types(settings_type: type[msgspec.Struct]) -> dict[str, type]:
+    """Returns the type of each section."""
+    return {
+        field.name: field.type
+        for field in msgspec.structs.fields(settings_type)
+    }
+
+
+SECTION_TYPES = section_types(Settings)
 
 
 def _syntax_error(path: str, error: configparser.Error) -> SettingsError:
@@ -196,15 +216,15 @@
 
 
 def _check(
-    sections: dict[str, dict[str, str]], path: str
+    sections: dict[str, dict[str, str]], path: str, types: dict[str, type]
 ) -> Iterator[SettingsError]:
     for name in sections:
-        if name not in SECTION_TYPES:
-            known = ", ".join(SECTION_TYPES)
+        if name not in types:
+            known = ", ".join(types)
             yield SettingsError(
                 path, name, "", "unknown section", f"use one of {known}"
             )
-    for name, section_type in SECTION_TYPES.items():
+    for name, section_type in types.items():
         yield from _check_section(name, section_type, sections, path)
 
 
@@ -252,16 +272,20 @@
     )
 
 
-def _check_together(settings: Settings, path: str) -> Iterator[SettingsError]:
+def _check_limits(
+    path: str, settings: Settings
+) -> Result[Settings, list[SettingsError]]:
     limits = settings.limits
-    if limits.suspect_after_s <= limits.heartbeat_period_s:
-        yield SettingsError(
-            path,
-            "limits",
-            "suspect_after_s",
-            "every peer would be suspected between two heartbeats",
-            "give more seconds than heartbeat_period_s",
-        )
+    if limits.suspect_after_s > limits.heartbeat_period_s:
+        return Success(settings)
+    error = SettingsError(
+        path,
+        "limits",
+        "suspect_after_s",
+        "every peer would be suspected between two heartbeats",
+        "give more seconds than heartbeat_period_s",
+    )
+    return Failure([error])
 
 
 def limits_of(settings: Settings) -> state_lib.Limits:
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -17,6 +17,15 @@
 from dandelionpick import settings as settings_lib
 from dandelionpick import state as state_lib
 from dandelionpick import tracing
+from dandelionpick.batch import peer_api
+from dandelionpick.batch import reducer as batch_reducer
+from dandelionpick.batch import settings as batch_settings
+from dandelionpick.batch import state as batch_state
+from dandelionpick.platform import calls as platform_calls
+from dandelionpick.platform import configuration as platform_configuration
+from dandelionpick.platform import ingress
+from dandelionpick.platform import keys as platform_keys
+from dandelionpick.platform import targets as platform_targets
 from dandelionpick.status import ExitStatus
 
 
@@ -36,6 +45,72 @@
     )
 
 
+def build_batch_state(
+    settings: batch_settings.Settings,
+) -> batch_state.State:
+    """Builds the first state of an instance that schedules jobs."""
+    return batch_state.State(
+        identity=batch_settings.identity_of(settings),
+        incarnation=ids.Incarnation(secrets.token_hex(8)),
+        formats=batch_state.Formats(
+            platform_keys.CONFIGURATION,
+            platform_keys.TARGETS,
+            platform_configuration.decode,
+            platform_targets.decode_entry,
+        ),
+        limits=batch_settings.limits_of(settings),
+    )
+
+
+async def run_scheduler(settings: batch_settings.Settings) -> ExitStatus:
+    """Runs an instance that schedules jobs on the users' platform.
+
+    Args:
+        settings: the checked settings.
+
+    Raises:
+        OSError: one of the addresses can't be bound.
+    """
+    tracer = tracing.Tracer(
+        settings.instance.name, settings.tracing.sampled_share
+    )
+    inbound = settings_lib.inbound_limits_of(settings)
+    outbound = settings_lib.pool_limits_of(settings)
+    async with http_client.Pools(outbound) as pools:
+        runtime = runtime_lib.Runtime(
+            build_batch_state(settings),
+            batch_reducer.reduce_guarded,
+            functools.partial(platform_calls.send, pools),
+            tracer,
+        )
+        apps = {
+            settings.listen.callers: ingress.build_callers(
+                runtime, inbound.body_timeout_s
+            ),
+            settings.listen.health: ingress.build_health(runtime),
+            settings.listen.peers: peer_api.build(runtime),
+        }
+        listeners = {server.bind(address): apps[address] for address in apps}
+        ticks = asyncio.ensure_future(runtime.run_ticks())
+        logging.info(
+            "server: started as %s, incarnation %s, listening on %s",
+            settings.instance.name,
+            runtime.state.incarnation,
+            ", ".join(apps),
+        )
+        finished = await server.serve_until(
+            server.by_port(listeners),
+            list(listeners),
+            runtime.exited,
+            lambda: runtime.deliver(events.StopRequested(runtime.moment())),
+            inbound,
+        )
+        ticks.cancel()
+        await runtime.cancel_calls()
+    logging.info("server: stopped")
+    return ExitStatus.OK if finished else ExitStatus.INTERRUPTED
+
+
 async def run_instance(
     settings: settings_lib.Settings, listener: socket.socket
 ) -> ExitStatus:
@@ -62,7 +137,7 @@
         logging.info("server: listening on %s:%d", host, port)
         finished = await server.serve_until(
             api.build(runtime, inbound.body_timeout_s),
-            listener,
+            [listener],
             runtime.exited,
             lambda: runtime.deliver(events.StopRequested(runtime.moment())),
             inbound,
--- a/tests/http_instance.py
+++ b/tests/http_instance.py
@@ -156,7 +156,7 @@
     serving = asyncio.ensure_future(
         server.serve_until(
             api.build(runtime, inbound.body_timeout_s),
-            listener,
+            [listener],
             runtime.exited,
             lambda: None,
             inbound,
