Tell the next scheduler which targets are silent; refuse at once while the store is away

Submissions waited at the scheduler during the outage until the relaying instance gave up, which made their outcome unknown (504). Ruled out: a wrong lease end; the executor was draining and had no entry. Change: a draining target without entry that does not answer has left; the roster in the store says which targets are silent and until when their leases run; leases of those are not extended before the store has forgotten it. The store's refusals are passed on at once, with a Retry-After that grows with the outage. Ends that can't be stored no longer make listings spin.

--- a/dandelionpick/batch/admission.py
+++ b/dandelionpick/batch/admission.py
@@ -73,6 +73,12 @@
         )
     if not is_fresh(state, now_s):
         return Stale()
+    return _check_against(catalog, request)
+
+
+def _check_against(
+    catalog: catalog_lib.Catalog, request: messages.Request
+) -> Admitted | messages.Refused:
     queue = catalog.queue_for(request.host, request.path)
     if queue is None:
         return refuse(
--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -332,7 +332,6 @@
     authority.keep_pending = False
     if isinstance(reply, store_api.LeaseHeld):
         authority.kept_s = max(authority.kept_s, context.sent_s)
-        state.store_health.answered_s = step.moment.now_s
     elif isinstance(reply, store_api.LeaseEnded):
         authority.record = None
         step_down(state, step, "its lease has ended")
--- a/dandelionpick/batch/open_requests.py
+++ b/dandelionpick/batch/open_requests.py
@@ -9,6 +9,9 @@
 # Pause before a request is tried again while a dependency is away; short
 # against the 3 s that callers wait.
 RETRY_S = 0.1
+# Bounds of Retry-After while the store is away; outages last some seconds.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 8.0
 
 
 def is_open(state: state_lib.State, request: state_lib.OpenRequest) -> bool:
@@ -70,6 +73,26 @@
     state.waiting.append(state_lib.Waiting(at_s, request))
 
 
+def refuse_for_store(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest,
+) -> None:
+    """Refuses a request that needs the store, which does not serve it.
+
+    An outage that has lasted for some time is expected to last as long again,
+    so that the few retries of a caller reach beyond it.
+    """
+    outage_s = step.moment.now_s - state.store_health.failing_since_s
+    retry_after_s = min(max(outage_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    problem = errors.Problem(
+        errors.ProblemKind.STORE_UNAVAILABLE,
+        "The store does not serve this instance at the moment.",
+        "Send the request again after the stated time.",
+    )
+    finish(state, step, request, messages.Refused(problem, retry_after_s))
+
+
 def unknown_outcome() -> messages.Refused:
     """Returns the response to a request that may take effect later."""
     return messages.Refused(
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -11,6 +11,7 @@
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
+from dandelionpick.batch import roster
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
@@ -20,8 +21,11 @@
 # A listing waits this long for an end. A silent connection is noticed soon
 # after, well within the lease.
 WAIT_S = 1.0
-# The same where a start or a stop without a reply has to be resolved.
+# The same where a start without a reply has to be resolved.
 RESOLVE_WAIT_S = 0.15
+# Ends that are not acknowledged are listed at once each time; while they can't
+# be stored, the target is listed this often.
+UNSAVED_PERIOD_S = 0.25
 # Targets that run nothing are listed this often, so that their clock is known
 # and a dead one is found before work is sent to it.
 IDLE_PERIOD_S = 3.0
@@ -65,10 +69,9 @@
     target.poll_pending = True
     target.poll_serial += 1
     fresh = target.read and not target.failed
+    extend = fresh and target.runs and roster.may_use(schedule, target)
     lease_until_ms = (
-        orders.lease_until_ms(state, target, now_s)
-        if fresh and target.runs
-        else None
+        orders.lease_until_ms(state, target, now_s) if extend else None
     )
     message = target_api.ListRuns(
         target.id,
@@ -93,11 +96,7 @@
     if not target.runs:
         return 0.0
     doubtful = any(
-        run.state
-        in (
-            schedule_state.RunState.UNRESOLVED,
-            schedule_state.RunState.STOPPING,
-        )
+        run.state is schedule_state.RunState.UNRESOLVED
         for run in target.runs.values()
     )
     return RESOLVE_WAIT_S if doubtful else WAIT_S
@@ -122,6 +121,13 @@
 ) -> None:
     """Stops starts without a reply, repeats stops, and ends lost leases."""
     now_s = step.moment.now_s
+    if target.failed and target.left and target.runs:
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} has left with {len(target.runs)} runs",
+        )
+        run_endings.lose_all(state, step, target)
+        return
     if target.failed and now_s > target.lease_ends_s and target.runs:
         step.note(
             effects.Part.TARGETS,
@@ -210,6 +216,37 @@
     target: schedule_state.Target,
     context: ListContext,
     listed: target_api.RunsListed,
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    _note_answer(state, step, target, context, listed)
+    for ended in sorted(listed.ended, key=lambda ended: ended.number):
+        if ended.number > target.processed:
+            target.processed = ended.number
+            run_endings.take_ended(state, step, target, ended)
+    shown = set()
+    for running in listed.running:
+        shown.add((running.task, running.attempt))
+        _take_running(state, step, target, running)
+    _find_missing(state, step, target, context, shown)
+    _acknowledged(schedule, target)
+    if target.ends:
+        target.poll_at_s = now_s + UNSAVED_PERIOD_S
+    elif target.runs:
+        target.poll_at_s = now_s
+        if not target.poll_pending:
+            poll(state, step, target)
+    else:
+        target.poll_at_s = now_s + IDLE_PERIOD_S
+
+
+def _note_answer(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    context: ListContext,
+    listed: target_api.RunsListed,
 ) -> None:
     schedule = state.schedule
     assert schedule is not None
@@ -229,18 +266,6 @@
     if not target.read:
         target.read = True
         schedule.dirty = True
-    for ended in sorted(listed.ended, key=lambda ended: ended.number):
-        if ended.number > target.processed:
-            target.processed = ended.number
-            run_endings.take_ended(state, step, target, ended)
-    shown = set()
-    for running in listed.running:
-        shown.add((running.task, running.attempt))
-        _take_running(state, step, target, running)
-    _find_missing(state, step, target, context, shown)
-    target.poll_at_s = now_s if target.runs else now_s + IDLE_PERIOD_S
-    if not target.poll_pending and target.runs:
-        poll(state, step, target)
 
 
 def _take_running(
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -14,9 +14,11 @@
 from dandelionpick.batch import polling
 from dandelionpick.batch import requests
 from dandelionpick.batch import retention
+from dandelionpick.batch import roster
 from dandelionpick.batch import saving
 from dandelionpick.batch import scheduling
 from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_health
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_registry
 from dandelionpick.batch import watching
@@ -29,6 +31,7 @@
     watching.tick,
     leadership.tick,
     takeover.tick,
+    roster.tick,
     polling.tick,
     requests.tick,
     scheduling.tick,
@@ -39,6 +42,7 @@
 # Runs after every other event, so that what it makes possible starts at once.
 FOLLOW_UPS: tuple[reduction.Handler, ...] = (
     takeover.tick,
+    roster.tick,
     scheduling.tick,
     saving.tick,
 )
@@ -85,6 +89,7 @@
     pending = state.calls.pop(event.call_id, None)
     if pending is not None:
         step.trace = pending.trace
+        store_health.note(state, step, pending, event.reply)
         dispatch.returned(pending.context, state, step, event.reply)
 
 
@@ -95,6 +100,7 @@
     pending = state.calls.pop(event.call_id, None)
     if pending is not None:
         step.trace = pending.trace
+        store_health.note(state, step, pending, None)
         dispatch.failed(pending.context, state, step, event.failure)
 
 
--- a/dandelionpick/batch/requests.py
+++ b/dandelionpick/batch/requests.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from dandelionpick import dispatch
-from dandelionpick import errors
 from dandelionpick import ids
 from dandelionpick.batch import admission
 from dandelionpick.batch import inspection
@@ -92,8 +91,12 @@
     step: dispatch.Step,
     request: state_lib.OpenRequest,
 ) -> None:
-    if request.relayed or not relaying.relay(state, step, request):
-        open_requests.retry_later(state, step, request)
+    """Lets the scheduler decide, whose configuration may be fresh."""
+    if not request.relayed and not request.scheduler_silent:
+        request.scheduler_silent = True
+        if relaying.relay(state, step, request):
+            return
+    open_requests.refuse_for_store(state, step, request)
 
 
 def _expire(
@@ -101,10 +104,5 @@
     step: dispatch.Step,
     request: state_lib.OpenRequest,
 ) -> None:
-    reply = admission.refuse(
-        errors.ProblemKind.STORE_UNAVAILABLE,
-        "The request was not carried out in the caller's time.",
-        "Send the request again.",
-        admission.RETRY_AFTER_S,
-    )
-    open_requests.finish(state, step, request, reply)
+    """Ends a request whose caller is about to stop waiting."""
+    open_requests.refuse_for_store(state, step, request)
--- /dev/null
+++ b/dandelionpick/batch/roster.py
@@ -0,0 +1,212 @@
+"""Keeps in the store which targets may run something.
+
+The next scheduler reads each of them before it restarts a task that it does not
+find. One that can't be read holds such tasks up until its leases must have
+ended. So that this time is short, the store also learns which targets have
+fallen silent: their leases are not extended until the store has forgotten it.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick import events
+from dandelionpick import ids
+from dandelionpick import kinds
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+from dandelionpick.batch import target_registry
+from dandelionpick.batch import watches
+
+RETRY_S = 0.2
+# A target that has not answered for this long has fallen silent.
+SILENT_AFTER_S = 0.5
+# Times of day of two instances may differ by this much.
+CLOCKS_DIFFER_S = 1.0
+
+_decoder = msgspec.json.Decoder(schedule_state.Roster)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterContext:
+    """The roster is read, or written if `written` is set."""
+
+    epoch: ids.Epoch
+    written: schedule_state.Roster | None = None
+
+
+def read(state: state_lib.State, step: dispatch.Step) -> None:
+    """Reads what the last scheduler has left."""
+    schedule = state.schedule
+    if schedule is None:
+        return
+    schedule.roster_pending = True
+    context = RosterContext(schedule.epoch)
+    state_lib.call_store(state, step, store_api.Read(state_lib.ROSTER), context)
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Writes the roster before a target that it lacks is used."""
+    schedule = state.schedule
+    if (
+        schedule is None
+        or schedule.roster_pending
+        or step.moment.now_s < schedule.roster_at_s
+    ):
+        return
+    if not schedule.roster_read:
+        read(state, step)
+        return
+    watch = state.watches.get(watches.TargetsWatch)
+    if watch is None or not watch.listed:
+        return
+    wanted = _wanted(schedule, state, step)
+    if wanted == schedule.roster:
+        return
+    schedule.roster_pending = True
+    commit = store_api.Commit(
+        (
+            store_api.Condition(state_lib.SCHEDULER, schedule.epoch),
+            store_api.Condition(state_lib.ROSTER, schedule.roster_revision),
+        ),
+        (store_api.Write(state_lib.ROSTER, msgspec.json.encode(wanted)),),
+    )
+    context = RosterContext(schedule.epoch, wanted)
+    state_lib.call_store(state, step, commit, context)
+
+
+def may_use(
+    schedule: schedule_state.Schedule, target: schedule_state.Target
+) -> bool:
+    """Returns whether the store knows that the target may run something."""
+    return (
+        target.id in schedule.roster.addresses
+        and target.id not in schedule.roster.silent_until_ms
+    )
+
+
+def _wanted(
+    schedule: schedule_state.Schedule,
+    state: state_lib.State,
+    step: dispatch.Step,
+) -> schedule_state.Roster:
+    wanted = schedule_state.Roster(state.identity.instance)
+    for target in schedule.targets.values():
+        if target.entry is None and target.read and not target.runs:
+            continue
+        wanted.addresses[target.id] = target.address
+        _mark_silent(target, step.moment)
+        if target.silent_until_ms:
+            wanted.silent_until_ms[target.id] = target.silent_until_ms
+    return wanted
+
+
+def _mark_silent(target: schedule_state.Target, moment: events.Moment) -> None:
+    """Works out when everything on a silent target must have ended."""
+    now_s = moment.now_s
+    if target.read and not target.failed:
+        target.silent_until_ms = 0
+        return
+    if target.silent_until_ms:
+        return
+    if not target.read:
+        ends_s = target.unread_until_s
+    elif now_s - target.failing_since_s > SILENT_AFTER_S:
+        ends_s = target.lease_ends_s
+    else:
+        return
+    left_s = max(0.0, ends_s - now_s)
+    target.silent_until_ms = int(moment.unix_ms + left_s * 1_000)
+
+
+@dispatch.returned.register
+def _(
+    context: RosterContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    reply: Any,
+) -> None:
+    schedule = state.schedule
+    if schedule is None or schedule.epoch != context.epoch:
+        return
+    schedule.roster_pending = False
+    if isinstance(reply, store_api.Item):
+        _take(schedule, state, step, reply)
+    elif isinstance(reply, store_api.Committed) and context.written:
+        schedule.roster = context.written
+        schedule.roster_revision = reply.revision
+        schedule.dirty = True
+    else:
+        # After a conflict the write of a lost reply may have taken effect.
+        schedule.roster_read = not isinstance(reply, store_api.Conflict)
+        schedule.roster_at_s = step.moment.now_s + RETRY_S
+
+
+@dispatch.failed.register
+def _(
+    context: RosterContext,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    schedule = state.schedule
+    if schedule is not None and schedule.epoch == context.epoch:
+        schedule.roster_pending = False
+        schedule.roster_read = False
+        schedule.roster_at_s = step.moment.now_s + RETRY_S
+
+
+def _take(
+    schedule: schedule_state.Schedule,
+    state: state_lib.State,
+    step: dispatch.Step,
+    item: store_api.Item,
+) -> None:
+    schedule.roster_read = True
+    schedule.roster_revision = item.revision
+    if not item.revision:
+        return
+    try:
+        schedule.roster = _decoder.decode(item.value)
+    except msgspec.DecodeError as error:
+        step.note(
+            effects.Part.SCHEDULER, f"unreadable roster: {error}", warning=True
+        )
+        return
+    for target_id, address in schedule.roster.addresses.items():
+        target_registry.remember(schedule, target_id, address)
+    if schedule.stage is schedule_state.Stage.READING:
+        _set_bounds(schedule, state, step)
+
+
+def _set_bounds(
+    schedule: schedule_state.Schedule,
+    state: state_lib.State,
+    step: dispatch.Step,
+) -> None:
+    """Works out until when each target may run an earlier scheduler's tasks."""
+    lease_s = state.limits.run_lease_s * leadership_bounds.SLOW_CLOCK
+    if schedule.roster.scheduler == state.identity.instance:
+        # This process has replaced the last scheduler's.
+        latest_s = state.started_s + lease_s
+    else:
+        latest_s = (
+            schedule.began_s
+            + leadership_bounds.AUTHORITY_WITHOUT_STORE_S
+            + lease_s
+        )
+    for target_id in schedule.roster.addresses:
+        target = schedule.targets[target_id]
+        target.unread_until_s = latest_s
+        silent_ms = schedule.roster.silent_until_ms.get(target_id, 0)
+        if silent_ms:
+            target.silent_until_ms = silent_ms
+            left_s = (silent_ms - step.moment.unix_ms) / 1_000
+            target.unread_until_s = min(
+                latest_s, step.moment.now_s + left_s + CLOCKS_DIFFER_S
+            )
--- a/dandelionpick/batch/saving.py
+++ b/dandelionpick/batch/saving.py
@@ -99,7 +99,7 @@
     if isinstance(reply, store_api.Committed):
         for saved in context.saved:
             _note_saved(schedule, saved, reply.revision)
-        _acknowledge_soon(schedule, step)
+        _acknowledge(state, step, schedule)
     elif isinstance(reply, store_api.Conflict):
         _take_conflict(schedule, state, step, context, reply)
     else:
@@ -134,15 +134,15 @@
         job.shown = job.progress.state
 
 
-def _acknowledge_soon(
-    schedule: schedule_state.Schedule, step: dispatch.Step
+def _acknowledge(
+    state: state_lib.State,
+    step: dispatch.Step,
+    schedule: schedule_state.Schedule,
 ) -> None:
-    """Lists idle targets once more, so that their last ends are forgotten."""
+    """Lists the targets again whose ends may be forgotten now."""
     for target in schedule.targets.values():
-        if target.ends and not target.runs:
-            target.poll_at_s = min(
-                target.poll_at_s, step.moment.now_s + polling.RETRY_S
-            )
+        if target.ends and not target.poll_pending and not target.failed:
+            polling.poll(state, step, target)
 
 
 def _take_conflict(
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from dandelionpick import ids
 from dandelionpick.batch import model
 from dandelionpick.batch import target_api
@@ -150,7 +152,14 @@
         poll_at_s: no listing before this time.
         failed: the last listing failed.
         failing_since_s: when the first of the failed listings was sent.
+        left: it was draining when its entry was removed; once it does not
+            answer any more, nothing runs there.
         backoff_until_s: nothing is started there before.
+        unread_until_s: until then an earlier scheduler's runs may be there,
+            unless it was read.
+        silent_until_ms: the store says since the target fell silent that
+            everything there ends by this Unix time; no lease is extended
+            before the store has forgotten it. 0 if the store says nothing.
         runs: what occupies room, by task and attempt.
         used: the sum of it.
         ends: ends that are not acknowledged: number, job and the version of
@@ -174,6 +183,9 @@
     failed: bool = False
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
+    left: bool = False
+    unread_until_s: float = float("-inf")
+    silent_until_ms: int = 0
     runs: dict[tuple[model.TaskKey, ids.Attempt], Run] = dataclasses.field(
         default_factory=dict
     )
@@ -205,6 +217,23 @@
     expires_s: float
 
 
+class Roster(msgspec.Struct, omit_defaults=True):
+    """Targets that may run something, for the next scheduler.
+
+    Attributes:
+        scheduler: the instance that has written it.
+        addresses: by target.
+        silent_until_ms: when everything has ended on targets that have fallen
+            silent, in Unix milliseconds.
+    """
+
+    scheduler: str = ""
+    addresses: dict[ids.TargetId, str] = msgspec.field(default_factory=dict)
+    silent_until_ms: dict[ids.TargetId, int] = msgspec.field(
+        default_factory=dict
+    )
+
+
 class Stage(enum.Enum):
     """How far a takeover has come."""
 
@@ -219,15 +248,14 @@
 
     Attributes:
         began_s: when the takeover began.
-        unread_until_s: tasks that were accepted before the takeover and may
-            run on a target that was not read wait until then.
         dirty: something has changed that may let a task start.
         passed_s: when the last scheduling pass ran.
         unsaved: jobs whose progress has to be stored.
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
         reservations: room that is being freed, by job and step.
-        roster: targets that the store knows to have been used.
+        roster: what the store holds about targets that may run something.
+        roster_at_s: the roster is neither read nor written before.
         sweep_at_s: when ended jobs are looked for.
         early_cancels: cancellations that were read before their job.
         early_progress: progress that was read before its job, with its
@@ -238,7 +266,6 @@
     began_s: float
     stage: Stage = Stage.READING
     fencing_s: float = 0.0
-    unread_until_s: float = 0.0
     jobs: dict[ids.JobId, Job] = dataclasses.field(default_factory=dict)
     targets: dict[ids.TargetId, Target] = dataclasses.field(
         default_factory=dict
@@ -251,10 +278,11 @@
     reservations: dict[tuple[ids.JobId, int, int], Reservation] = (
         dataclasses.field(default_factory=dict)
     )
-    roster: dict[ids.TargetId, str] = dataclasses.field(default_factory=dict)
+    roster: Roster = dataclasses.field(default_factory=lambda: Roster())
     roster_revision: int = 0
     roster_read: bool = False
     roster_pending: bool = False
+    roster_at_s: float = float("-inf")
     sweep_at_s: float = 0.0
     early_cancels: set[ids.JobId] = dataclasses.field(default_factory=set)
     early_progress: dict[ids.JobId, tuple[model.Progress, int]] = (
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -12,6 +12,7 @@
 from dandelionpick.batch import orders
 from dandelionpick.batch import placement
 from dandelionpick.batch import reclaim
+from dandelionpick.batch import roster
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -181,6 +182,8 @@
     reserved = _reserved(schedule, unit)
     rooms = []
     for target in schedule.targets.values():
+        if not roster.may_use(schedule, target):
+            continue
         if not is_usable(target, unit, now_s):
             continue
         entry = target.entry
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -181,10 +181,12 @@
 
     Attributes:
         answered_s: when it last did what was asked.
+        failing_since_s: when the first call failed since then; inf if none.
         best_rtt_s: shortest time of a call, for the choice of candidates.
     """
 
     answered_s: float = float("-inf")
+    failing_since_s: float = float("inf")
     best_rtt_s: float = float("inf")
 
 
@@ -201,6 +203,7 @@
     """Everything that an instance knows.
 
     Attributes:
+        started_s: when the process started.
         schedule: only the scheduler has one.
         open_requests: requests without a response, by exchange.
     """
@@ -209,6 +212,7 @@
     incarnation: ids.Incarnation
     formats: Formats
     limits: Limits
+    started_s: float = 0.0
     watches: dict[type, watches_lib.Watch] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/batch/submission.py
+++ b/dandelionpick/batch/submission.py
@@ -146,10 +146,12 @@
     step: dispatch.Step,
     request: state_lib.OpenRequest,
 ) -> None:
-    """Tries the scheduler if the store refuses only this instance."""
-    if not request.relayed and relaying.relay(state, step, request):
-        return
-    open_requests.retry_later(state, step, request)
+    """Tries the scheduler once: the store may refuse only this instance."""
+    if not request.relayed and not request.scheduler_silent:
+        request.scheduler_silent = True
+        if relaying.relay(state, step, request):
+            return
+    open_requests.refuse_for_store(state, step, request)
 
 
 @dispatch.failed.register
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -56,6 +56,7 @@
         run_endings.end_life(state, step, target, entry.born_ms)
     before = target.entry
     target.entry = entry
+    target.left = False
     schedule.dirty = True
     if before is None or before.state is not entry.state:
         step.note(
@@ -81,6 +82,7 @@
     target = schedule.targets.get(ids.TargetId(key.rpartition("/")[2]))
     if target is not None and target.entry is not None:
         step.note(effects.Part.TARGETS, f"{target.id} has no entry any more")
+        target.left = target.entry.state is target_api.TargetState.DRAINING
         target.entry = None
 
 
@@ -89,6 +91,6 @@
     for target in list(schedule.targets.values()):
         if target.entry is not None or target.runs:
             continue
-        silent = target.read or now_s >= schedule.unread_until_s > 0
-        if silent and now_s > target.lease_ends_s:
+        known = target.read or now_s >= target.unread_until_s
+        if known and now_s > target.lease_ends_s:
             del schedule.targets[target.id]
--- a/dandelionpick/batch/watching.py
+++ b/dandelionpick/batch/watching.py
@@ -190,7 +190,7 @@
     step: dispatch.Step,
     context: WatchContext,
 ) -> None:
-    _note_answer(state, context, step.moment.now_s)
+    _note_rtt(state, context, step.moment.now_s)
     if not watch.page_after:
         watch.first_revision = reply.revision
     for item in reply.items:
@@ -222,7 +222,6 @@
     step: dispatch.Step,
     context: WatchContext,
 ) -> None:
-    state.store_health.answered_s = step.moment.now_s
     for item in reply.items:
         if item.key in reply.removed and not item.value:
             _removal(state, step, watch, item.key)
@@ -234,11 +233,10 @@
         _issue(state, step, watch)
 
 
-def _note_answer(
+def _note_rtt(
     state: state_lib.State, context: WatchContext, now_s: float
 ) -> None:
     health = state.store_health
-    health.answered_s = now_s
     health.best_rtt_s = min(health.best_rtt_s, now_s - context.sent_s)
 
 
--- a/dandelionpick/platform/jobs.py
+++ b/dandelionpick/platform/jobs.py
@@ -8,6 +8,8 @@
 from dandelionpick.batch import model
 
 MAX_SPEC_BYTES = 4_000
+# All tasks of a job are kept in memory; the target size has 20,000 running.
+MAX_TASKS = 20_000
 
 
 class Phase(msgspec.Struct):
@@ -85,13 +87,20 @@
         return "phases is empty"
     if job.repeat_count < 0 or job.interval_ms < 0:
         return "repeat_count or interval_ms is negative"
-    for number, phase in enumerate(job.phases):
-        if phase.count < 1:
-            return f"phase {number} has a count below 1"
-        if min(phase.cpu, phase.mem_mb, phase.gpu, phase.anti_affinity) < 0:
-            return f"phase {number} has a negative amount"
-        if any(not 0 <= earlier < number for earlier in phase.after):
-            return f"phase {number} comes after a phase that is not earlier"
+    occurrences = max(1, job.repeat_count)
+    if occurrences * sum(phase.count for phase in job.phases) > MAX_TASKS:
+        return f"the job has more than {MAX_TASKS} tasks"
+    problems = map(_problem_of_phase, range(len(job.phases)), job.phases)
+    return next(filter(None, problems), "")
+
+
+def _problem_of_phase(number: int, phase: Phase) -> str:
+    if phase.count < 1:
+        return f"phase {number} has a count below 1"
+    if min(phase.cpu, phase.mem_mb, phase.gpu, phase.anti_affinity) < 0:
+        return f"phase {number} has a negative amount"
+    if any(not 0 <= earlier < number for earlier in phase.after):
+        return f"phase {number} comes after a phase that is not earlier"
     return ""
 
 
--- a/dandelionpick/platform/store.py
+++ b/dandelionpick/platform/store.py
@@ -92,20 +92,28 @@
     if special is not None:
         return Success(special)
     try:
-        if isinstance(message, store_api.Read) and status == 404:
-            return Success(store_api.Item(message.key))
-        if isinstance(message, store_api.Commit) and status == 412:
-            return Success(_conflict(message, body))
-        if status == 200:
-            return Success(_reply(message, body))
+        reply = _decode_body(message, status, body)
     except (msgspec.DecodeError, binascii.Error, ValueError) as error:
         logging.warning(
             "store: malformed reply to %s: %s", type(message).__name__, error
         )
         return Failure(kinds.CallFailure.LOST)
-    if status in (429, 503) or 400 <= status < 500:
-        return Success(store_api.Refused(status))
-    return Failure(kinds.CallFailure.LOST)
+    if reply is None:
+        return Failure(kinds.CallFailure.LOST)
+    return Success(reply)
+
+
+def _decode_body(message: Any, status: int, body: bytes) -> Any:
+    """Returns the reply, or None if the status proves nothing."""
+    if status == 200:
+        return _reply(message, body)
+    if isinstance(message, store_api.Read) and status == 404:
+        return store_api.Item(message.key)
+    if isinstance(message, store_api.Commit) and status == 412:
+        return _conflict(message, body)
+    if status == 503 or 400 <= status < 500:
+        return store_api.Refused(status)
+    return None
 
 
 def _query(**fields: Any) -> str:
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -59,6 +59,7 @@
             platform_targets.decode_entry,
         ),
         limits=batch_settings.limits_of(settings),
+        started_s=runtime_lib.clock_s(),
     )
 
 
