--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -33,6 +33,7 @@
     errors.ProblemKind.INTERNAL: 500,
     errors.ProblemKind.KEY_INVALID: 400,
     errors.ProblemKind.EDIT_INVALID: 400,
+    errors.ProblemKind.UNAUTHENTICATED: 401,
     errors.ProblemKind.FORBIDDEN: 403,
     errors.ProblemKind.UNKNOWN_ORGANISATION: 404,
     errors.ProblemKind.UNKNOWN_CLASS: 404,
@@ -48,6 +49,7 @@
     errors.ProblemKind.CANCELLED: 200,
     errors.ProblemKind.TASK_FAILED: 200,
     errors.ProblemKind.DEADLINE_PASSED: 504,
+    errors.ProblemKind.OUTCOME_UNKNOWN: 504,
 }
 DEFAULT_PROBLEM_STATUS = 503
 
--- /dev/null
+++ b/tests/batch_mutants.py
@@ -0,0 +1,192 @@
+"""Safety mechanisms of the scheduler of jobs that can be switched off."""
+
+import dataclasses
+
+from dandelionpick import errors
+from dandelionpick.batch import admission
+from dandelionpick.batch import fencing
+from dandelionpick.batch import leadership
+from dandelionpick.batch import orders
+from dandelionpick.batch import polling
+from dandelionpick.batch import roster
+from dandelionpick.batch import run_endings
+from dandelionpick.batch import runs
+from dandelionpick.batch import saving
+from dandelionpick.batch import scheduling
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import submission
+from dandelionpick.batch import takeover
+from tests import mutant
+
+JOBS = ("tests.test_batch_jobs", "tests.test_batch_faults")
+ALL = (*JOBS, "tests.test_batch_fuzz")
+
+
+def start_unread_tasks() -> None:
+    """Starts tasks that may run on a target that was not read."""
+    takeover.unread_targets = lambda schedule, now_s: False
+
+
+def ignore_fences() -> None:
+    """Goes on as the scheduler although targets refuse the epoch."""
+    fencing.note_fenced = lambda state, step, epoch: None
+    leadership.step_down = lambda state, step, reason: None
+
+
+def acknowledge_unstored_ends() -> None:
+    """Lets targets forget ends that the store does not hold."""
+
+    def acknowledged(schedule, target):
+        target.ends.clear()
+        return target.processed
+
+    polling._acknowledged = acknowledged
+
+
+def keep_life() -> None:
+    """Takes a target that has started again for the same life."""
+    run_endings.end_life = lambda state, step, target, born_ms: None
+
+
+def forget_unresolved() -> None:
+    """Frees the room of a start without a reply at once."""
+
+    def failed(context, state, step, failure):
+        target = orders._current(state, context.epoch, context.run)
+        if target is not None:
+            runs.remove(state.schedule, context.run)
+
+    orders.dispatch.failed.register(orders.StartContext, failed)
+
+
+def lose_cut_off_runs() -> None:
+    """Starts the work of a silent target elsewhere at once."""
+    resolve = polling._resolve
+
+    def lose(state, step, target):
+        if target.failed:
+            run_endings.lose_all(state, step, target)
+        resolve(state, step, target)
+
+    polling._resolve = lose
+
+
+def accept_by_any_configuration() -> None:
+    """Accepts keys although the store does not confirm them."""
+    admission.is_fresh = lambda state, now_s: state.catalog.current is not None
+
+
+def accept_unstored() -> None:
+    """Acknowledges a submission whose write got no reply."""
+
+    def failed(context, state, step, failure):
+        request = state.open_requests.get(context.exchange_id)
+        if request is not None:
+            submission.open_requests.finish(
+                state, step, request, submission.messages.Accepted()
+            )
+
+    submission.dispatch.failed.register(submission.SubmitContext, failed)
+
+
+def refuse_uncertain() -> None:
+    """Says that a job was not accepted although its write got no reply."""
+    submission.open_requests.unknown_outcome = lambda: admission.refuse(
+        errors.ProblemKind.STORE_UNAVAILABLE, "", "", 1.0
+    )
+
+
+def overwrite_jobs() -> None:
+    """Writes a job whether it exists or not."""
+    call = state_lib.call_store
+
+    def call_without(state, step, message, context, *rest):
+        if isinstance(context, submission.SubmitContext):
+            message = dataclasses.replace(message, conditions=())
+        call(state, step, message, context, *rest)
+
+    state_lib.call_store = call_without
+
+
+def save_as_anybody() -> None:
+    """Stores progress whether this instance is the scheduler or not."""
+    call = state_lib.call_store
+
+    def call_without(state, step, message, context, *rest):
+        if isinstance(context, saving.SaveContext):
+            kept = tuple(
+                condition
+                for condition in message.conditions
+                if condition.key != state_lib.SCHEDULER
+            )
+            message = dataclasses.replace(message, conditions=kept)
+        call(state, step, message, context, *rest)
+
+    state_lib.call_store = call_without
+
+
+def use_draining() -> None:
+    """Starts work on targets that are about to leave."""
+    usable = scheduling.is_usable
+
+    def is_usable(target, unit, now_s):
+        return usable(target, unit, now_s) or (
+            target.entry is not None and target.read and not target.failed
+        )
+
+    scheduling.is_usable = is_usable
+
+
+def overcommit() -> None:
+    """Frees the room of runs that are still being stopped."""
+    stop = orders.stop
+
+    def stop_and_free(state, step, run):
+        stop(state, step, run)
+        runs.remove(state.schedule, run)
+
+    orders.stop = stop_and_free
+
+
+def extend_silent() -> None:
+    """Uses silent targets before the store has forgotten their silence."""
+    roster.may_use = lambda schedule, target: True
+    roster._wanted = lambda schedule, state, step: schedule.roster
+
+
+MUTANTS = (
+    mutant.Mutant(
+        "tasks wait for targets that could not be read",
+        start_unread_tasks,
+        ALL,
+    ),
+    mutant.Mutant("a fenced scheduler steps down", ignore_fences, ALL),
+    mutant.Mutant(
+        "ends are stored before they are acknowledged",
+        acknowledge_unstored_ends,
+        ALL,
+    ),
+    mutant.Mutant("lives of a target are told apart", keep_life, ALL),
+    mutant.Mutant(
+        "a start without a reply keeps its room", forget_unresolved, ALL
+    ),
+    mutant.Mutant(
+        "work on a silent target waits for its lease", lose_cut_off_runs, ALL
+    ),
+    mutant.Mutant(
+        "keys are accepted by a confirmed configuration only",
+        accept_by_any_configuration,
+        JOBS,
+    ),
+    mutant.Mutant(
+        "a job is stored before it is acknowledged", accept_unstored, ALL
+    ),
+    mutant.Mutant("a lost write has an unknown outcome", refuse_uncertain, ALL),
+    mutant.Mutant("a job is written once", overwrite_jobs, ALL),
+    mutant.Mutant("only the scheduler stores progress", save_as_anybody, ALL),
+    mutant.Mutant("draining targets get no work", use_draining, JOBS),
+    mutant.Mutant("a stopping run keeps its room", overcommit, ALL),
+    mutant.Mutant(
+        "the store knows which targets may run something", extend_silent, ALL
+    ),
+)
--- a/tests/mutant_list.py
+++ b/tests/mutant_list.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-from collections.abc import Callable
 
 import msgspec
 
@@ -28,6 +27,7 @@
 from dandelionpick import schedule
 from dandelionpick import stalls
 from dandelionpick import store_messages
+from tests import mutant
 
 # Cheap and specific modules come first, because a run ends at the first
 # failing test.
@@ -48,26 +48,6 @@
 PLACEMENT = ("tests.test_placement", "tests.test_plan", *GANGS)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mutant:
-    """A safety mechanism that is switched off.
-
-    Attributes:
-        switched_off: the mechanism that no longer works.
-        patch: changes the loaded modules.
-        modules: test modules that should fail.
-    """
-
-    switched_off: str
-    patch: Callable[[], None]
-    modules: tuple[str, ...]
-
-    @property
-    def name(self) -> str:
-        """Name on the command line."""
-        return self.patch.__name__
-
-
 def ignore(*arguments, **options) -> None:
     """Replaces a function that returns nothing."""
 
@@ -275,122 +255,122 @@
 
 
 MUTANTS = (
-    Mutant(
+    mutant.Mutant(
         "nothing is dispatched before its claim is confirmed",
         dispatch_unclaimed,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a lost reply of the store is resolved by reading the bucket",
         confirm_lost_write,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a refused non-idempotent start gets a tombstone",
         trust_exclusive_refusal,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "refused starts get tombstones before not_run is told",
         settle_untold,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "another incarnation's word proves nothing about a run",
         trust_other_incarnation,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a damaged reply is treated as a lost one",
         accept_damaged,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a retry is not told not_run unless the key is proved not run",
         tell_retries_not_run,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a lower revision is not adopted from a peer",
         adopt_lower_from_peer,
         EDITS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a lower revision is not adopted from the store",
         adopt_lower_from_store,
         EDITS,
     ),
-    Mutant(
+    mutant.Mutant(
         "a store that was restored from an older copy is repaired",
         leave_store_restored,
         EDITS,
     ),
-    Mutant(
+    mutant.Mutant(
         "the edit id is looked up after a lost reply",
         forget_edits,
         EDITS,
     ),
-    Mutant(
+    mutant.Mutant(
         "guarantees that do not fit are refused",
         accept_unfit_guarantees,
         EDITS,
     ),
-    Mutant(
+    mutant.Mutant(
         "no part is confirmed before every start is acknowledged",
         confirm_early,
         GANGS,
     ),
-    Mutant(
+    mutant.Mutant(
         "the placement of a non-idempotent job is written before its start",
         start_unplaced,
         GANGS,
     ),
-    Mutant(
+    mutant.Mutant(
         "gangs are driven only by recent knowledge of their parts",
         trust_old_parts,
         GANGS,
     ),
-    Mutant(
+    mutant.Mutant(
         "claim buckets are read again after a stall",
         keep_claims_after_stall,
         REQUESTS,
     ),
-    Mutant(
+    mutant.Mutant(
         "workers are listed again after a stall",
         keep_workers_after_stall,
         GANGS,
     ),
-    Mutant(
+    mutant.Mutant(
         "peers and the list are heard again after a stall",
         keep_peers_after_stall,
         ("tests.test_membership", *ROUTING),
     ),
-    Mutant(
+    mutant.Mutant(
         "a planned stop waits for requests in progress",
         exit_with_requests,
         ("tests.test_drain",),
     ),
-    Mutant(
+    mutant.Mutant(
         "a planned stop waits until work is handed over",
         exit_without_hand_over,
         ("tests.test_drain", "tests.test_claims", "tests.test_edits"),
     ),
-    Mutant(
+    mutant.Mutant(
         "an executor that leaves gets no new work",
         use_leaving,
         ROUTING,
     ),
-    Mutant(
+    mutant.Mutant(
         "only gangs that can run again are stopped for a guarantee",
         stop_any_gang,
         PLACEMENT,
     ),
-    Mutant(
+    mutant.Mutant(
         "guaranteed shapes are taken back when their organisation needs them",
         reclaim_nothing,
         PLACEMENT,
     ),
-    Mutant(
+    mutant.Mutant(
         "jobs that can't be stopped keep off other organisations' shapes",
         borrow_for_any_job,
         PLACEMENT,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,7 +15,9 @@
 
 import hypothesis
 
+from tests import batch_mutants
 from tests import fuzzing
+from tests import mutant as mutant_lib
 from tests import mutant_list
 
 MAX_PARALLEL = 5
@@ -25,7 +27,10 @@
 CHILD = "--child"
 CONTROL = "--control"
 
-BY_NAME = {mutant.name: mutant for mutant in mutant_list.MUTANTS}
+BY_NAME = {
+    mutant.name: mutant
+    for mutant in (*mutant_list.MUTANTS, *batch_mutants.MUTANTS)
+}
 
 
 class Result(unittest.TextTestResult):
@@ -105,7 +110,7 @@
     return "", seen
 
 
-def run_all(mutants: list[mutant_list.Mutant]) -> int:
+def run_all(mutants: list[mutant_lib.Mutant]) -> int:
     """Runs mutants in parallel and prints a table.
 
     Returns:
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -103,18 +103,57 @@
     def test_takeover_with_a_target_that_cannot_be_read(self):
         """Guards against a second start of what runs behind a cut."""
         fabric = self.build()
-        fabric.submit(1, builders.body(builders.phase(24), work_s=40.0), 2)
+        fabric.submit(1, builders.body(builders.phase(12), work_s=40.0), 2)
         fabric.run_for(1.0)
         first = fabric.scheduler()
-        for name in fabric.instances:
-            if name != first.name:
-                fabric.part(name, "t0")
+        self.assertEqual(len(fabric.world.targets["t0"].runs), 8)
+        self.part_from_others(fabric, first.name, "t0")
         fabric.part(first.name, STORE)
         fabric.run_for(60.0)
         self.assertEqual(fabric.world.broken, [])
         fabric.cut.clear()
         fabric.until_completed(1, limit_s=90.0)
 
+    def part_from_others(
+        self, fabric: batch_fabric.Fabric, name: str, target: str
+    ) -> None:
+        for other in fabric.instances:
+            if other != name:
+                fabric.part(other, target)
+
+    def test_silent_target_is_extended_only_after_the_store_knows(self):
+        """Guards against a successor that trusts an outdated lease end."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=60.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        self.part_from_others(fabric, first.name, "t0")
+        fabric.part(first.name, "t0")
+        fabric.run_for(2.5)
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        fabric.cut.discard(frozenset((first.name, "t0")))
+        fabric.run_for(7.0)
+        fabric.kill(first.name)
+        fabric.store.outages.clear()
+        fabric.run_for(20.0)
+        self.assertEqual(fabric.world.broken, [])
+
+    def test_end_during_an_outage_survives_all_instances(self):
+        """Guards against an end that nobody remembers."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(2), work_s=2.0))
+        fabric.run_for(1.0)
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        # Idle targets are listed every 3 s.
+        fabric.run_for(6.0)
+        for name in fabric.instances:
+            fabric.kill(name)
+        fabric.store.outages.clear()
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        fabric.until_completed(1, limit_s=10.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 2)
+
     def test_target_that_left_before_the_takeover_holds_nothing_up(self):
         """Guards against tasks that wait for a target that is gone."""
         fabric = self.build()
--- a/tests/test_batch_fuzz.py
+++ b/tests/test_batch_fuzz.py
@@ -222,6 +222,9 @@
 
 
 PlatformFuzz = Platform.TestCase
+# The class is made by a library; its id has to name this module.
+PlatformFuzz.__module__ = __name__
+PlatformFuzz.__qualname__ = "PlatformFuzz"
 PlatformFuzz.settings = fuzzing.profile("platform", examples=40, steps=40)
 
 
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -182,6 +182,16 @@
         fabric.run_for(3.0)
         self.assertEqual(sum(fabric.world.starts.values()), 1)
 
+    def test_other_job_under_a_used_id_is_refused(self):
+        """Guards against a job that replaces another one."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(2)))
+        other = batch_fabric.jobs.decode(builders.body(work_s=7.0)).unwrap()
+        reply = fabric.ask("e1", builders.submit(1, other))
+        self.assertIs(reply.problem.kind, errors.ProblemKind.KEY_REUSED)
+        fabric.until_completed(1)
+        self.assertEqual(len(fabric.world.done), 2)
+
     def test_removed_key_is_refused_everywhere(self):
         """Guards against an instance that still accepts a removed key."""
         fabric = self.build()
