Keep the lease of adopted runs; log structured lines; demo the platform path

The target had been marked as silent by the last scheduler, so that the new one had extended no lease there, took its unset lease end for one that had passed, and started the work of the target elsewhere after one lost listing. Ruled out: the roster's bound and the fences, which both held. Change: the first listing under an epoch assumes the longest lease. test_adopted_runs_keep_the_lease_of_their_first_scheduler fails without it.

A restarted scheduler replaces its own last key instead of waiting for its lease. Log lines are JSON objects on standard output, bounded in number. Failing targets and stalled work are noticed; urgent work stops what loses least, and room is kept for it: these are still being measured.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 demo: setup
 	$(PY) -m standins.demo
+	$(PY) -m standins.platform_demo
 
 slopes: setup
 	$(PY) -m bench.slopes
--- a/dandelionpick/batch/job_ends.py
+++ b/dandelionpick/batch/job_ends.py
@@ -24,11 +24,20 @@
     schedule.dirty = True
     step.note(
         effects.Part.SCHEDULER,
-        f"job {job.id} {job_state.value} in epoch {schedule.epoch}",
+        f"job {job_state.value}",
+        job=job.id,
+        queue=job.record.queue,
+        priority=job.record.terms.priority,
+        seconds=round(_since(job.record.accepted_ms, step), 2),
+        epoch=schedule.epoch,
     )
     orders.stop_job(state, step, job)
 
 
+def _since(unix_ms: int, step: dispatch.Step) -> float:
+    return (step.moment.unix_ms - unix_ms) / 1_000
+
+
 def cancel(
     state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
 ) -> None:
--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -22,9 +22,9 @@
 
 # Three renewals may be lost before the lease ends; a killed scheduler is
 # noticed within this time.
-LEASE_TTL_S = 1.6
-KEEP_PERIOD_S = 0.4
-KEEP_TIMEOUT_S = 0.5
+LEASE_TTL_S = 1.2
+KEEP_PERIOD_S = 0.3
+KEEP_TIMEOUT_S = 0.4
 # Candidates near the store come first: each waits this many times its
 # shortest round trip.
 CAMPAIGN_RTTS = 4.0
@@ -151,6 +151,12 @@
         if authority.role is state_lib.Role.ACQUIRING:
             _lead(state, step, ids.Epoch(item.revision), step.moment.now_s)
         return
+    if authority.record.instance == state.identity.instance:
+        # An instance runs one process, so that the last one has ended.
+        authority.replaces = item.revision
+        authority.campaign_s = step.moment.now_s
+        return
+    authority.replaces = 0
     step.note(
         effects.Part.SCHEDULER,
         f"{authority.record.instance} is the scheduler in epoch"
@@ -171,6 +177,7 @@
         return
     authority = state.authority
     authority.record = None
+    authority.replaces = 0
     step_down(state, step, "the scheduler's key was removed")
     if authority.role is state_lib.Role.FOLLOWING:
         authority.campaign_s = now_plus_delay(state, step)
@@ -209,7 +216,9 @@
     authority = state.authority
     if authority.role is state_lib.Role.ACQUIRING:
         authority.role = state_lib.Role.FOLLOWING
-    if authority.role is state_lib.Role.FOLLOWING and not authority.record:
+    if authority.role is state_lib.Role.FOLLOWING and (
+        not authority.record or authority.replaces
+    ):
         delay_s = CAMPAIGN_RETRY_S * (0.5 + step.moment.draw)
         authority.campaign_s = step.moment.now_s + delay_s
 
@@ -234,7 +243,7 @@
         state.identity.peer_address,
     )
     commit = store_api.Commit(
-        (store_api.Condition(state_lib.SCHEDULER, 0),),
+        (store_api.Condition(state_lib.SCHEDULER, state.authority.replaces),),
         (
             store_api.Write(
                 state_lib.SCHEDULER, msgspec.json.encode(record), reply.lease
--- a/dandelionpick/batch/open_requests.py
+++ b/dandelionpick/batch/open_requests.py
@@ -1,5 +1,7 @@
 """Ends requests of callers, or puts them off."""
 
+from typing import Any
+
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import errors
@@ -37,10 +39,16 @@
         and reply.problem.kind is not errors.ProblemKind.KEY_REUSED
     ):
         reply = unknown_outcome()
+    version = catalog.version if catalog else 0
     if isinstance(reply, messages.Refused):
-        _note_refusal(step, request, reply, catalog.version if catalog else 0)
+        _note_refusal(step, request, reply, version)
+    elif isinstance(reply, messages.Accepted) and not request.relayed:
+        step.note(
+            effects.Part.INTAKE,
+            f"{type(request.request).__name__} accepted",
+            **_fields(request, step, version),
+        )
     if request.relayed:
-        version = catalog.version if catalog else 0
         step.respond(request.exchange_id, messages.Relayed(reply, version))
     else:
         step.respond(request.exchange_id, reply)
@@ -57,12 +65,25 @@
         return
     step.note(
         effects.Part.INTAKE,
-        f"{type(request.request).__name__} {request.request.path} refused:"
-        f" {reply.problem.kind.value} by configuration {version} after"
-        f" {step.moment.now_s - request.received_s:.3f} s",
+        f"{type(request.request).__name__} refused: {reply.problem.kind.value}",
+        retry_after_s=reply.retry_after_s,
+        **_fields(request, step, version),
     )
 
 
+def _fields(
+    request: state_lib.OpenRequest, step: dispatch.Step, version: int
+) -> dict[str, Any]:
+    """Returns what a log line says about a request."""
+    return {
+        "path": request.request.path,
+        "job": request.request.path.rpartition("/")[2],
+        "configuration": version,
+        "seconds": round(step.moment.now_s - request.received_s, 3),
+        "relayed_before": request.scheduler_silent,
+    }
+
+
 def retry_later(
     state: state_lib.State,
     step: dispatch.Step,
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -65,6 +65,12 @@
     return int(clock_ms + lease_s * 1_000)
 
 
+def longest_lease_end_s(state: state_lib.State, now_s: float) -> float:
+    """Returns when a lease ends at the latest that was granted until now."""
+    lease_s = state.limits.run_lease_s * leadership_bounds.SLOW_CLOCK
+    return now_s + lease_s + CLOCK_SLACK_S
+
+
 def start(
     state: state_lib.State,
     step: dispatch.Step,
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -17,6 +17,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
+from dandelionpick.batch import target_health
 
 # A listing waits this long for an end. A silent connection is noticed soon
 # after, well within the lease.
@@ -180,7 +181,7 @@
     reason: str,
 ) -> None:
     target.poll_pending = False
-    target.poll_at_s = step.moment.now_s + RETRY_S
+    target.poll_at_s = step.moment.now_s + RETRY_S * target.read
     if not target.failed:
         target.failed = True
         target.failing_since_s = context.sent_s
@@ -230,6 +231,7 @@
         shown.add((running.task, running.attempt))
         _take_running(state, step, target, running)
     _find_missing(state, step, target, context, shown)
+    target_health.note_progress(state, step, target)
     _acknowledged(schedule, target)
     if target.ends:
         target.poll_at_s = now_s + UNSAVED_PERIOD_S
@@ -266,6 +268,10 @@
     if not target.read:
         target.read = True
         schedule.dirty = True
+        # An earlier scheduler may have extended the lease just before.
+        target.lease_ends_s = max(
+            target.lease_ends_s, orders.longest_lease_end_s(state, now_s)
+        )
 
 
 def _take_running(
@@ -324,6 +330,7 @@
         known=task is not None,
         confirmed_s=now_s,
         progressed_s=now_s,
+        percent=running.percent,
     )
     runs.add(schedule, run, task)
     unwanted = task is None or job is None or job.ended or task.done
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -86,9 +86,8 @@
 def _(
     event: events.Returned, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    pending = state.calls.pop(event.call_id, None)
+    pending = dispatch.settle(state, step, event.call_id)
     if pending is not None:
-        step.trace = pending.trace
         store_health.note(state, step, pending, event.reply)
         dispatch.returned(pending.context, state, step, event.reply)
 
@@ -97,9 +96,8 @@
 def _(
     event: events.Failed, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    pending = state.calls.pop(event.call_id, None)
+    pending = dispatch.settle(state, step, event.call_id)
     if pending is not None:
-        step.trace = pending.trace
         store_health.note(state, step, pending, None)
         dispatch.failed(pending.context, state, step, event.failure)
 
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -1,5 +1,7 @@
 """What follows from the end of a run, or from its loss with its target."""
 
+from typing import Any
+
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import job_ends
@@ -10,6 +12,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
+from dandelionpick.batch import target_health
 
 
 def end_life(
@@ -66,6 +69,7 @@
     schedule = state.schedule
     assert schedule is not None
     step.count("runs_total", ended.ending.value)
+    target_health.note_ending(target, ended.ending, step)
     target.last_attempts[ended.task] = max(
         ended.attempt, target.last_attempts.get(ended.task, ended.attempt)
     )
@@ -106,11 +110,22 @@
     else:
         step.note(
             effects.Part.SCHEDULER,
-            f"task {job.id}.{task.key.task_name()} {ended.ending.value} on"
-            f" {target.id}",
+            f"task {ended.ending.value}",
+            target=target.id,
+            **_fields(ended),
         )
 
 
+def _fields(ended: target_api.Ended) -> dict[str, Any]:
+    """Returns what a log line says about an end."""
+    return {
+        "job": ended.task.job_id,
+        "task": ended.task.task_name(),
+        "attempt": ended.attempt,
+        "end": ended.number,
+    }
+
+
 def _note_failed(
     state: state_lib.State,
     step: dispatch.Step,
@@ -127,8 +142,9 @@
     schedule.unsaved.add(job.id)
     step.note(
         effects.Part.SCHEDULER,
-        f"task {job.id}.{ended.task.task_name()} failed, for the"
-        f" {task.failures}. time of {job.record.terms.max_attempts}",
+        f"task failed, for the {task.failures}. time of"
+        f" {job.record.terms.max_attempts}",
+        **_fields(ended),
     )
     if step_run.spec.until_cancelled or job.ended:
         return
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -70,6 +70,7 @@
         checkpoint: where the next attempt resumes.
         percent: work that the checkpoint saves.
         avoided: targets on which it failed, or failed to start.
+        preemptions: runs that were stopped for more urgent work.
     """
 
     key: model.TaskKey
@@ -79,6 +80,7 @@
     percent: float = 0.0
     runs: dict[ids.Attempt, Run] = dataclasses.field(default_factory=dict)
     avoided: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    preemptions: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,6 +157,9 @@
         left: it was draining when its entry was removed; once it does not
             answer any more, nothing runs there.
         backoff_until_s: nothing is started there before.
+        failures: failed runs since the last one that was done.
+        suspect_until_s: nothing is started there before, because work fails
+            or stands still there.
         unread_until_s: until then an earlier scheduler's runs may be there,
             unless it was read.
         silent_until_ms: the store says since the target fell silent that
@@ -184,6 +189,8 @@
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
     left: bool = False
+    failures: int = 0
+    suspect_until_s: float = float("-inf")
     unread_until_s: float = float("-inf")
     silent_until_ms: int = 0
     runs: dict[tuple[model.TaskKey, ids.Attempt], Run] = dataclasses.field(
@@ -254,6 +261,8 @@
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
         reservations: room that is being freed, by job and step.
+        urgent_needs: what the last urgent steps have needed.
+        urgent_s: when the last one was placed.
         roster: what the store holds about targets that may run something.
         roster_at_s: the roster is neither read nor written before.
         sweep_at_s: when ended jobs are looked for.
@@ -278,6 +287,10 @@
     reservations: dict[tuple[ids.JobId, int, int], Reservation] = (
         dataclasses.field(default_factory=dict)
     )
+    urgent_needs: list[model.Resources] = dataclasses.field(
+        default_factory=list
+    )
+    urgent_s: float = float("-inf")
     roster: Roster = dataclasses.field(default_factory=lambda: Roster())
     roster_revision: int = 0
     roster_read: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -6,6 +6,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
@@ -18,11 +19,14 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_api
+from dandelionpick.batch import target_health
 
 # Changes that come together, such as the ends of a gang, share a pass.
 PASS_PERIOD_S = 0.02
 # Without a change, times such as due occurrences are looked at this often.
 IDLE_PASS_S = 0.25
+# A target on which a task has failed comes after all others.
+AVOIDED_PENALTY = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,11 @@
         """Names the step."""
         return self.job.id, self.step_run.occurrence, self.step_run.number
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether it may preempt other work."""
+        return self.job.record.terms.priority == 0
+
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Runs a scheduling pass if something has changed."""
@@ -109,7 +118,11 @@
 def urgency(
     job: schedule_state.Job, step_run: schedule_state.StepRun
 ) -> tuple[float, ...]:
-    """Returns the order of a step: by priority, then by its objective."""
+    """Returns the order of a step: by priority, then by its objective.
+
+    Returns:
+        Priority, Unix seconds of the objective, Unix seconds of submission.
+    """
     terms = job.record.terms
     started_ms = max(
         job.record.accepted_ms, job_progress.due_ms(job, step_run.occurrence)
@@ -118,7 +131,8 @@
         terms.objective_factor * step_run.spec.estimate_ms / 1_000
         + terms.objective_extra_s
     )
-    return (terms.priority, started_ms / 1_000 + aim_s)
+    due_s = started_ms / 1_000
+    return (terms.priority, due_s + aim_s, due_s)
 
 
 def place(state: state_lib.State, step: dispatch.Step, unit: Unit) -> None:
@@ -128,18 +142,21 @@
     now_s = step.moment.now_s
     demand = demand_of(unit, now_s)
     rooms = rooms_for(schedule, unit, now_s)
-    chosen = placement.choose(demand, rooms)
+    if unit.is_urgent and unit.key not in schedule.reservations:
+        total = demand.needs.times(demand.count)
+        headroom.note_urgent(schedule, total, now_s)
+    chosen = placement.choose(
+        demand, _without_headroom(schedule, unit, rooms, now_s)
+    )
     if not chosen:
-        if unit.job.record.terms.priority == 0:
+        if unit.is_urgent:
             reclaim.free_room(state, step, unit, demand, rooms)
         return
     schedule.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
+    waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
     if unit.job.first_start_s is None:
         unit.job.first_start_s = now_s
-        waited_s = step.moment.unix_ms / 1_000 - (
-            unit.job.record.accepted_ms / 1_000
-        )
         step.emit(
             effects.Observe(
                 "queue_wait_seconds",
@@ -149,9 +166,13 @@
         )
     step.note(
         effects.Part.SCHEDULER,
-        f"start {unit.job.id}.{unit.step_run.occurrence}"
-        f".{unit.step_run.number} attempt {attempt}: {len(chosen)} of"
-        f" {len(unit.tasks)} tasks on {','.join(sorted(set(chosen)))}",
+        f"starting {len(chosen)} of {len(unit.tasks)} tasks",
+        job=unit.job.id,
+        step=f"{unit.step_run.occurrence}.{unit.step_run.number}",
+        attempt=attempt,
+        priority=unit.job.record.terms.priority,
+        waited_s=round(waited_s, 2),
+        targets=sorted(set(chosen)),
     )
     for task, target_id in zip(unit.tasks, chosen, strict=False):
         orders.start(state, step, task, unit.step_run, target_id, attempt)
@@ -159,6 +180,21 @@
         target.poll_at_s = min(target.poll_at_s, now_s)
 
 
+def _without_headroom(
+    schedule: schedule_state.Schedule,
+    unit: Unit,
+    rooms: list[placement.Room],
+    now_s: float,
+) -> list[placement.Room]:
+    """Leaves the room out that is kept for urgent work."""
+    needs = headroom.wanted(schedule, now_s)
+    waited_s = now_s - unit.step_run.open_s
+    if unit.is_urgent or not needs or waited_s > headroom.PATIENCE_S:
+        return rooms
+    kept = headroom.kept_targets(needs, rooms)
+    return [room for room in rooms if room.target not in kept]
+
+
 def demand_of(unit: Unit, now_s: float) -> placement.Demand:
     """Returns what a unit asks for."""
     spec = unit.step_run.spec
@@ -197,7 +233,8 @@
                 entry.rack,
                 free,
                 _most(unit, target, spec),
-                1.0 if target.id in avoided else 0.0,
+                target_health.penalty(target)
+                + AVOIDED_PENALTY * (target.id in avoided),
             )
         )
     return rooms
@@ -214,7 +251,7 @@
         and (not label or label in entry.labels)
         and target.read
         and not target.failed
-        and now_s >= target.backoff_until_s
+        and now_s >= max(target.backoff_until_s, target.suspect_until_s)
         and all(run.known for run in target.runs.values())
     )
 
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -82,14 +82,14 @@
     return common.read(path, Settings)
 
 
-def identity_of(settings: Settings) -> state_lib.Identity:
+def identity_of(settings: Settings, peer_address: str) -> state_lib.Identity:
     """Returns who the instance is."""
     return state_lib.Identity(
         instance=ids.InstanceId(settings.instance.name),
         failure_domain=ids.FailureDomain(settings.instance.failure_domain),
         region=ids.Region(settings.instance.region),
         store_address=settings.store.address,
-        peer_address=settings.listen.peers,
+        peer_address=peer_address,
     )
 
 
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -110,6 +110,8 @@
     Attributes:
         record: the scheduler; None if there is none.
         epoch: revision of the scheduler's key; targets obey no lower one.
+        replaces: revision of the key of this instance's last process, which
+            has ended; 0 if there is none.
         campaign_s: when to become a candidate; None if there is no reason.
         lease: lease of our key; 0 if there is none.
         kept_s: when the last successful renewal was sent.
@@ -120,6 +122,7 @@
     role: Role = Role.FOLLOWING
     record: SchedulerRecord | None = None
     epoch: ids.Epoch = ids.Epoch(0)
+    replaces: int = 0
     campaign_s: float | None = None
     lease: ids.LeaseId = ids.LeaseId(0)
     kept_s: float = float("-inf")
--- /dev/null
+++ b/dandelionpick/batch/target_health.py
@@ -0,0 +1,134 @@
+"""Finds targets that fail what they run, or on which work stands still.
+
+Answers targets that look idle because everything on them fails, and so attract
+more work, and targets on which work stands still while they answer as usual.
+Work that succeeds on a target clears it of its earlier failures.
+"""
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick.batch import model
+from dandelionpick.batch import orders
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+
+# A target gets no work for this long after the judgement; disturbances last
+# some seconds, and a failed probe costs one run.
+SUSPECT_S = 3.0
+# Failed runs in a row after which a target is suspected. Up to one run in
+# twenty fails through its own fault.
+FAILURES = 2
+# Work without visible progress for this long stands still; percentages of work
+# that takes a minute change every 0.6 s.
+STALL_S = 1.5
+# A stall must also be this many times longer than a percent took before.
+STALL_PERCENTS = 4.0
+
+
+def note_ending(
+    target: schedule_state.Target,
+    ending: model.Ending,
+    step: dispatch.Step,
+) -> None:
+    """Takes note of how a run ended on a target."""
+    if ending is model.Ending.DONE:
+        target.failures = 0
+        return
+    if ending is not model.Ending.FAILED:
+        return
+    target.failures += 1
+    if target.failures >= FAILURES:
+        _suspect(target, step, f"{target.failures} runs in a row failed")
+
+
+def note_progress(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+) -> None:
+    """Judges the progress of what runs on a target, after a listing."""
+    schedule = state.schedule
+    assert schedule is not None
+    for run in list(target.runs.values()):
+        step_run = _working_step(schedule, run)
+        if step_run is None:
+            continue
+        if _stands_still(state, step_run, run, step.moment.now_s):
+            _suspect(target, step, f"{run.task.job_id} stands still")
+            _move(state, step, run)
+
+
+def penalty(target: schedule_state.Target) -> float:
+    """Returns how much a target is to be avoided while others have room."""
+    return float(bool(target.failures))
+
+
+def _suspect(
+    target: schedule_state.Target, step: dispatch.Step, reason: str
+) -> None:
+    now_s = step.moment.now_s
+    if now_s >= target.suspect_until_s:
+        step.count("target_quarantines_total")
+        step.note(
+            effects.Part.TARGETS,
+            f"{target.id} gets no work for {SUSPECT_S} s: {reason}",
+            warning=True,
+        )
+    target.suspect_until_s = now_s + SUSPECT_S
+
+
+def _working_step(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> schedule_state.StepRun | None:
+    """Returns the step of a run that should make progress now."""
+    job = schedule.jobs.get(run.task.job_id)
+    if job is None or run.state is not schedule_state.RunState.RUNNING:
+        return None
+    step_run = job.steps.get((run.task.occurrence, run.task.step))
+    if step_run is None or step_run.spec.until_cancelled:
+        return None
+    if step_run.spec.gang and not all(
+        run.attempt in task.runs
+        and task.runs[run.attempt].state is schedule_state.RunState.RUNNING
+        for task in step_run.tasks
+    ):
+        return None
+    return step_run
+
+
+def _stands_still(
+    state: state_lib.State,
+    step_run: schedule_state.StepRun,
+    run: schedule_state.Run,
+    now_s: float,
+) -> bool:
+    """Returns whether waiting longer costs more than starting anew."""
+    since_s = max(run.progressed_s, run.ordered_s + state.limits.restore_s)
+    still_s = now_s - since_s
+    worked_s = max(0.0, since_s - run.ordered_s)
+    if still_s < STALL_S:
+        return False
+    if run.percent and still_s < STALL_PERCENTS * worked_s / run.percent:
+        return False
+    lost_s = 0.0 if step_run.spec.checkpoints else worked_s
+    return still_s >= lost_s
+
+
+def _move(
+    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+) -> None:
+    """Stops a run and its gang, so that they start anew elsewhere."""
+    schedule = state.schedule
+    assert schedule is not None
+    task = schedule.task_of(run.task)
+    if task is not None:
+        task.avoided.add(run.target)
+    step.note(
+        effects.Part.SCHEDULER,
+        f"moving a task at {run.percent:.0f}%",
+        job=run.task.job_id,
+        task=run.task.task_name(),
+        target=run.target,
+    )
+    orders.stop_attempt(state, step, run)
+    orders.stop(state, step, run)
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from absl import logging
+from absl.logging import converter
 from cleo import application
 from cleo.commands import command
 from returns import pipeline
@@ -17,6 +18,7 @@
 from dandelionpick import cli_tree
 from dandelionpick import server
 from dandelionpick import settings as settings_lib
+from dandelionpick import structured_logs
 from dandelionpick import wiring
 from dandelionpick.batch import settings as batch_settings
 from dandelionpick.status import ExitStatus
@@ -104,8 +106,11 @@
                 self.io.error_output.write_line(str(error), type=cli_client.RAW)
             return ExitStatus.INVALID_SETTINGS
         settings = loaded.unwrap()
-        logging.use_absl_handler()
-        logging.set_verbosity(LOG_LEVELS[settings.log.level])
+        level = LOG_LEVELS[settings.log.level]
+        logging.set_verbosity(level)
+        structured_logs.install(
+            settings.instance.name, converter.absl_to_standard(level)
+        )
         try:
             return asyncio.run(wiring.run_scheduler(settings))
         except (OSError, OverflowError) as error:
--- a/dandelionpick/dispatch.py
+++ b/dandelionpick/dispatch.py
@@ -51,10 +51,14 @@
         self.emitted.append(effect)
 
     def note(
-        self, part: effects.Part, text: str, warning: bool = False
+        self,
+        part: effects.Part,
+        text: str,
+        warning: bool = False,
+        **fields: Any,
     ) -> None:
-        """Adds a log line."""
-        self.emitted.append(effects.Note(part, text, warning))
+        """Adds a log line, with further values by name."""
+        self.emitted.append(effects.Note(part, text, warning, fields))
 
     def count(self, metric: str, *labels: str) -> None:
         """Adds one to a counter."""
@@ -95,6 +99,16 @@
     return call_id
 
 
+def settle(
+    state: CallerState, step: Step, call_id: ids.CallId
+) -> PendingCall | None:
+    """Takes a call out that has ended; returns None if it is not known."""
+    pending = state.calls.pop(call_id, None)
+    if pending is not None:
+        step.trace = pending.trace
+    return pending
+
+
 @functools.singledispatch
 def receive(
     message: Any,
--- a/dandelionpick/effects.py
+++ b/dandelionpick/effects.py
@@ -59,11 +59,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Note:
-    """Writes a log line."""
+    """Writes a log line.
+
+    Attributes:
+        fields: further values, by name.
+    """
 
     part: Part
     text: str
     warning: bool = False
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -73,6 +73,14 @@
         "dandelionpick_preemptions_total",
         "Runs stopped for work of a higher priority.",
     ),
+    "target_quarantines_total": prometheus_client.Counter(
+        "dandelionpick_target_quarantines_total",
+        "Times that a target got no work because work failed there.",
+    ),
+    "log_lines_dropped_total": prometheus_client.Counter(
+        "dandelionpick_log_lines_dropped_total",
+        "Log lines above the limit, or that the reader was too slow for.",
+    ),
     "job_refusals_total": prometheus_client.Counter(
         "dandelionpick_job_refusals_total",
         "Requests about jobs that were refused, by problem.",
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -16,8 +16,9 @@
 from dandelionpick.batch import model
 from dandelionpick.batch import target_api
 
-# What a reply to a listing may take longer than the wait that was asked for.
-LISTING_MARGIN_S = 0.6
+# What a reply to a listing may take longer than the wait that was asked for:
+# ten round trips between regions.
+LISTING_MARGIN_S = 0.3
 OTHER_LIFE_STATUS = 421
 ORDER_PROBLEMS = {
     "fence": target_api.OrderProblem.FENCED,
@@ -128,6 +129,11 @@
     )
 
 
+def listing_timeout_s(message: target_api.ListRuns) -> float:
+    """Returns the seconds after which a listing is given up."""
+    return message.wait_s + LISTING_MARGIN_S
+
+
 async def send(
     pools: http_client.Pools, address: str, message: Any, timeout_s: float
 ) -> Outcome:
@@ -138,7 +144,7 @@
     """
     path, body = request_of(message)
     if isinstance(message, target_api.ListRuns):
-        timeout_s = message.wait_s + LISTING_MARGIN_S
+        timeout_s = listing_timeout_s(message)
     headers = {"x-expect-instance": message.target}
     result = await http_requests.request(
         pools, address, "POST", path, timeout_s, body, headers
--- a/dandelionpick/reducer.py
+++ b/dandelionpick/reducer.py
@@ -110,10 +110,9 @@
 def _(
     event: events.Returned, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    pending = state.calls.pop(event.call_id, None)
+    pending = dispatch.settle(state, step, event.call_id)
     if pending is None:
         return
-    step.trace = pending.trace
     membership.note_heard(state, pending.destination, event.moment.now_s)
     dispatch.returned(pending.context, state, step, event.reply)
 
@@ -122,10 +121,9 @@
 def _(
     event: events.Failed, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    pending = state.calls.pop(event.call_id, None)
+    pending = dispatch.settle(state, step, event.call_id)
     if pending is None:
         return
-    step.trace = pending.trace
     dispatch.failed(pending.context, state, step, event.failure)
 
 
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -268,7 +268,13 @@
 @_perform.register
 def _(effect: effects.Note, runtime: Runtime) -> None:
     level = logging.WARNING if effect.warning else logging.INFO
-    logging.log(level, "%s: %s", effect.part.value, effect.text)
+    logging.log(
+        level,
+        "%s: %s",
+        effect.part.value,
+        effect.text,
+        extra={"fields": effect.fields},
+    )
 
 
 @_perform.register
--- a/dandelionpick/server.py
+++ b/dandelionpick/server.py
@@ -56,6 +56,12 @@
     return listener
 
 
+def address_of(listener: socket.socket) -> str:
+    """Returns the address that a socket is bound to."""
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
 def by_port(apps: Mapping[socket.socket, types.ASGIApp]) -> types.ASGIApp:
     """Returns an application that serves each listener with its own one."""
     by_number = {
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -46,11 +46,16 @@
 
 
 def build_batch_state(
-    settings: batch_settings.Settings,
+    settings: batch_settings.Settings, peer_address: str
 ) -> batch_state.State:
-    """Builds the first state of an instance that schedules jobs."""
+    """Builds the first state of an instance that schedules jobs.
+
+    Args:
+        settings: the checked settings.
+        peer_address: where other instances reach this one.
+    """
     return batch_state.State(
-        identity=batch_settings.identity_of(settings),
+        identity=batch_settings.identity_of(settings, peer_address),
         incarnation=ids.Incarnation(secrets.token_hex(8)),
         formats=batch_state.Formats(
             platform_keys.CONFIGURATION,
@@ -77,31 +82,32 @@
     )
     inbound = settings_lib.inbound_limits_of(settings)
     outbound = settings_lib.pool_limits_of(settings)
+    listen = settings.listen
+    callers, health, peers = map(
+        server.bind, (listen.callers, listen.health, listen.peers)
+    )
     async with http_client.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
-            build_batch_state(settings),
+            build_batch_state(settings, server.address_of(peers)),
             batch_reducer.reduce_guarded,
             functools.partial(platform_calls.send, pools),
             tracer,
         )
         apps = {
-            settings.listen.callers: ingress.build_callers(
-                runtime, inbound.body_timeout_s
-            ),
-            settings.listen.health: ingress.build_health(runtime),
-            settings.listen.peers: peer_api.build(runtime),
+            callers: ingress.build_callers(runtime, inbound.body_timeout_s),
+            health: ingress.build_health(runtime),
+            peers: peer_api.build(runtime),
         }
-        listeners = {server.bind(address): apps[address] for address in apps}
         ticks = asyncio.ensure_future(runtime.run_ticks())
         logging.info(
             "server: started as %s, incarnation %s, listening on %s",
             settings.instance.name,
             runtime.state.incarnation,
-            ", ".join(apps),
+            " ".join(map(server.address_of, apps)),
         )
         finished = await server.serve_until(
-            server.by_port(listeners),
-            list(listeners),
+            server.by_port(apps),
+            list(apps),
             runtime.exited,
             lambda: runtime.deliver(events.StopRequested(runtime.moment())),
             inbound,
--- /dev/null
+++ b/standins/platform_demo.py
@@ -0,0 +1,290 @@
+"""Runs jobs on the users' platform in small, as real processes on loopback.
+
+A stand-in serves the store and the targets. Three instances accept jobs; the
+scheduler is killed while they run. All jobs must end, and no task may start
+twice.
+"""
+
+import asyncio
+import configparser
+import dataclasses
+import json
+import pathlib
+import re
+import secrets
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+LISTENING = "listening on "
+ADDRESS = re.compile(r"[\d.]+:\d+")
+START_LIMIT_S = 30.0
+END_LIMIT_S = 40.0
+STOP_LIMIT_S = 10.0
+POLL_S = 0.1
+INSTANCES = 3
+TARGETS = 4
+JOBS = 12
+# The scheduler is killed when this many jobs were accepted.
+KILL_AFTER = 6
+HOST = "jobs.example"
+KEY = "demo-key"
+BOUNDS = {
+    "revoke_ms": 5_000,
+    "run_lease_ms": 10_000,
+    "gang_timeout_ms": 3_000,
+    "stop_timeout_ms": 400,
+    "reclaim_ms": 2_900,
+    "restore_ms": 600,
+    "early_ms": 250,
+    "retention_s": 120,
+    "drain_s": 6,
+    "remote_factor": 3,
+}
+QUEUES = {"urgent": 0, "normal": 1, "batch": 2}
+
+
+@dataclasses.dataclass
+class Process:
+    """A started process and the addresses that it has told."""
+
+    name: str
+    child: subprocess.Popen
+    log: pathlib.Path
+    addresses: list[str] = dataclasses.field(default_factory=list)
+
+
+def configuration() -> str:
+    """Returns the operators' configuration."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "service": "pool",
+            "priority": QUEUES[name],
+            "max_attempts": 3,
+            "stretch_factor": 3.0,
+            "target_latency_ms": 1_000,
+        }
+        for name in QUEUES
+    ]
+    tenant = {"name": "ward", "api_keys": [KEY], "guaranteed": {"gpu": 16}}
+    return json.dumps({"version": 1, "routes": routes, "tenants": [tenant]})
+
+
+class Demo:
+    """The processes of the demo."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def spawn(self, name: str, *command: str) -> Process:
+        """Starts a process with a log of its own."""
+        log = self.folder / f"{name}.log"
+        with log.open("wb") as file:
+            child = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=file,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                start_new_session=True,
+            )
+        process = Process(name, child, log)
+        self.processes[name] = process
+        return process
+
+    async def until_listening(self, process: Process) -> None:
+        """Waits until a process has told its addresses.
+
+        Raises:
+            RuntimeError: it ended or took too long.
+        """
+        end_s = time.monotonic() + START_LIMIT_S
+        while not process.addresses:
+            text = process.log.read_text(errors="replace")
+            told = text.partition(LISTENING)[2]
+            if "\n" in told:
+                process.addresses = ADDRESS.findall(told.splitlines()[0])
+                return
+            if process.child.poll() is not None or time.monotonic() > end_s:
+                raise RuntimeError(
+                    f"{process.name} did not start; see {process.log}"
+                )
+            await asyncio.sleep(POLL_S)
+
+    async def start(self) -> None:
+        """Starts the platform, and then the instances."""
+        store = self.spawn(
+            "platform", "standins.platform_serve", configuration(), str(TARGETS)
+        )
+        await self.until_listening(store)
+        for number in range(INSTANCES):
+            name = f"entry-{number}"
+            path = self._write_settings(name, store.addresses[0])
+            self.spawn(name, "dandelionpick", "schedule", str(path))
+        for process in list(self.processes.values()):
+            await self.until_listening(process)
+
+    def _write_settings(self, name: str, store: str) -> pathlib.Path:
+        parser = configparser.ConfigParser()
+        parser.read_dict(
+            {
+                "instance": {
+                    "name": name,
+                    "failure_domain": "a",
+                    "region": "north",
+                },
+                "listen": dict.fromkeys(
+                    ("callers", "health", "peers"), "127.0.0.1:0"
+                ),
+                "store": {"address": store},
+                "bounds": BOUNDS,
+            }
+        )
+        path = self.folder / f"{name}.ini"
+        with path.open("w") as file:
+            parser.write(file)
+        return path
+
+    def instances(self) -> list[Process]:
+        """Returns the instances that run."""
+        return [
+            process
+            for process in self.processes.values()
+            if process.name.startswith("entry") and process.child.poll() is None
+        ]
+
+    def stop(self) -> None:
+        """Ends every process that was started."""
+        for process in self.processes.values():
+            process.child.terminate()
+        for process in self.processes.values():
+            try:
+                process.child.wait(STOP_LIMIT_S)
+            except subprocess.TimeoutExpired:
+                process.child.kill()
+                process.child.wait()
+
+
+class Caller:
+    """Submits jobs and asks for them, at any instance."""
+
+    def __init__(self, session: aiohttp.ClientSession, demo: Demo):
+        self.session = session
+        self.demo = demo
+        self.turn = 0
+
+    async def call(
+        self, method: str, path: str, body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Sends a request, again if it got no final reply."""
+        end_s = time.monotonic() + END_LIMIT_S
+        while time.monotonic() < end_s:
+            instances = self.demo.instances()
+            self.turn += 1
+            address = instances[self.turn % len(instances)].addresses[0]
+            try:
+                async with self.session.request(
+                    method,
+                    f"http://{address}{path}",
+                    json=body,
+                    headers={"host": HOST, "authorization": f"Bearer {KEY}"},
+                ) as response:
+                    if response.status not in (502, 503, 504):
+                        return response.status, await response.json()
+            except aiohttp.ClientError as error:
+                print(f"{method} {path} is repeated: {error!r}")
+            await asyncio.sleep(POLL_S)
+        raise RuntimeError(f"{method} {path} got no reply")
+
+    async def scheduler(self) -> Process | None:
+        """Returns the instance whose metrics say that it is the scheduler."""
+        for process in self.demo.instances():
+            url = f"http://{process.addresses[2]}/metrics"
+            async with self.session.get(url) as response:
+                if "dandelionpick_scheduler 1.0" in await response.text():
+                    return process
+        return None
+
+
+def job(number: int) -> dict[str, Any]:
+    """Builds a job: single tasks, gangs, or two steps."""
+    work_s = 1.0 + number % 3
+    phase = {"count": 2 + number % 4, "cpu": 1_000, "mem_mb": 100, "gpu": 1}
+    phase["estimate_ms"] = round(work_s * 1_000)
+    phases = [{**phase, "gang": number % 3 == 0}]
+    if number % 4 == 1:
+        phases.append({**phase, "after": [0]})
+    return {"spec": json.dumps({"work_s": work_s}), "phases": phases}
+
+
+async def run(folder: pathlib.Path) -> bool:
+    """Runs the demo; returns whether every promise was kept."""
+    demo = Demo(folder)
+    try:
+        await demo.start()
+        async with aiohttp.ClientSession() as session:
+            return await _drive(Caller(session, demo))
+    finally:
+        demo.stop()
+
+
+async def _drive(caller: Caller) -> bool:
+    store = caller.demo.processes["platform"].addresses[0]
+    paths = []
+    for number in range(JOBS):
+        job_id = secrets.token_hex(8)
+        path = f"/{list(QUEUES)[number % len(QUEUES)]}/{job_id}"
+        body = job(number)
+        await caller.session.post(f"http://{store}/jobs/{job_id}", json=body)
+        status, _ = await caller.call("POST", path, body)
+        if status != 200:
+            print(f"{path} was not accepted: {status}")
+            return False
+        paths.append(path)
+        if number == KILL_AFTER:
+            scheduler = await caller.scheduler()
+            if scheduler is not None:
+                scheduler.child.kill()
+                print(f"killed the scheduler, {scheduler.name}")
+    states = await _until_ended(caller, paths)
+    async with caller.session.get(f"http://{store}/broken") as response:
+        seen = await response.json()
+    twice = [task for task, count in seen["starts"].items() if count > 1]
+    print(f"{len(paths)} jobs: {', '.join(sorted(states.values()))}")
+    print(f"{len(seen['starts'])} tasks, started more than once: {len(twice)}")
+    for text in seen["broken"]:
+        print(f"broken: {text}")
+    completed = all(state == "completed" for state in states.values())
+    return completed and not seen["broken"]
+
+
+async def _until_ended(caller: Caller, paths: list[str]) -> dict[str, str]:
+    states: dict[str, str] = {}
+    end_s = time.monotonic() + END_LIMIT_S
+    while len(states) < len(paths) and time.monotonic() < end_s:
+        for path in paths:
+            if path not in states:
+                _, reply = await caller.call("GET", path)
+                if reply.get("state") in ("completed", "failed"):
+                    states[path] = reply["state"]
+        await asyncio.sleep(POLL_S)
+    return states
+
+
+def main(args: list[str]) -> int:
+    """Runs the demo and returns its exit status."""
+    folder = pathlib.Path(args[0] if args else "build/platform-demo")
+    kept = asyncio.run(run(folder))
+    print("every promise was kept" if kept else "a promise was broken")
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -156,6 +156,7 @@
     """A target that starts whatever it is told to start.
 
     Attributes:
+        address: as in its entry.
         up: it answers and its runs work.
         hangs: its runs do no work.
         fails: all its runs fail at once.
@@ -182,6 +183,7 @@
         self.zone = zone
         self.labels = ["kind", rack]
         self.capacity = capacity or {"cpu": 64_000, "mem_mb": 131_072, "gpu": 8}
+        self.address = f"{target_id}:80"
         self.up = True
         self.hangs = False
         self.fails = False
@@ -215,7 +217,7 @@
         return json.dumps(
             {
                 "service": self.pool,
-                "address": f"{self.id}:80",
+                "address": self.address,
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 8,
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -411,7 +411,7 @@
 
 def _timeout_s(call: effects.Call) -> float:
     if isinstance(call.message, target_api.ListRuns):
-        return call.message.wait_s + targets.LISTING_MARGIN_S
+        return targets.listing_timeout_s(call.message)
     if isinstance(call.message, store.store_api.Watch):
         return call.message.wait_s + store.WATCH_MARGIN_S
     return call.timeout_s
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -16,6 +16,7 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import submission
 from dandelionpick.batch import takeover
+from dandelionpick.batch import target_health
 from tests import mutant
 
 JOBS = ("tests.test_batch_jobs", "tests.test_batch_faults")
@@ -154,7 +155,39 @@
     roster._wanted = lambda schedule, state, step: schedule.roster
 
 
+def blame_nothing() -> None:
+    """Sends work to targets on which everything fails."""
+    target_health.note_ending = lambda target, ending, step: None
+
+
+def watch_nothing() -> None:
+    """Leaves work on targets that do nothing."""
+    target_health.note_progress = lambda state, step, target: None
+
+
+def blame_everything() -> None:
+    """Moves every run that takes longer than others."""
+    target_health._stands_still = lambda state, step_run, run, now_s: (
+        now_s - run.ordered_s > target_health.STALL_S
+    )
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "targets that fail everything get no work",
+        blame_nothing,
+        ("tests.test_batch_health",),
+    ),
+    mutant.Mutant(
+        "work that stands still is moved",
+        watch_nothing,
+        ("tests.test_batch_health",),
+    ),
+    mutant.Mutant(
+        "long work is left alone",
+        blame_everything,
+        ("tests.test_batch_health",),
+    ),
     mutant.Mutant(
         "tasks wait for targets that could not be read",
         start_unread_tasks,
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -100,6 +100,17 @@
         fabric.until_completed(1, limit_s=10.0)
         self.assertEqual(sum(fabric.world.starts.values()), 8)
 
+    def test_restarted_scheduler_does_not_wait_for_its_own_lease(self):
+        """Guards against a pause after all instances were restarted."""
+        fabric = self.build()
+        for name in list(fabric.instances):
+            fabric.kill(name)
+        fabric.run_for(0.2)
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        taken_s = fabric.run_until(fabric.scheduler, 5.0)
+        self.assertLess(taken_s, 0.6)
+
     def test_takeover_with_a_target_that_cannot_be_read(self):
         """Guards against a second start of what runs behind a cut."""
         fabric = self.build()
@@ -138,6 +149,29 @@
         fabric.run_for(20.0)
         self.assertEqual(fabric.world.broken, [])
 
+    def test_adopted_runs_keep_the_lease_of_their_first_scheduler(self):
+        """Guards against a second start of what an earlier scheduler extended.
+
+        Seen on a played day: the target was marked as silent, so that the new
+        scheduler had extended nothing there when one listing got no reply.
+        """
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=8.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        for name in fabric.instances:
+            fabric.part(name, "t0")
+        fabric.run_for(2.5)
+        fabric.kill(first.name)
+        fabric.cut.clear()
+        fabric.run_until(lambda: fabric.scheduler() not in (None, first), 5.0)
+        for name in fabric.instances:
+            fabric.part(name, "t0")
+        fabric.run_for(2.0)
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=8.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 12)
+
     def test_end_during_an_outage_survives_all_instances(self):
         """Guards against an end that nobody remembers."""
         fabric = self.build()
--- /dev/null
+++ b/tests/test_batch_health.py
@@ -0,0 +1,54 @@
+"""Targets that answer as usual, but on which work fails or stands still."""
+
+import unittest
+
+from dandelionpick.batch import model
+from tests import batch_builders as builders
+from tests import test_batch_jobs
+
+
+class SickTargetTest(test_batch_jobs.BatchTest):
+    """Work is not left on, or sent to, a target that does not do it."""
+
+    def test_target_that_fails_everything_ends_no_job(self):
+        """Guards against an idle-looking target that eats all attempts."""
+        fabric = self.build(target_count=3)
+        sick = fabric.world.targets["t0"]
+        sick.fails = True
+        for number in range(1, 11):
+            wide = builders.phase(1, gpu=5)
+            fabric.submit(number, builders.body(wide, work_s=1.5))
+            fabric.run_for(0.3)
+        # Two failures, and a probe after each of the pauses of 3 s.
+        self.assertLessEqual(sick.number, 3)
+        fabric.until_completed(*range(1, 11), limit_s=20.0)
+
+    def test_work_that_stands_still_is_moved(self):
+        """Guards against a job that waits for a target that does nothing."""
+        fabric = self.build(target_count=2)
+        fabric.world.targets["t0"].hangs = True
+        gang = builders.phase(2, gang=True)
+        fabric.submit(1, builders.body(gang))
+        fabric.submit(2, builders.body(builders.phase(3)))
+        fabric.until_completed(1, 2, limit_s=6.0)
+
+    def test_straggler_alone_is_left_alone(self):
+        """Guards against work that is started anew because it is long."""
+        fabric = self.build(target_count=2)
+        body = builders.body(builders.phase(1, estimate_ms=1_000), work_s=7.0)
+        fabric.submit(1, body)
+        fabric.until_completed(1, limit_s=8.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 1)
+
+    def test_own_failures_of_a_job_blame_no_target_for_long(self):
+        """Guards against a pool that a hopeless job takes out of use."""
+        fabric = self.build(target_count=3)
+        fabric.submit(1, builders.body(builders.phase(3), fails=99))
+        fabric.run_for(1.0)
+        fabric.submit(2, builders.body(builders.phase(24)))
+        fabric.until_completed(2, limit_s=10.0)
+        self.assertIs(fabric.state_of(1), model.JobState.FAILED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_batch_reclaim.py
@@ -0,0 +1,87 @@
+"""Which work is stopped for a guarantee that is claimed on a full pool."""
+
+import unittest
+
+from dandelionpick import ids
+from dandelionpick.batch import model
+from dandelionpick.batch import placement
+from dandelionpick.batch import reclaim
+from tests import batch_builders as builders
+from tests import test_batch_jobs
+
+GPU = model.Resources(accelerators=1)
+
+
+def room(name: str, rack: str, free: int = 0) -> placement.Room:
+    """Builds a target with free accelerators."""
+    return placement.Room(
+        ids.TargetId(name), ids.Rack(rack), GPU.times(free), 99
+    )
+
+
+def victim(cost: float, **accelerators: int) -> reclaim.Victim:
+    """Builds a victim that occupies accelerators of targets."""
+    rooms = {
+        ids.TargetId(name): GPU.times(accelerators[name])
+        for name in accelerators
+    }
+    return reclaim.Victim((), rooms, cost)
+
+
+class ChooseTest(unittest.TestCase):
+    """The least work is lost."""
+
+    def choose(self, count: int, rooms, victims, **demand):
+        wanted = placement.Demand(GPU, count, True, **demand)
+        return reclaim.choose(wanted, rooms, victims)
+
+    def test_cheapest_rack_is_freed(self):
+        """Guards against a gang that is stopped where single tasks would do."""
+        rooms = [room("a", "r1"), room("b", "r2")]
+        gang = victim(90.0, a=4)
+        single = [victim(10.0, b=2), victim(12.0, b=2)]
+        choice = self.choose(4, rooms, [gang, *single], one_rack=True)
+        self.assertEqual(set(choice.targets), {"b"})
+        self.assertEqual(choice.cost, 22.0)
+
+    def test_victims_that_free_nothing_needed_are_spared(self):
+        """Guards against small work that is stopped before the large one."""
+        rooms = [room("a", "r1")]
+        small, large = victim(1.0, a=1), victim(5.0, a=4)
+        choice = self.choose(4, rooms, [small, large])
+        self.assertEqual(choice.victims, (large,))
+
+    def test_free_room_counts(self):
+        """Guards against more stops than the missing room."""
+        rooms = [room("a", "r1", free=3)]
+        victims = [victim(2.0, a=1), victim(1.0, a=1)]
+        choice = self.choose(4, rooms, victims)
+        self.assertEqual(choice.cost, 1.0)
+
+    def test_nothing_is_stopped_in_vain(self):
+        """Guards against stops that do not make enough room."""
+        rooms = [room("a", "r1"), room("b", "r2")]
+        victims = [victim(1.0, a=2), victim(1.0, b=2)]
+        self.assertIsNone(self.choose(4, rooms, victims, one_rack=True))
+
+
+class BurstTest(test_batch_jobs.BatchTest):
+    """A burst of urgent gangs on a pool that is full of other work."""
+
+    def test_gang_is_not_preempted_again_and_again(self):
+        """Guards against a gang that never ends under urgent bursts."""
+        fabric = self.build(target_count=2)
+        gang = builders.phase(2, gpu=4, gang=True)
+        fabric.submit(1, builders.body(gang, work_s=6.0), 1)
+        fabric.submit(2, builders.body(builders.phase(8), work_s=30.0), 2)
+        fabric.run_for(1.0)
+        for number in range(3, 9):
+            urgent = builders.phase(2, gpu=2, gang=True)
+            fabric.submit(number, builders.body(urgent, work_s=0.5), 0)
+            fabric.run_for(1.0)
+        fabric.until_completed(1, limit_s=4.0)
+        self.assertEqual(fabric.world.starts[f"{builders.job_id(1)}.0.0.0"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -47,7 +47,7 @@
     """An operator finds every metric, section and exit status."""
 
     def test_metrics_sections_and_exit_statuses_are_listed(self):
-        text = page("operations.md")
+        text = page("OPERATIONS.md")
         names = [
             *(f"`{name}`" for name in metrics.COUNTERS),
             *(f"`{name}`" for name in metrics.HISTOGRAMS),
