--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -14,9 +14,9 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 
-# Twice the round trip between regions and the work of a slow target; a start
-# that takes longer is listed or stopped.
-START_TIMEOUT_S = 0.8
+# Fifteen round trips between regions; a start that takes longer is looked for
+# in a listing.
+START_TIMEOUT_S = 0.4
 STOP_TIMEOUT_S = 0.8
 STOP_RETRY_S = 0.5
 # A target that refused a start, or gave no reply, gets none for this long.
@@ -231,6 +231,9 @@
     target.backoff_until_s = step.moment.now_s + BACKOFF_S
     if run.state is schedule_state.RunState.ORDERED:
         run.state = schedule_state.RunState.UNRESOLVED
+        # A listing in progress may wait for an end; a new one tells at once.
+        target.poll_pending = False
+        target.poll_at_s = step.moment.now_s
 
 
 def _not_started(
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -31,8 +31,8 @@
 # and a dead one is found before work is sent to it.
 IDLE_PERIOD_S = 3.0
 RETRY_S = 0.25
-# A start without a reply that no listing shows is stopped after this time;
-# well within the time that the other members of a gang wait.
+# A start without a reply that no listing shows is stopped after this time, so
+# that its gang starts anew well within the time that its members wait.
 UNRESOLVED_S = 0.6
 
 
--- a/dandelionpick/batch/target_health.py
+++ b/dandelionpick/batch/target_health.py
@@ -23,6 +23,8 @@
 STALL_S = 1.5
 # A stall must also be this many times longer than a percent took before.
 STALL_PERCENTS = 4.0
+# Percentages are whole.
+DONE_PERCENT = 99.5
 
 
 def note_ending(
@@ -106,7 +108,8 @@
     since_s = max(run.progressed_s, run.ordered_s + state.limits.restore_s)
     still_s = now_s - since_s
     worked_s = max(0.0, since_s - run.ordered_s)
-    if still_s < STALL_S:
+    # A member of a gang that has done its share waits for the others.
+    if still_s < STALL_S or run.percent >= DONE_PERCENT:
         return False
     if run.percent and still_s < STALL_PERCENTS * worked_s / run.percent:
         return False
--- a/tests/test_batch_health.py
+++ b/tests/test_batch_health.py
@@ -32,6 +32,19 @@
         fabric.submit(2, builders.body(builders.phase(3)))
         fabric.until_completed(1, 2, limit_s=6.0)
 
+    def test_member_that_waits_for_its_gang_is_left_alone(self):
+        """Guards against a gang that starts anew because it is uneven.
+
+        Seen on played days: members that were done stood still at 100%.
+        """
+        fabric = self.build(target_count=2)
+        gang = builders.phase(2, gpu=5, gang=True)
+        fabric.submit(1, builders.body(gang, work_s=8.0))
+        fabric.run_for(0.5)
+        fabric.world.targets["t0"].speed = 3.0
+        fabric.until_completed(1, limit_s=9.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 2)
+
     def test_straggler_alone_is_left_alone(self):
         """Guards against work that is started anew because it is long."""
         fabric = self.build(target_count=2)
