Answer open requests before a stopped process is killed; drop the kept room

Change: requests that are still open 1.2 s before the end are answered, and the server gets 0.4 s for the last bytes.

Tried and dropped: room for one typical urgent step was kept free in one rack.

--- a/dandelionpick/batch/leaving.py
+++ b/dandelionpick/batch/leaving.py
@@ -3,12 +3,14 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import leadership
+from dandelionpick.batch import open_requests
 from dandelionpick.batch import state as state_lib
 
 # The balancer stops sending after two missed probes, one each second.
 NOTICE_S = 2.5
-# Left of the time before the process is killed.
-KILL_MARGIN_S = 0.7
+# Left of the time before the process is killed: open requests are answered,
+# connections are closed, and the process ends.
+KILL_MARGIN_S = 1.2
 
 
 def request(state: state_lib.State, step: dispatch.Step) -> None:
@@ -29,12 +31,11 @@
     if drain.requested_s is None or drain.exit_sent:
         return
     waited_s = step.moment.now_s - drain.requested_s
-    idle = waited_s >= NOTICE_S and not state.open_requests
-    if idle or waited_s >= state.limits.drain_s - KILL_MARGIN_S:
+    out_of_time = waited_s >= state.limits.drain_s - KILL_MARGIN_S
+    if out_of_time:
+        for request in list(state.open_requests.values()):
+            open_requests.refuse_for_store(state, step, request)
+    if waited_s >= NOTICE_S and not state.open_requests:
         drain.exit_sent = True
-        step.note(
-            effects.Part.DRAIN,
-            f"exit after {waited_s:.1f} s with {len(state.open_requests)} open"
-            " requests",
-        )
+        step.note(effects.Part.DRAIN, f"exit after {waited_s:.1f} s")
         step.emit(effects.Exit())
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -261,8 +261,6 @@
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
         reservations: room that is being freed, by job and step.
-        urgent_needs: what the last urgent steps have needed.
-        urgent_s: when the last one was placed.
         roster: what the store holds about targets that may run something.
         roster_at_s: the roster is neither read nor written before.
         sweep_at_s: when ended jobs are looked for.
@@ -287,10 +285,6 @@
     reservations: dict[tuple[ids.JobId, int, int], Reservation] = (
         dataclasses.field(default_factory=dict)
     )
-    urgent_needs: list[model.Resources] = dataclasses.field(
-        default_factory=list
-    )
-    urgent_s: float = float("-inf")
     roster: Roster = dataclasses.field(default_factory=lambda: Roster())
     roster_revision: int = 0
     roster_read: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -6,7 +6,6 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
-from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
@@ -142,12 +141,7 @@
     now_s = step.moment.now_s
     demand = demand_of(unit, now_s)
     rooms = rooms_for(schedule, unit, now_s)
-    if unit.is_urgent and unit.key not in schedule.reservations:
-        total = demand.needs.times(demand.count)
-        headroom.note_urgent(schedule, total, now_s)
-    chosen = placement.choose(
-        demand, _without_headroom(schedule, unit, rooms, now_s)
-    )
+    chosen = placement.choose(demand, rooms)
     if not chosen:
         if unit.is_urgent:
             reclaim.free_room(state, step, unit, demand, rooms)
@@ -180,21 +174,6 @@
         target.poll_at_s = min(target.poll_at_s, now_s)
 
 
-def _without_headroom(
-    schedule: schedule_state.Schedule,
-    unit: Unit,
-    rooms: list[placement.Room],
-    now_s: float,
-) -> list[placement.Room]:
-    """Leaves the room out that is kept for urgent work."""
-    needs = headroom.wanted(schedule, now_s)
-    waited_s = now_s - unit.step_run.open_s
-    if unit.is_urgent or not needs or waited_s > headroom.PATIENCE_S:
-        return rooms
-    kept = headroom.kept_targets(needs, rooms)
-    return [room for room in rooms if room.target not in kept]
-
-
 def demand_of(unit: Unit, now_s: float) -> placement.Demand:
     """Returns what a unit asks for."""
     spec = unit.step_run.spec
--- a/dandelionpick/server.py
+++ b/dandelionpick/server.py
@@ -87,6 +87,7 @@
     request_stop: Callable[[], None],
     limits: http_protocol.InboundLimits,
     on_reload: Callable[[], None] | None = None,
+    shutdown_limit_s: float = GRACEFUL_SHUTDOWN_S,
 ) -> bool:
     """Serves until `exited` is set, then closes idle connections.
 
@@ -98,6 +99,7 @@
             ends the process at once.
         limits: limits on inbound connections.
         on_reload: called on SIGHUP.
+        shutdown_limit_s: how long the last responses may take after `exited`.
 
     Returns:
         False if a second signal cut the planned stop short.
@@ -111,7 +113,7 @@
         http=http_protocol.protocol_with(limits),
         ws="none",
         timeout_keep_alive=limits.keep_alive_s,
-        timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_S,
+        timeout_graceful_shutdown=shutdown_limit_s,
     )
     server = Server(config)
     signals = 0
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -28,6 +28,10 @@
 from dandelionpick.platform import targets as platform_targets
 from dandelionpick.status import ExitStatus
 
+# All requests have a response when the process exits; this lets the bytes of
+# the last ones go out before the platform kills the process.
+LAST_RESPONSES_S = 0.4
+
 
 def build_state(settings: settings_lib.Settings) -> state_lib.State:
     """Builds the reducer's first state."""
@@ -111,6 +115,7 @@
             runtime.exited,
             lambda: runtime.deliver(events.StopRequested(runtime.moment())),
             inbound,
+            shutdown_limit_s=LAST_RESPONSES_S,
         )
         ticks.cancel()
         await runtime.cancel_calls()
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -50,6 +50,19 @@
         fabric.run_for(4.0)
         self.assertTrue(first.exited)
 
+    def test_open_requests_are_answered_before_the_process_is_killed(self):
+        """Guards against a stop that cuts a request off."""
+        fabric = self.build()
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        fabric.stop("e1")
+        fabric.run_for(2.3)
+        spec = model.JobSpec("", (model.StepSpec(1),))
+        message = builders.submit(1, spec, deadline_s=9.0)
+        replies = fabric.send("e1", message)
+        fabric.run_for(2.9)
+        self.assertTrue(fabric.instances["e1"].exited)
+        self.assertTrue(replies)
+
     def test_scheduler_that_the_store_refuses_is_replaced(self):
         """Guards against two schedulers that start the same task."""
         for outage in platform_store.Outage:
