--- a/dandelionpick/batch/open_requests.py
+++ b/dandelionpick/batch/open_requests.py
@@ -11,6 +11,9 @@
 # Pause before a request is tried again while a dependency is away; short
 # against the 3 s that callers wait.
 RETRY_S = 0.1
+# A write in doubt is tried again for this long; a takeover, after which the
+# scheduler can answer for the caller, takes about as long.
+PATIENCE_IN_DOUBT_S = 1.2
 # Bounds of Retry-After while the store is away; outages last some seconds.
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 8.0
@@ -94,6 +97,14 @@
     state.waiting.append(state_lib.Waiting(at_s, request))
 
 
+def is_for_store(reply: messages.Reply) -> bool:
+    """Returns whether a request was refused because the store is away."""
+    return (
+        isinstance(reply, messages.Refused)
+        and reply.problem.kind is errors.ProblemKind.STORE_UNAVAILABLE
+    )
+
+
 def refuse_for_store(
     state: state_lib.State,
     step: dispatch.Step,
@@ -101,9 +112,20 @@
 ) -> None:
     """Refuses a request that needs the store, which does not serve it.
 
-    An outage that has lasted for some time is expected to last as long again,
-    so that the few retries of a caller reach beyond it.
+    A submission whose write is in doubt is tried again for a while, because
+    its caller could not tell whether the job runs. An outage that has lasted
+    for some time is expected to last as long again, so that the few retries
+    of a caller reach beyond it.
     """
+    now_s = step.moment.now_s
+    patient_until_s = min(
+        request.received_s + PATIENCE_IN_DOUBT_S, request.deadline_s
+    )
+    leaving = state.drain.requested_s is not None
+    if request.uncertain and now_s < patient_until_s and not leaving:
+        request.scheduler_silent = False
+        retry_later(state, step, request)
+        return
     outage_s = step.moment.now_s - state.store_health.failing_since_s
     retry_after_s = min(max(outage_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
     problem = errors.Problem(
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -33,6 +33,9 @@
 
     Attributes:
         count: tasks.
+        pool: the targets that may be used.
+        label: a label that they must have; "" if none.
+        most_per_target: 0 if unlimited.
         whole: all tasks or none.
         one_rack: only into one rack, unless `far_allowed`.
         data_rack: only into this rack, unless `far_allowed`; "" if none.
@@ -45,6 +48,9 @@
     one_rack: bool = False
     data_rack: str = ""
     far_allowed: bool = False
+    pool: ids.PoolName = ids.PoolName("")
+    label: str = ""
+    most_per_target: int = 0
 
 
 def capacity_for(needs: model.Resources, room: Room) -> int:
--- a/dandelionpick/batch/relaying.py
+++ b/dandelionpick/batch/relaying.py
@@ -59,7 +59,10 @@
     request.writes -= 1
     if isinstance(reply, messages.Relayed):
         state.catalog.floor = max(state.catalog.floor, reply.catalog_version)
-        open_requests.finish(state, step, request, reply.reply)
+        if open_requests.is_for_store(reply.reply):
+            open_requests.refuse_for_store(state, step, request)
+        else:
+            open_requests.finish(state, step, request, reply.reply)
         return
     request.scheduler_silent = True
     open_requests.retry_later(state, step, request)
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -19,6 +19,7 @@
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
+from dandelionpick.batch import target_speed
 
 # Changes that come together, such as the ends of a gang, share a pass.
 PASS_PERIOD_S = 0.02
@@ -70,8 +71,15 @@
     schedule.dirty = False
     schedule.passed_s = now_s
     _drop_old_reservations(schedule, now_s)
+    hopeless: set[placement.Demand] = set()
     for unit in sorted(_units(state, step), key=lambda unit: unit.urgency):
-        place(state, step, unit)
+        demand = demand_of(unit, now_s)
+        # A pass only takes room, so that what did not fit before does not now.
+        if demand in hopeless or place(state, step, unit, demand):
+            continue
+        # With a limit for each target, it matters where a step runs already.
+        if not demand.most_per_target:
+            hopeless.add(demand)
 
 
 def _drop_old_reservations(
@@ -134,18 +142,27 @@
     return (terms.priority, due_s + aim_s, due_s)
 
 
-def place(state: state_lib.State, step: dispatch.Step, unit: Unit) -> None:
-    """Starts as many tasks of a unit as fit, or frees room for it."""
+def place(
+    state: state_lib.State,
+    step: dispatch.Step,
+    unit: Unit,
+    demand: placement.Demand,
+) -> bool:
+    """Starts as many tasks of a unit as fit, or frees room for it.
+
+    Returns:
+        False if no other unit with the same demand can be placed in this pass.
+    """
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    demand = demand_of(unit, now_s)
     rooms = rooms_for(schedule, unit, now_s)
     chosen = placement.choose(demand, rooms)
     if not chosen:
         if unit.is_urgent:
             reclaim.free_room(state, step, unit, demand, rooms)
-        return
+            return True
+        return False
     schedule.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
     waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
@@ -172,6 +189,7 @@
         orders.start(state, step, task, unit.step_run, target_id, attempt)
         target = schedule.targets[target_id]
         target.poll_at_s = min(target.poll_at_s, now_s)
+    return True
 
 
 def demand_of(unit: Unit, now_s: float) -> placement.Demand:
@@ -179,6 +197,9 @@
     spec = unit.step_run.spec
     waited_s = now_s - unit.step_run.open_s
     return placement.Demand(
+        pool=unit.job.record.terms.pool,
+        label=spec.required_label,
+        most_per_target=spec.max_per_target,
         needs=runs.occupied(spec),
         count=len(unit.tasks),
         whole=spec.gang,
@@ -213,6 +234,7 @@
                 free,
                 _most(unit, target, spec),
                 target_health.penalty(target)
+                + target_speed.penalty(target, unit.job.record.terms)
                 + AVOIDED_PENALTY * (target.id in avoided),
             )
         )
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -273,6 +273,29 @@
         reply = fabric.submit(1, builders.body())
         self.assertIs(reply.problem.kind, errors.ProblemKind.OUTCOME_UNKNOWN)
 
+    def test_write_in_doubt_is_resolved_through_the_scheduler(self):
+        """Guards against an unknown outcome that another instance can settle.
+
+        Seen on a played day: the store reset the write of one instance, and
+        the caller could not tell whether its job ran.
+        """
+        fabric = self.build()
+        scheduler = fabric.scheduler().name
+        name = next(other for other in fabric.instances if other != scheduler)
+        body = builders.body()
+        fabric.register(1, body)
+        spec = batch_fabric.jobs.decode(body).unwrap()
+        fabric.store.lost_share = 1.0
+        replies = fabric.send(name, builders.submit(1, spec))
+        fabric.run_for(0.1)
+        fabric.store.lost_share = 0.0
+        for refused in (name, scheduler):
+            fabric.store.outages[refused] = platform_store.Outage.BUSY
+        fabric.run_for(0.8)
+        fabric.store.outages.clear()
+        fabric.run_until(lambda: replies, 3.0)
+        self.assertIsInstance(replies[0], messages.Accepted)
+
     def test_forgotten_history_is_listed_again(self):
         """Guards against changes that are missed with the history."""
         fabric = self.build()
