--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -95,7 +95,6 @@
         progressed_s=now_s,
         percent=task.percent,
         checkpoint=task.checkpoint,
-        resumed=bool(task.checkpoint),
     )
     runs.add(schedule, run, task)
     message = target_api.StartRun(
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -331,7 +331,6 @@
         confirmed_s=now_s,
         progressed_s=now_s,
         percent=running.percent,
-        resumed=True,
     )
     runs.add(schedule, run, task)
     unwanted = task is None or job is None or job.ended or task.done
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -13,7 +13,6 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
-from dandelionpick.batch import target_speed
 
 
 def end_life(
@@ -75,8 +74,6 @@
         ended.attempt, target.last_attempts.get(ended.task, ended.attempt)
     )
     run = target.runs.get((ended.task, ended.attempt))
-    if run is not None and ended.ending is model.Ending.DONE:
-        _note_times(schedule, run, step.moment.now_s)
     if run is not None:
         runs.keep_checkpoint(schedule, run, ended.checkpoint, run.percent)
         runs.remove(schedule, run)
@@ -88,27 +85,6 @@
     target.ends.append((ended.number, job.id, job.version))
 
 
-def _note_times(
-    schedule: schedule_state.Schedule, run: schedule_state.Run, now_s: float
-) -> None:
-    """Takes note of a run's time, or of those of its gang's members.
-
-    Members of a gang end together, whenever each one has done its share.
-    """
-    job = schedule.jobs.get(run.task.job_id)
-    step_run = job and job.steps.get((run.task.occurrence, run.task.step))
-    if not step_run or not step_run.left:
-        return
-    if not step_run.spec.gang:
-        target_speed.note_time(step_run, run, 100.0, now_s)
-        return
-    for task in step_run.tasks:
-        for member in task.runs.values():
-            target_speed.note_time(
-                step_run, member, member.percent, member.progressed_s
-            )
-
-
 def _apply(
     state: state_lib.State,
     step: dispatch.Step,
@@ -125,7 +101,6 @@
     lasting = step_run.spec.until_cancelled
     if ended.ending is model.Ending.DONE and not lasting:
         _note_done(job, step_run, ended)
-        target_speed.note_end(schedule, step_run)
         schedule.unsaved.add(job.id)
         _stop_copies(state, step, step_run, ended)
         job_ends.end_if_complete(state, step, job)
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -41,7 +41,6 @@
         percent: how much of the work is done.
         progressed_s: when percent last rose.
         preempted: it was stopped for more urgent work.
-        resumed: it started from a checkpoint, or was adopted.
     """
 
     task: model.TaskKey
@@ -59,7 +58,6 @@
     percent: float = 0.0
     progressed_s: float = 0.0
     preempted: bool = False
-    resumed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,7 +92,6 @@
         open_s: when its turn came.
         left: tasks that are not done.
         attempts: starts so far under this epoch.
-        times: logarithms of the tasks' run times, with their targets.
     """
 
     spec: model.StepSpec
@@ -105,9 +102,6 @@
     open: bool = False
     open_s: float = 0.0
     attempts: int = 0
-    times: list[tuple[ids.TargetId, float]] = dataclasses.field(
-        default_factory=list
-    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -164,9 +158,6 @@
             answer any more, nothing runs there.
         backoff_until_s: nothing is started there before.
         failures: failed runs since the last one that was done.
-        slowness_sum: by how much tasks took longer than others of their step,
-            as a sum of logarithms.
-        slowness_count: how many tasks that were.
         suspect_until_s: nothing is started there before, because work fails
             or stands still there.
         unread_until_s: until then an earlier scheduler's runs may be there,
@@ -199,8 +190,6 @@
     backoff_until_s: float = float("-inf")
     left: bool = False
     failures: int = 0
-    slowness_sum: float = 0.0
-    slowness_count: int = 0
     suspect_until_s: float = float("-inf")
     unread_until_s: float = float("-inf")
     silent_until_ms: int = 0
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -19,7 +19,6 @@
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
-from dandelionpick.batch import target_speed
 
 # Changes that come together, such as the ends of a gang, share a pass.
 PASS_PERIOD_S = 0.02
@@ -234,7 +233,6 @@
                 free,
                 _most(unit, target, spec),
                 target_health.penalty(target)
-                + target_speed.penalty(target, unit.job.record.terms)
                 + AVOIDED_PENALTY * (target.id in avoided),
             )
         )
