Follow the election and the jobs in one watch; split grown files

A successor starts jobs that were accepted after its takeover without waiting for targets that it can't read, because its predecessor can't know them. But the predecessor followed jobs and the election in two watches, so that a silent connection of one could have shown it such a job.

Requests without a reply are taken up again in one place.

--- a/dandelionpick/batch/inspection.py
+++ b/dandelionpick/batch/inspection.py
@@ -13,7 +13,6 @@
 from dandelionpick import effects
 from dandelionpick import errors
 from dandelionpick import ids
-from dandelionpick import kinds
 from dandelionpick.batch import admission
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
@@ -172,16 +171,5 @@
     )
 
 
-def _retry(
-    context: ProgressContext | RecordContext,
-    state: state_lib.State,
-    step: dispatch.Step,
-    failure: kinds.CallFailure,
-) -> None:
-    request = state.open_requests.get(context.exchange_id)
-    if request is not None:
-        open_requests.retry_later(state, step, request)
-
-
-dispatch.failed.register(ProgressContext, _retry)
-dispatch.failed.register(RecordContext, _retry)
+dispatch.failed.register(ProgressContext, open_requests.retry_unanswered)
+dispatch.failed.register(RecordContext, open_requests.retry_unanswered)
--- a/dandelionpick/batch/job_intake.py
+++ b/dandelionpick/batch/job_intake.py
@@ -62,6 +62,10 @@
     schedule = state.schedule
     if schedule is None:
         return
+    if item.key == state_lib.SCHEDULER:
+        if item.revision != schedule.epoch:
+            state.authority.fenced = True
+        return
     job_id = job_id_of(item.key)
     if item.key.startswith(state_lib.CANCELS):
         job = schedule.jobs.get(job_id)
@@ -104,8 +108,9 @@
     step: dispatch.Step,
     key: str,
 ) -> None:
-    # Only the scheduler removes jobs, after it has forgotten them.
-    return
+    # Only the scheduler removes jobs, and it forgets them itself.
+    if key == state_lib.SCHEDULER:
+        state.authority.fenced = True
 
 
 def build_all(state: state_lib.State, step: dispatch.Step) -> None:
--- a/dandelionpick/batch/open_requests.py
+++ b/dandelionpick/batch/open_requests.py
@@ -5,6 +5,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import errors
+from dandelionpick import kinds
 from dandelionpick.batch import messages
 from dandelionpick.batch import state as state_lib
 
@@ -97,6 +98,39 @@
     state.waiting.append(state_lib.Waiting(at_s, request))
 
 
+def retry_unanswered(
+    context: Any,
+    state: state_lib.State,
+    step: dispatch.Step,
+    failure: kinds.CallFailure,
+) -> None:
+    """Takes a request up again whose read or repeatable write got no reply.
+
+    Args:
+        context: the context of the call, with the request's exchange.
+        state: the reducer's state.
+        step: the current step.
+        failure: what is known about the call.
+    """
+    request = state.open_requests.get(context.exchange_id)
+    if request is not None:
+        retry_later(state, step, request)
+
+
+def note_write_lost(
+    state: state_lib.State,
+    step: dispatch.Step,
+    request: state_lib.OpenRequest | None,
+    failure: kinds.CallFailure,
+) -> None:
+    """Takes a request up again whose write may have taken effect."""
+    if request is None:
+        return
+    request.writes -= 1
+    request.uncertain |= failure is kinds.CallFailure.LOST
+    retry_later(state, step, request)
+
+
 def is_for_store(reply: messages.Reply) -> bool:
     """Returns whether a request was refused because the store is away."""
     return (
--- a/dandelionpick/batch/relaying.py
+++ b/dandelionpick/batch/relaying.py
@@ -76,9 +76,6 @@
     failure: kinds.CallFailure,
 ) -> None:
     request = state.open_requests.get(context.exchange_id)
-    if request is None:
-        return
-    request.writes -= 1
-    request.uncertain |= failure is kinds.CallFailure.LOST
-    request.scheduler_silent = True
-    open_requests.retry_later(state, step, request)
+    if request is not None:
+        request.scheduler_silent = True
+    open_requests.note_write_lost(state, step, request, failure)
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -23,7 +23,9 @@
 CANCELS = "dandelionpick/intake/cancels/"
 INTAKE = "dandelionpick/intake/"
 PROGRESS = "dandelionpick/progress/"
-SCHEDULER = "dandelionpick/scheduler"
+# The scheduler follows this key in the same watch as the jobs, before all of
+# them, so that it knows no job that was accepted after its replacement.
+SCHEDULER = "dandelionpick/intake/authority"
 ROSTER = "dandelionpick/roster"
 
 
--- a/dandelionpick/batch/submission.py
+++ b/dandelionpick/batch/submission.py
@@ -164,11 +164,7 @@
     # A further commit has the same conditions: it tells whether this one took
     # effect, and keeps it from taking effect later.
     request = state.open_requests.get(context.exchange_id)
-    if request is None:
-        return
-    request.writes -= 1
-    request.uncertain |= failure is kinds.CallFailure.LOST
-    open_requests.retry_later(state, step, request)
+    open_requests.note_write_lost(state, step, request, failure)
 
 
 def cancel(
@@ -242,16 +238,5 @@
         _refused(state, step, request)
 
 
-def _retry(
-    context: FindContext | CancelContext,
-    state: state_lib.State,
-    step: dispatch.Step,
-    failure: kinds.CallFailure,
-) -> None:
-    request = state.open_requests.get(context.exchange_id)
-    if request is not None:
-        open_requests.retry_later(state, step, request)
-
-
-dispatch.failed.register(FindContext, _retry)
-dispatch.failed.register(CancelContext, _retry)
+dispatch.failed.register(FindContext, open_requests.retry_unanswered)
+dispatch.failed.register(CancelContext, open_requests.retry_unanswered)
--- a/standins/platform_serve.py
+++ b/standins/platform_serve.py
@@ -22,6 +22,7 @@
 
 from dandelionpick import http_protocol
 from dandelionpick import server
+from standins import platform_oracle
 from standins import platform_store
 from standins import platform_targets
 
@@ -37,7 +38,7 @@
 
     def __init__(self, configuration: str):
         self.store = platform_store.PlatformStore()
-        self.world = platform_targets.World()
+        self.world = platform_oracle.World()
         self.store.put(CONFIGURATION_KEY, configuration.encode())
 
     def add_target(self, number: int, address: str) -> None:
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -1,41 +1,23 @@
-"""Stand-ins for the platform's targets, with an oracle of what must hold.
+"""Stand-ins for the platform's targets.
 
 A task's payload is JSON: `work_s` is how long it works and `fails` how many of
-its first attempts fail. All targets share a world, which knows the jobs that
-callers have submitted and records every broken promise.
+its first attempts fail.
 """
 
 import dataclasses
 import json
 from typing import Any
 
+from standins import platform_oracle
 from standins import platform_store
 
 SLOWEST_CLOCK = 0.98
 STOP_S = 0.1
 GANG_TIMEOUT_S = 3.0
-CANCEL_S = 3.0
 MAX_LEASE_S = 10.0
 ENDS_PER_LISTING = 500
 
 
-@dataclasses.dataclass
-class Run:
-    """A run on a target.
-
-    Attributes:
-        worked_s: work done; a gang works only while all members are present.
-        lease_ms: on the target's clock.
-    """
-
-    task: str
-    attempt: int
-    payload: dict[str, Any]
-    started_s: float
-    worked_s: float = 0.0
-    stops_s: float = float("inf")
-
-
 @dataclasses.dataclass
 class WaitingListing:
     """A listing that waits for an end."""
@@ -45,124 +27,6 @@
     done: platform_store.Done
 
 
-class World:
-    """All targets, the jobs they are asked to run, and the oracle.
-
-    Attributes:
-        phases: steps of the submitted jobs, by job.
-        refused: jobs of which every submission was refused.
-        cancelled_s: when a cancellation was acknowledged, by job.
-        done: tasks that ended as done, and whether a target has forgotten it.
-        failures: failed runs that were acknowledged, by task.
-        broken: what must not have happened.
-        starts: starts by task.
-    """
-
-    def __init__(self):
-        self.targets: dict[str, Target] = {}
-        self.phases: dict[str, list[dict[str, Any]]] = {}
-        self.refused: set[str] = set()
-        self.cancelled_s: dict[str, float] = {}
-        self.done: dict[str, bool] = {}
-        self.failures: dict[str, int] = {}
-        self.attempts: dict[str, int] = {}
-        self.broken: list[str] = []
-        self.starts: dict[str, int] = {}
-
-    def phase_of(self, task: str) -> dict[str, Any]:
-        """Returns the step of a task, or {} if nobody submitted it."""
-        job, _, number, index = task.split(".")
-        phases = self.phases.get(job, [])
-        if int(number) >= len(phases):
-            return {}
-        phase = phases[int(number)]
-        return phase if int(index) < phase["count"] else {}
-
-    def advance(self, now_s: float) -> None:
-        """Lets time pass on all targets."""
-        for target in self.targets.values():
-            target.advance(now_s)
-        for target in self.targets.values():
-            target.end_gangs(now_s)
-
-    def running(self, task: str) -> "list[tuple[Target, Run]]":
-        """Returns the runs of a task on targets that are up."""
-        return [
-            (target, target.runs[task])
-            for target in self.targets.values()
-            if target.up and task in target.runs
-        ]
-
-    def gang_of(self, run: Run) -> list[str]:
-        """Returns the names of all members of a run's gang."""
-        job, occurrence, number, _ = run.task.split(".")
-        count = self.phase_of(run.task)["count"]
-        return [f"{job}.{occurrence}.{number}.{i}" for i in range(count)]
-
-    def is_present(self, run: Run) -> bool:
-        """Returns whether all members of a run's gang are present."""
-        return all(
-            any(other.attempt == run.attempt for _, other in self.running(name))
-            for name in self.gang_of(run)
-        )
-
-    def is_done(self, run: Run, phase: dict[str, Any]) -> bool:
-        """Returns whether a run, or its whole gang, has done its work."""
-        if not phase.get("gang"):
-            return True
-        work_s = run.payload.get("work_s", 1.0)
-        return all(
-            other.worked_s >= work_s
-            for name in self.gang_of(run)
-            for _, other in self.running(name)
-        )
-
-    def check_start(self, target: "Target", task: str, now_s: float) -> None:
-        """Records what a start breaks."""
-        phase = self.phase_of(task)
-        self.starts[task] = self.starts.get(task, 0) + 1
-        if not phase:
-            self.broken.append(f"{task} was submitted by nobody")
-            return
-        job = task.split(".")[0]
-        problems = {
-            f"runs twice, at {now_s:.2f} s": bool(self.running(task)),
-            "starts after its noted end": bool(
-                self.done.get(task) and not phase.get("long_running")
-            ),
-            "starts although its job was refused": job in self.refused,
-            "starts after its last attempt": (
-                self.failures.get(task, 0) >= self.attempts.get(job, 99)
-            ),
-            "starts long after its cancellation": (
-                now_s > self.cancelled_s.get(job, float("inf")) + CANCEL_S
-            ),
-            "starts before an earlier step": self._is_early(task, phase),
-            "lacks its label": (
-                phase.get("requirements", "") not in (*target.labels, "")
-            ),
-            f"has too little room on {target.id}": self._is_over(target, task),
-        }
-        self.broken.extend(
-            f"{task} {problem}" for problem, found in problems.items() if found
-        )
-
-    def _is_early(self, task: str, phase: dict[str, Any]) -> bool:
-        job, occurrence, _, _ = task.split(".")
-        return not all(
-            f"{job}.{occurrence}.{earlier}.{index}" in self.done
-            for earlier in phase.get("after", ())
-            for index in range(self.phases[job][earlier]["count"])
-        )
-
-    def _is_over(self, target: "Target", task: str) -> bool:
-        used = [self.phase_of(name) for name in (*target.runs, task)]
-        return any(
-            sum(phase.get(field, 0) for phase in used) > most
-            for field, most in target.capacity.items()
-        )
-
-
 class Target:
     """A target that starts whatever it is told to start.
 
@@ -180,7 +44,7 @@
 
     def __init__(
         self,
-        world: World,
+        world: platform_oracle.World,
         target_id: str,
         pool: str = "pool",
         zone: str = "a",
@@ -211,7 +75,7 @@
         self.now_s = now_s
         self.token = 0
         self.lease_ms = 0.0
-        self.runs: dict[str, Run] = {}
+        self.runs: dict[str, platform_oracle.Run] = {}
         self.ended: list[list[Any]] = []
         self.number = 0
         self.stopped: dict[str, int] = {}
@@ -292,7 +156,7 @@
             return 409, {**clock, "reason": "old"}
         self.world.check_start(self, task, now_s)
         payload = json.loads(body["spec"] or "{}")
-        self.runs[task] = Run(task, attempt, payload, now_s)
+        self.runs[task] = platform_oracle.Run(task, attempt, payload, now_s)
         return 200, clock
 
     def _stop(self, body: dict[str, Any], now_s: float) -> platform_store.Reply:
@@ -345,14 +209,14 @@
             "finished": self.ended[:ENDS_PER_LISTING],
         }
 
-    def _percent(self, run: Run) -> int:
+    def _percent(self, run: platform_oracle.Run) -> int:
         return int(100 * run.worked_s / run.payload.get("work_s", 1.0))
 
-    def _checkpoint(self, run: Run) -> str:
+    def _checkpoint(self, run: platform_oracle.Run) -> str:
         phase = self.world.phase_of(run.task)
         return str(run.worked_s) if phase.get("checkpointing") else ""
 
-    def end(self, run: Run, how: str) -> None:
+    def end(self, run: platform_oracle.Run, how: str) -> None:
         """Ends a run."""
         if self.runs.get(run.task) is not run:
             return
@@ -366,7 +230,7 @@
         if self.world.phase_of(run.task).get("gang"):
             self._end_members(run, how)
 
-    def _end_members(self, run: Run, how: str) -> None:
+    def _end_members(self, run: platform_oracle.Run, how: str) -> None:
         follow = "done" if how == "done" else "broken"
         for name in self.world.gang_of(run):
             for target, other in self.world.running(name):
@@ -390,7 +254,9 @@
             self._work(run, elapsed_s, now_s)
         self._answer_listings()
 
-    def _work(self, run: Run, elapsed_s: float, now_s: float) -> None:
+    def _work(
+        self, run: platform_oracle.Run, elapsed_s: float, now_s: float
+    ) -> None:
         if now_s >= run.stops_s:
             self.end(run, "stopped")
             return
@@ -407,7 +273,7 @@
         if run.worked_s >= work_s and self.world.is_done(run, phase):
             self.end(run, "done")
 
-    def _fails_now(self, run: Run) -> bool:
+    def _fails_now(self, run: platform_oracle.Run) -> bool:
         fails = run.payload.get("fails", 0)
         return self.world.starts.get(run.task, 0) <= fails
 
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -95,6 +95,11 @@
     ).encode()
 
 
+def one_task() -> model.JobSpec:
+    """Builds the smallest job."""
+    return model.JobSpec("{}", (model.StepSpec(1),))
+
+
 def submit(
     number: int, spec: model.JobSpec, priority: int = 1, **fields: Any
 ) -> messages.Submit:
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -12,30 +12,23 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from returns import pipeline
-from returns.result import Success
-
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import ids
-from dandelionpick import kinds
 from dandelionpick import runtime
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
 from dandelionpick.batch import reducer
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
-from dandelionpick.batch import target_api
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
-from dandelionpick.platform import store
-from dandelionpick.platform import targets
+from standins import platform_oracle
 from standins import platform_store
 from standins import platform_targets
 from tests import batch_builders as builders
+from tests import batch_links
 
-LATENCY_S = 0.002
 START_UNIX_MS = 1_700_000_000_000
 WORLD_STEP_S = 0.05
 LEASE_TTL_S = 4.5
@@ -77,7 +70,7 @@
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
         self.store = platform_store.PlatformStore(seed)
-        self.world = platform_targets.World()
+        self.world = platform_oracle.World()
         self.instances: dict[str, Instance] = {}
         self.serials = itertools.count(1)
         self.cut: set[frozenset[str]] = set()
@@ -161,6 +154,14 @@
 
         self.after(leaves_s, leave)
 
+    def call_of(self, instance: Instance, kind: type) -> ids.CallId:
+        """Returns the call in progress of a watch."""
+        return next(
+            call_id
+            for call_id, call in instance.state.calls.items()
+            if getattr(call.context, "kind", None) is kind
+        )
+
     def scheduler(self) -> Instance | None:
         """Returns the instance that is ready to schedule, if there is one."""
         for instance in self.instances.values():
@@ -297,7 +298,7 @@
 
     def _perform(self, instance: Instance, effect: effects.Effect) -> None:
         if isinstance(effect, effects.Call):
-            self._call(instance, effect)
+            batch_links.carry(self, instance, effect)
         elif isinstance(effect, effects.Respond):
             done = self.replies.pop(effect.exchange_id, None)
             if done is not None:
@@ -309,113 +310,6 @@
             instance.exited = True
             instance.up = False
 
-    def _call(self, instance: Instance, call: effects.Call) -> None:
-        finished: list[bool] = []
-
-        def finish(result: Any) -> None:
-            if finished:
-                return
-            finished.append(True)
-            moment = self.moment()
-            if pipeline.is_successful(result):
-                event: events.Event = events.Returned(
-                    moment, call.call_id, result.unwrap()
-                )
-            else:
-                event = events.Failed(moment, call.call_id, result.failure())
-            self.deliver(instance, event)
-
-        def give_up() -> None:
-            if not finished:
-                finished.append(True)
-                failed = events.Failed(
-                    self.moment(), call.call_id, kinds.CallFailure.LOST
-                )
-                self.deliver(instance, failed)
-
-        self.after(_timeout_s(call), give_up)
-        self.after(
-            LATENCY_S * (0.5 + self.random.random()),
-            lambda: self._arrive(instance, call, finish),
-        )
-
-    def _arrive(
-        self,
-        instance: Instance,
-        call: effects.Call,
-        finish: Callable[[Any], None],
-    ) -> None:
-        peer = call.destination.address.partition(":")[0]
-        link = frozenset((instance.name, peer))
-        if link in self.cut:
-            return
-
-        def reply_later(decode: Callable[[], Any]) -> None:
-            def reply() -> None:
-                if link not in self.cut:
-                    finish(decode())
-
-            self.after(LATENCY_S * (0.5 + self.random.random()), reply)
-
-        if call.destination.service is kinds.Service.STORE:
-            self._at_store(instance, call.message, reply_later)
-        elif call.destination.service is kinds.Service.WORKER:
-            self._at_target(peer, call.message, reply_later)
-        else:
-            self._at_peer(peer, call.message, reply_later)
-
-    def _at_store(
-        self, instance: Instance, message: Any, reply_later: Any
-    ) -> None:
-        method, target, body = store.request_of(message)
-        body = json.loads(msgspec.json.encode(body))
-
-        def done(reply: platform_store.Reply) -> None:
-            exchange = (reply[0], msgspec.json.encode(reply[1]))
-            reply_later(lambda: store.reply_of(message, exchange))
-
-        self.store.serve(method, target, body, self.now_s, done, instance.name)
-
-    def _at_target(self, name: str, message: Any, reply_later: Any) -> None:
-        target = self.world.targets.get(name)
-        if target is None or not target.up:
-            return
-        path, body = targets.request_of(message)
-        body = json.loads(msgspec.json.encode(body))
-
-        def done(reply: platform_store.Reply) -> None:
-            exchange = (reply[0], msgspec.json.encode(reply[1]))
-            reply_later(lambda: targets.reply_of(message, exchange))
-
-        life = target.born_s
-        if self.random.random() < self.late_share:
-
-            def carry_out() -> None:
-                if target.up and target.born_s == life:
-                    target.serve(path, body, self.now_s, lambda reply: None)
-
-            self.after(self.late_s, carry_out)
-            return
-        target.serve(path, body, self.now_s, done)
-
-    def _at_peer(self, name: str, message: Any, reply_later: Any) -> None:
-        instance = self.instances.get(name)
-        if instance is None or not instance.up:
-            return
-        self.exchange(
-            name,
-            message,
-            lambda reply: reply_later(lambda: Success(reply)),
-        )
-
-
-def _timeout_s(call: effects.Call) -> float:
-    if isinstance(call.message, target_api.ListRuns):
-        return targets.listing_timeout_s(call.message)
-    if isinstance(call.message, store.store_api.Watch):
-        return call.message.wait_s + store.WATCH_MARGIN_S
-    return call.timeout_s
-
 
 def role_of(instance: Instance) -> state_lib.Role:
     """Returns an instance's role in the election."""
--- /dev/null
+++ b/tests/batch_links.py
@@ -0,0 +1,132 @@
+"""Carries calls of instances to the stand-ins in virtual time."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from returns import pipeline
+from returns.result import Success
+
+from dandelionpick import effects
+from dandelionpick import events
+from dandelionpick import kinds
+from dandelionpick.batch import target_api
+from dandelionpick.platform import store
+from dandelionpick.platform import targets
+from standins import platform_store
+
+LATENCY_S = 0.002
+
+
+def carry(fabric: Any, instance: Any, call: effects.Call) -> None:
+    """Carries a call out, and delivers its reply or its failure."""
+    finished: list[bool] = []
+
+    def finish(result: Any) -> None:
+        if finished:
+            return
+        finished.append(True)
+        moment = fabric.moment()
+        if pipeline.is_successful(result):
+            event: events.Event = events.Returned(
+                moment, call.call_id, result.unwrap()
+            )
+        else:
+            event = events.Failed(moment, call.call_id, result.failure())
+        fabric.deliver(instance, event)
+
+    def give_up() -> None:
+        if not finished:
+            finished.append(True)
+            failed = events.Failed(
+                fabric.moment(), call.call_id, kinds.CallFailure.LOST
+            )
+            fabric.deliver(instance, failed)
+
+    fabric.after(_timeout_s(call), give_up)
+    fabric.after(
+        LATENCY_S * (0.5 + fabric.random.random()),
+        lambda: _arrive(fabric, instance, call, finish),
+    )
+
+
+def _arrive(
+    fabric: Any,
+    instance: Any,
+    call: effects.Call,
+    finish: Callable[[Any], None],
+) -> None:
+    peer = call.destination.address.partition(":")[0]
+    link = frozenset((instance.name, peer))
+    if link in fabric.cut:
+        return
+
+    def reply_later(decode: Callable[[], Any]) -> None:
+        def reply() -> None:
+            if link not in fabric.cut:
+                finish(decode())
+
+        fabric.after(LATENCY_S * (0.5 + fabric.random.random()), reply)
+
+    if call.destination.service is kinds.Service.STORE:
+        _at_store(fabric, instance, call.message, reply_later)
+    elif call.destination.service is kinds.Service.WORKER:
+        _at_target(fabric, peer, call.message, reply_later)
+    else:
+        _at_peer(fabric, peer, call.message, reply_later)
+
+
+def _at_store(
+    fabric: Any, instance: Any, message: Any, reply_later: Any
+) -> None:
+    method, target, body = store.request_of(message)
+    body = json.loads(msgspec.json.encode(body))
+
+    def done(reply: platform_store.Reply) -> None:
+        exchange = (reply[0], msgspec.json.encode(reply[1]))
+        reply_later(lambda: store.reply_of(message, exchange))
+
+    fabric.store.serve(method, target, body, fabric.now_s, done, instance.name)
+
+
+def _at_target(fabric: Any, name: str, message: Any, reply_later: Any) -> None:
+    target = fabric.world.targets.get(name)
+    if target is None or not target.up:
+        return
+    path, body = targets.request_of(message)
+    body = json.loads(msgspec.json.encode(body))
+
+    def done(reply: platform_store.Reply) -> None:
+        exchange = (reply[0], msgspec.json.encode(reply[1]))
+        reply_later(lambda: targets.reply_of(message, exchange))
+
+    life = target.born_s
+    if fabric.random.random() < fabric.late_share:
+
+        def carry_out() -> None:
+            if target.up and target.born_s == life:
+                target.serve(path, body, fabric.now_s, lambda reply: None)
+
+        fabric.after(fabric.late_s, carry_out)
+        return
+    target.serve(path, body, fabric.now_s, done)
+
+
+def _at_peer(fabric: Any, name: str, message: Any, reply_later: Any) -> None:
+    instance = fabric.instances.get(name)
+    if instance is None or not instance.up:
+        return
+    fabric.exchange(
+        name,
+        message,
+        lambda reply: reply_later(lambda: Success(reply)),
+    )
+
+
+def _timeout_s(call: effects.Call) -> float:
+    if isinstance(call.message, target_api.ListRuns):
+        return targets.listing_timeout_s(call.message)
+    if isinstance(call.message, store.store_api.Watch):
+        return call.message.wait_s + store.WATCH_MARGIN_S
+    return call.timeout_s
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -5,6 +5,7 @@
 from dandelionpick import errors
 from dandelionpick.batch import admission
 from dandelionpick.batch import fencing
+from dandelionpick.batch import job_intake
 from dandelionpick.batch import leadership
 from dandelionpick.batch import orders
 from dandelionpick.batch import polling
@@ -17,9 +18,14 @@
 from dandelionpick.batch import submission
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_health
+from dandelionpick.batch import watches
 from tests import mutant
 
-JOBS = ("tests.test_batch_jobs", "tests.test_batch_faults")
+JOBS = (
+    "tests.test_batch_jobs",
+    "tests.test_batch_faults",
+    "tests.test_batch_store_faults",
+)
 ALL = (*JOBS, "tests.test_batch_fuzz")
 
 
@@ -172,7 +178,23 @@
     )
 
 
+def learn_jobs_out_of_order() -> None:
+    """Follows jobs without following the election in the same watch."""
+    handle = job_intake.watching.apply_item.dispatch(watches.IntakeWatch)
+
+    def apply(watch, state, step, item):
+        if item.key != state_lib.SCHEDULER:
+            handle(watch, state, step, item)
+
+    job_intake.watching.apply_item.register(watches.IntakeWatch, apply)
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "the election and the jobs are followed in one order",
+        learn_jobs_out_of_order,
+        JOBS,
+    ),
     mutant.Mutant(
         "targets that fail everything get no work",
         blame_nothing,
