Let covered urgent work come before urgent work beyond a guarantee

Cause: read in the code. An organisation whose urgent work fills the pool could hold up urgent work that another organisation's guarantee covers, since urgent work did not give way to urgent work. Change: a job's rank is its priority, or half a rank more if it is urgent and exceeds the guarantee. test_urgent_work_beyond_a_guarantee_gives_way fails without it. Settings and fields that nothing used are gone.

--- a/dandelionpick/batch/catalog.py
+++ b/dandelionpick/batch/catalog.py
@@ -50,11 +50,6 @@
             queues.sort(key=lambda queue: -len(queue.prefix))
         return found
 
-    @functools.cached_property
-    def by_name(self) -> dict[ids.QueueName, Queue]:
-        """Queues by name."""
-        return {queue.name: queue for queue in self.queues}
-
     @functools.cached_property
     def by_key(self) -> dict[str, Organisation]:
         """Organisations by each of their keys."""
@@ -70,10 +65,3 @@
             if path.startswith(queue.prefix):
                 return queue
         return None
-
-    def guarantee_of(self, name: ids.OrganisationId) -> int:
-        """Returns an organisation's guaranteed accelerators."""
-        for organisation in self.organisations:
-            if organisation.name == name:
-                return organisation.guaranteed_accelerators
-        return 0
--- /dev/null
+++ b/dandelionpick/batch/guarantees.py
@@ -0,0 +1,57 @@
+"""Which urgent jobs an organisation's guarantee covers.
+
+Answers an organisation whose urgent work fills the pool: what exceeds its
+guarantee gives way to urgent work that another organisation's guarantee covers.
+"""
+
+import collections
+
+from dandelionpick import ids
+from dandelionpick.batch import catalog as catalog_lib
+from dandelionpick.batch import schedule_state
+
+URGENT_PRIORITY = 0
+# Urgent work beyond a guarantee comes after covered urgent work, and before all
+# work of the next priority.
+BEYOND_RANK = 0.5
+
+
+def beyond(
+    schedule: schedule_state.Schedule, catalog: catalog_lib.Catalog | None
+) -> frozenset[ids.JobId]:
+    """Returns the urgent jobs that exceed their organisation's guarantee.
+
+    Jobs are covered in the order of their acceptance.
+    """
+    if catalog is None:
+        return frozenset()
+    guaranteed = {
+        organisation.name: organisation.guaranteed_accelerators
+        for organisation in catalog.organisations
+    }
+    used: collections.Counter[ids.OrganisationId] = collections.Counter()
+    exceeding = set()
+    urgent = [
+        job
+        for job in schedule.jobs.values()
+        if not job.ended and job.record.terms.priority == URGENT_PRIORITY
+    ]
+    for job in sorted(urgent, key=lambda job: job.accepted_revision):
+        name = job.record.organisation
+        used[name] += accelerators_of(job)
+        if used[name] > guaranteed.get(name, 0):
+            exceeding.add(job.id)
+    return frozenset(exceeding)
+
+
+def accelerators_of(job: schedule_state.Job) -> int:
+    """Returns the accelerators of a job's widest step."""
+    return max(
+        step.tasks * step.needs.accelerators for step in job.record.spec.steps
+    )
+
+
+def rank(schedule: schedule_state.Schedule, job: schedule_state.Job) -> float:
+    """Returns a job's place among others; lower comes first and may preempt."""
+    priority = job.record.terms.priority
+    return priority + BEYOND_RANK * (job.id in schedule.beyond_guarantee)
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -264,7 +264,6 @@
     target.failing_since_s = float("inf")
     target.clock_ms = listed.clock_ms
     target.clock_s = now_s
-    target.listed_s = context.sent_s
     if not target.read:
         target.read = True
         schedule.dirty = True
--- a/dandelionpick/batch/reclaim.py
+++ b/dandelionpick/batch/reclaim.py
@@ -16,6 +16,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import guarantees
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import placement
@@ -73,8 +74,8 @@
     now_s = step.moment.now_s
     if unit.key in schedule.reservations:
         return
-    priority = unit.job.record.terms.priority
-    chosen = choose(demand, rooms, _victims(schedule, priority, now_s))
+    rank = guarantees.rank(schedule, unit.job)
+    chosen = choose(demand, rooms, _victims(schedule, rank, now_s))
     if chosen is None:
         return
     counts = collections.Counter(chosen.targets)
@@ -85,7 +86,6 @@
     for victim in chosen.victims:
         for run in victim.runs:
             step.count("preemptions_total")
-            run.preempted = True
             orders.stop(state, step, run)
             task = schedule.task_of(run.task)
             if task is not None:
@@ -94,7 +94,7 @@
         effects.Part.SCHEDULER,
         f"stopping {sum(len(victim.runs) for victim in chosen.victims)} runs"
         f" at a cost of {chosen.cost:.0f} core seconds for {unit.job.id} of"
-        f" priority {priority}",
+        f" rank {rank}",
     )
 
 
@@ -162,11 +162,11 @@
 
 
 def _victims(
-    schedule: schedule_state.Schedule, priority: int, now_s: float
+    schedule: schedule_state.Schedule, rank: float, now_s: float
 ) -> list[Victim]:
     victims = []
     for job in schedule.jobs.values():
-        above = job.record.terms.priority - priority
+        above = guarantees.rank(schedule, job) - rank
         if above <= 0 or job.ended:
             continue
         for step_run in job.steps.values():
@@ -188,7 +188,7 @@
 def _victim(
     step_run: schedule_state.StepRun,
     tasks: Sequence[schedule_state.Task],
-    above: int,
+    above: float,
     now_s: float,
 ) -> Victim | None:
     runs = [run for task in tasks for run in task.runs.values()]
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -40,7 +40,6 @@
             lacks the run proves that it never runs.
         percent: how much of the work is done.
         progressed_s: when percent last rose.
-        preempted: it was stopped for more urgent work.
     """
 
     task: model.TaskKey
@@ -57,7 +56,6 @@
     checkpoint: str = ""
     percent: float = 0.0
     progressed_s: float = 0.0
-    preempted: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +147,6 @@
         lease_ends_s: everything that runs there ends by then, unless the lease
             is extended.
         read: it was listed under this epoch, so older orders are void.
-        listed_s: when the last listing was sent that succeeded.
         poll_pending: a listing is in progress.
         poll_at_s: no listing before this time.
         failed: the last listing failed.
@@ -181,7 +178,6 @@
     clock_s: float = 0.0
     lease_ends_s: float = float("-inf")
     read: bool = False
-    listed_s: float = float("-inf")
     poll_pending: bool = False
     poll_serial: int = 0
     poll_at_s: float = float("-inf")
@@ -261,6 +257,8 @@
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
         reservations: room that is being freed, by job and step.
+        beyond_guarantee: urgent jobs that exceed their organisation's
+            guarantee, as of the last pass.
         roster: what the store holds about targets that may run something.
         roster_at_s: the roster is neither read nor written before.
         sweep_at_s: when ended jobs are looked for.
@@ -285,6 +283,7 @@
     reservations: dict[tuple[ids.JobId, int, int], Reservation] = (
         dataclasses.field(default_factory=dict)
     )
+    beyond_guarantee: frozenset[ids.JobId] = frozenset()
     roster: Roster = dataclasses.field(default_factory=lambda: Roster())
     roster_revision: int = 0
     roster_read: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -6,6 +6,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import guarantees
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
@@ -50,7 +51,7 @@
     @property
     def is_urgent(self) -> bool:
         """Whether it may preempt other work."""
-        return self.job.record.terms.priority == 0
+        return self.job.record.terms.priority == guarantees.URGENT_PRIORITY
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -70,6 +71,9 @@
     schedule.dirty = False
     schedule.passed_s = now_s
     _drop_old_reservations(schedule, now_s)
+    schedule.beyond_guarantee = guarantees.beyond(
+        schedule, state.catalog.current
+    )
     hopeless: set[placement.Demand] = set()
     for unit in sorted(_units(state, step), key=lambda unit: unit.urgency):
         demand = demand_of(unit, now_s)
@@ -107,7 +111,8 @@
         for step_run in job.steps.values():
             tasks = _startable(step_run)
             if tasks:
-                yield Unit(job, step_run, tasks, urgency(job, step_run))
+                rank = guarantees.rank(schedule, job)
+                yield Unit(job, step_run, tasks, urgency(job, step_run, rank))
 
 
 def _startable(
@@ -122,12 +127,12 @@
 
 
 def urgency(
-    job: schedule_state.Job, step_run: schedule_state.StepRun
+    job: schedule_state.Job, step_run: schedule_state.StepRun, rank: float
 ) -> tuple[float, ...]:
-    """Returns the order of a step: by priority, then by its objective.
+    """Returns the order of a step: by its job's rank, then by its objective.
 
     Returns:
-        Priority, Unix seconds of the objective, Unix seconds of submission.
+        Rank, Unix seconds of the objective, Unix seconds of submission.
     """
     terms = job.record.terms
     started_ms = max(
@@ -138,7 +143,7 @@
         + terms.objective_extra_s
     )
     due_s = started_ms / 1_000
-    return (terms.priority, due_s + aim_s, due_s)
+    return (rank, due_s + aim_s, due_s)
 
 
 def place(
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -48,16 +48,10 @@
 
     revoke_ms: Milliseconds
     run_lease_ms: Milliseconds
-    gang_timeout_ms: Milliseconds
-    stop_timeout_ms: Milliseconds
-    reclaim_ms: Milliseconds
     restore_ms: Milliseconds
     early_ms: Milliseconds
     retention_s: common.Seconds
     drain_s: common.Seconds
-    remote_factor: Annotated[
-        float, msgspec.Meta(ge=1, description="give a number of 1 or more")
-    ]
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -99,12 +93,8 @@
     return state_lib.Limits(
         revoke_s=bounds.revoke_ms / 1_000,
         run_lease_s=bounds.run_lease_ms / 1_000,
-        gang_timeout_s=bounds.gang_timeout_ms / 1_000,
-        stop_timeout_s=bounds.stop_timeout_ms / 1_000,
         retention_s=bounds.retention_s,
         drain_s=bounds.drain_s,
-        reclaim_s=bounds.reclaim_ms / 1_000,
-        remote_factor=bounds.remote_factor,
         restore_s=bounds.restore_ms / 1_000,
         early_s=bounds.early_ms / 1_000,
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -66,24 +66,16 @@
     Attributes:
         revoke_s: a removed key must not be accepted later than this.
         run_lease_s: longest lease that targets grant.
-        gang_timeout_s: how long a member of a gang waits for the others.
-        stop_timeout_s: how long a target takes to stop a run.
         retention_s: how long the state of an ended job is kept.
         drain_s: a leaving process has this long before it is killed.
-        reclaim_s: urgent work within a guarantee starts in this time.
-        remote_factor: how much longer work takes away from its rack.
         restore_s: how long a run takes to resume from a checkpoint.
         early_s: how much too early an occurrence may start.
     """
 
     revoke_s: float = 5.0
     run_lease_s: float = 10.0
-    gang_timeout_s: float = 3.0
-    stop_timeout_s: float = 0.4
     retention_s: float = 120.0
     drain_s: float = 6.0
-    reclaim_s: float = 2.9
-    remote_factor: float = 3.0
     restore_s: float = 0.6
     early_s: float = 0.25
 
@@ -185,12 +177,11 @@
     """How the store answers this instance.
 
     Attributes:
-        answered_s: when it last did what was asked.
-        failing_since_s: when the first call failed since then; inf if none.
+        failing_since_s: when the first call failed since it last did what
+            was asked; inf if none has.
         best_rtt_s: shortest time of a call, for the choice of candidates.
     """
 
-    answered_s: float = float("-inf")
     failing_since_s: float = float("inf")
     best_rtt_s: float = float("inf")
 
--- a/dandelionpick/batch/store_health.py
+++ b/dandelionpick/batch/store_health.py
@@ -38,5 +38,4 @@
             effects.Part.STORE,
             f"serves again after {now_s - health.failing_since_s:.1f} s",
         )
-    health.answered_s = now_s
     health.failing_since_s = float("inf")
--- a/dandelionpick/errors.py
+++ b/dandelionpick/errors.py
@@ -36,7 +36,6 @@
     UNKNOWN_PATH = "unknown_path"
     TOO_SLOW = "too_slow"
     UNAUTHENTICATED = "unauthenticated"
-    NO_SCHEDULER = "no_scheduler"
     OUTCOME_UNKNOWN = "outcome_unknown"
 
 
--- a/dandelionpick/platform/ingress.py
+++ b/dandelionpick/platform/ingress.py
@@ -36,7 +36,6 @@
     errors.ProblemKind.BODY_TOO_LARGE: 413,
     errors.ProblemKind.OVERLOADED: 429,
     errors.ProblemKind.NO_CONFIGURATION: 503,
-    errors.ProblemKind.NO_SCHEDULER: 503,
     errors.ProblemKind.STORE_UNAVAILABLE: 503,
 }
 # 502 and 504 say that the outcome is not known.
--- a/standins/platform_demo.py
+++ b/standins/platform_demo.py
@@ -35,14 +35,10 @@
 BOUNDS = {
     "revoke_ms": 5_000,
     "run_lease_ms": 10_000,
-    "gang_timeout_ms": 3_000,
-    "stop_timeout_ms": 400,
-    "reclaim_ms": 2_900,
     "restore_ms": 600,
     "early_ms": 250,
     "retention_s": 120,
     "drain_s": 6,
-    "remote_factor": 3,
 }
 QUEUES = {"urgent": 0, "normal": 1, "batch": 2}
 
@@ -203,14 +199,21 @@
             await asyncio.sleep(POLL_S)
         raise RuntimeError(f"{method} {path} got no reply")
 
-    async def scheduler(self) -> Process | None:
-        """Returns the instance whose metrics say that it is the scheduler."""
-        for process in self.demo.instances():
-            url = f"http://{process.addresses[2]}/metrics"
-            async with self.session.get(url) as response:
-                if "dandelionpick_scheduler 1.0" in await response.text():
-                    return process
-        return None
+    async def scheduler(self) -> Process:
+        """Returns the instance whose metrics say that it is the scheduler.
+
+        Raises:
+            RuntimeError: no instance says so in time.
+        """
+        end_s = time.monotonic() + END_LIMIT_S
+        while time.monotonic() < end_s:
+            for process in self.demo.instances():
+                url = f"http://{process.addresses[2]}/metrics"
+                async with self.session.get(url) as response:
+                    if "dandelionpick_scheduler 1.0" in await response.text():
+                        return process
+            await asyncio.sleep(POLL_S)
+        raise RuntimeError("no instance is the scheduler")
 
 
 def job(number: int) -> dict[str, Any]:
@@ -250,9 +253,8 @@
         paths.append(path)
         if number == KILL_AFTER:
             scheduler = await caller.scheduler()
-            if scheduler is not None:
-                scheduler.child.kill()
-                print(f"killed the scheduler, {scheduler.name}")
+            scheduler.child.kill()
+            print(f"killed the scheduler, {scheduler.name}")
     states = await _until_ended(caller, paths)
     async with caller.session.get(f"http://{store}/broken") as response:
         seen = await response.json()
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -58,18 +58,21 @@
     }
 
 
+def tenant(name: str, key: str, accelerators: int) -> dict[str, Any]:
+    """Builds an organisation of the configuration."""
+    return {
+        "name": name,
+        "api_keys": [key],
+        "guaranteed": {"gpu": accelerators},
+    }
+
+
 def configuration_value(version: int = 1, **fields: Any) -> bytes:
     """Builds the operators' configuration."""
     document = {
         "version": version,
         "routes": [route(priority) for priority in PREFIXES],
-        "tenants": [
-            {
-                "name": ORGANISATION,
-                "api_keys": [KEY],
-                "guaranteed": {"gpu": 8},
-            }
-        ],
+        "tenants": [tenant(ORGANISATION, KEY, 8)],
         **fields,
     }
     return json.dumps(document).encode()
--- a/tests/test_batch_reclaim.py
+++ b/tests/test_batch_reclaim.py
@@ -7,6 +7,7 @@
 from dandelionpick.batch import placement
 from dandelionpick.batch import reclaim
 from tests import batch_builders as builders
+from tests import batch_fabric
 from tests import test_batch_jobs
 
 GPU = model.Resources(accelerators=1)
@@ -82,6 +83,30 @@
         fabric.until_completed(1, limit_s=4.0)
         self.assertEqual(fabric.world.starts[f"{builders.job_id(1)}.0.0.0"], 1)
 
+    def test_urgent_work_beyond_a_guarantee_gives_way(self):
+        """Guards against a guarantee that waits for another's excess."""
+        fabric = self.build(target_count=2)
+        tenants = [
+            builders.tenant(builders.ORGANISATION, builders.KEY, 8),
+            builders.tenant("other", "key-2", 8),
+        ]
+        value = builders.configuration_value(2, tenants=tenants)
+        fabric.store.put("op/config", value)
+        fabric.run_for(0.1)
+        for number in (1, 2):
+            body = builders.body(builders.phase(8), work_s=30.0)
+            fabric.submit(number, body, 0)
+        fabric.run_for(1.0)
+        body = builders.body(builders.phase(8, gang=True))
+        fabric.register(3, body)
+        spec = batch_fabric.jobs.decode(body).unwrap()
+        message = builders.submit(3, spec, 0, credential="key-2")
+        fabric.ask("e0", message)
+        task = f"{builders.job_id(3)}.0.0.0"
+        fabric.run_until(lambda: task in fabric.world.starts, 2.9)
+        covered = f"{builders.job_id(1)}.0.0.0"
+        self.assertEqual(fabric.world.starts[covered], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -248,7 +248,8 @@
         value = builders.configuration_value(3, news={"a": 1})
         catalog = configuration.decode(value).unwrap()
         self.assertEqual(catalog.version, 3)
-        self.assertEqual(catalog.guarantee_of(builders.ORGANISATION), 8)
+        organisation = catalog.by_key[builders.KEY]
+        self.assertEqual(organisation.guaranteed_accelerators, 8)
         queue = catalog.queue_for(builders.HOST, "/urgent/xyz")
         self.assertEqual(queue.terms.priority, 0)
         self.assertEqual(queue.terms.objective_extra_s, 1.0)
