Stop an isolated scheduler from extending leases for ever

Cause: read in the code. A listing that was answered was followed by the next one without asking whether the scheduler's authority had ended, so that one that was cut off from all but a target extended its leases for ever, while its successor waits for 20 s and the longest lease. Change: no listing is sent after the authority has ended. test_isolated_scheduler_stops_extending_in_time fails without it.

The fuzzer now also waits 25 s at a time. It then reported jobs that were rightly forgotten 150 s after their end; its instances keep them for an hour.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -63,10 +63,12 @@
 def poll(
     state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
 ) -> None:
-    """Lists a target's runs."""
+    """Lists a target's runs, unless the authority for it has ended."""
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
+    if not leadership_bounds.may_order(state, now_s):
+        return
     target.poll_pending = True
     target.poll_serial += 1
     fresh = target.read and not target.failed
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -59,6 +59,7 @@
         cut: pairs of names that can't reach each other.
         late_share: share of the orders to targets without a reply, carried
             out `late_s` later.
+        retention_s: how long instances keep the state of ended jobs.
         log: notes of all instances, with time and name.
     """
 
@@ -76,6 +77,7 @@
         self.cut: set[frozenset[str]] = set()
         self.late_share = 0.0
         self.late_s = 5.0
+        self.retention_s = retention_s
         self.log: list[str] = []
         self.faults: list[Exception] = []
         self.replies: dict[str, Callable[[Any], None]] = {}
@@ -97,6 +99,7 @@
     def start_instance(self, name: str) -> Instance:
         """Starts a process, in place of an earlier one of this name."""
         instance = Instance(name, "a", next(self.serials), self.now_s)
+        instance.state.limits.retention_s = self.retention_s
         self.instances[name] = instance
         self.after(self.random.random() * 0.1, lambda: self._tick(instance))
         return instance
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -7,6 +7,7 @@
 from dandelionpick.batch import fencing
 from dandelionpick.batch import job_intake
 from dandelionpick.batch import leadership
+from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import polling
 from dandelionpick.batch import roster
@@ -189,7 +190,21 @@
     job_intake.watching.apply_item.register(watches.IntakeWatch, apply)
 
 
+def extend_for_ever() -> None:
+    """Extends leases however long the store has not confirmed the role."""
+    leadership_bounds.AUTHORITY_WITHOUT_STORE_S = 1e6
+    takeover.unread_targets = lambda schedule, now_s: (
+        now_s < schedule.began_s + 31.0
+        and any(not target.read for target in schedule.targets.values())
+    )
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "a scheduler without the store stops extending leases",
+        extend_for_ever,
+        JOBS,
+    ),
     mutant.Mutant(
         "the election and the jobs are followed in one order",
         learn_jobs_out_of_order,
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -164,6 +164,24 @@
         fabric.cut.clear()
         fabric.until_completed(1, limit_s=90.0)
 
+    def test_isolated_scheduler_stops_extending_in_time(self):
+        """Guards against leases that an isolated scheduler extends for ever.
+
+        Nobody can tell it about its successor, which waits for a bound only.
+        """
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=60.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        self.part_from_others(fabric, first.name, "t0")
+        others = [name for name in fabric.instances if name != first.name]
+        for place in (STORE, "t1", "t2", *others):
+            fabric.part(first.name, place)
+        fabric.run_for(60.0)
+        self.assertEqual(fabric.world.broken, [])
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=90.0)
+
     def part_from_others(
         self, fabric: batch_fabric.Fabric, name: str, target: str
     ) -> None:
--- a/tests/test_batch_fuzz.py
+++ b/tests/test_batch_fuzz.py
@@ -23,6 +23,8 @@
 # Leases of an unreachable target and of an earlier scheduler run out in 31 s;
 # jobs of a step after the other take some seconds each.
 SETTLE_S = 120.0
+# Longer than any example, so that every job can be asked for at its end.
+RETENTION_S = 3_600.0
 
 instances = strategies.sampled_from(INSTANCES)
 targets = strategies.sampled_from(TARGETS)
@@ -34,7 +36,9 @@
 
     def __init__(self):
         super().__init__()
-        self.fabric = batch_fabric.Fabric(seed=3, target_count=len(TARGETS))
+        self.fabric = batch_fabric.Fabric(
+            seed=3, target_count=len(TARGETS), retention_s=RETENTION_S
+        )
         self.fabric.run_for(1.0)
         self.outcomes: dict[int, list[messages.Reply]] = {}
         self.sent: dict[int, tuple[bytes, int, int]] = {}
@@ -170,7 +174,7 @@
         if self.fabric.world.targets[name].up:
             self.fabric.crash_target(name, back_s)
 
-    @stateful.rule(seconds=strategies.sampled_from((0.02, 0.3, 1.0, 5.0)))
+    @stateful.rule(seconds=strategies.sampled_from((0.02, 0.3, 1.0, 5.0, 25.0)))
     def wait(self, seconds):
         self.fabric.run_for(seconds)
 
