--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -64,7 +64,11 @@
     """
 
     def __init__(
-        self, seed: int = 1, instances: int = 3, target_count: int = 3
+        self,
+        seed: int = 1,
+        instances: int = 3,
+        target_count: int = 3,
+        retention_s: float = 120.0,
     ):
         self.random = random.Random(seed)
         self.now_s = 0.0
