--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 SEED ?= 1
 EXAMPLES ?= 200
 
-.PHONY: setup test lint format demo slopes decisions bench-path fuzz mutants
+SEEDS ?= 4
+
+.PHONY: setup test lint format demo slopes decisions bench-path experiment fuzz mutants
 
 setup: $(STAMP)
 
@@ -39,6 +41,9 @@
 bench-path: setup
 	$(PY) -m bench.path
 
+experiment: setup
+	$(PY) -m bench.experiment experiment --seeds $(SEEDS)
+
 fuzz: export FUZZ_SEED := $(SEED)
 fuzz: export FUZZ_EXAMPLES := $(EXAMPLES)
 fuzz: setup
--- a/standins/platform_demo.py
+++ b/standins/platform_demo.py
@@ -36,6 +36,7 @@
     "revoke_ms": 5_000,
     "run_lease_ms": 10_000,
     "restore_ms": 600,
+    "stop_ms": 400,
     "early_ms": 250,
     "retention_s": 120,
     "drain_s": 6,
--- a/standins/platform_oracle.py
+++ b/standins/platform_oracle.py
@@ -35,6 +35,9 @@
         failures: failed runs that were acknowledged, by task.
         broken: what must not have happened.
         starts: starts by task.
+        places: targets on which a task was started.
+        wasted_core_s: work that was thrown away; an accelerator counts as
+            eight cores.
     """
 
     def __init__(self):
@@ -47,6 +50,8 @@
         self.attempts: dict[str, int] = {}
         self.broken: list[str] = []
         self.starts: dict[str, int] = {}
+        self.places: dict[str, set[str]] = {}
+        self.wasted_core_s = 0.0
 
     def phase_of(self, task: str) -> dict[str, Any]:
         """Returns the step of a task, or {} if nobody submitted it."""
@@ -64,11 +69,19 @@
         for target in self.targets.values():
             target.end_gangs(now_s)
 
+    def note_wasted(self, run: Run) -> None:
+        """Counts the work of a run that ended without a result."""
+        phase = self.phase_of(run.task)
+        if not phase.get("checkpointing"):
+            cores = phase.get("cpu", 0) / 1_000 + 8 * phase.get("gpu", 0)
+            self.wasted_core_s += cores * run.worked_s
+
     def running(self, task: str) -> list[tuple[Any, Run]]:
         """Returns the runs of a task on targets that are up."""
+        targets = (self.targets[name] for name in self.places.get(task, ()))
         return [
             (target, target.runs[task])
-            for target in self.targets.values()
+            for target in targets
             if target.up and task in target.runs
         ]
 
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -16,6 +16,8 @@
 GANG_TIMEOUT_S = 3.0
 MAX_LEASE_S = 10.0
 ENDS_PER_LISTING = 500
+# How many times as long work takes in the wrong rack, or across racks.
+REMOTE_FACTOR = 3.0
 
 
 @dataclasses.dataclass
@@ -36,6 +38,7 @@
         hangs: its runs do no work.
         fails: all its runs fail at once.
         speed: work per second.
+        stop_s: seconds from a stop to its end.
         rate: its clock's speed.
         token: highest epoch that it has seen.
         lease_ms: when everything ends, on its clock.
@@ -64,6 +67,7 @@
         self.fails = False
         self.draining = False
         self.speed = 1.0
+        self.stop_s = STOP_S
         self.rate = 1.0
         world.targets[target_id] = self
         self.boot(now_s)
@@ -155,6 +159,7 @@
         if attempt <= self.stopped.get(task, 0) or run is not None:
             return 409, {**clock, "reason": "old"}
         self.world.check_start(self, task, now_s)
+        self.world.places.setdefault(task, set()).add(self.id)
         payload = json.loads(body["spec"] or "{}")
         self.runs[task] = platform_oracle.Run(task, attempt, payload, now_s)
         return 200, clock
@@ -163,7 +168,7 @@
         task, attempt = body["task"], body["attempt"]
         run = self.runs.get(task)
         if run is not None and run.attempt <= attempt:
-            run.stops_s = min(run.stops_s, now_s + STOP_S)
+            run.stops_s = min(run.stops_s, now_s + self.stop_s)
         self.stopped[task] = max(self.stopped.get(task, 0), attempt)
         return 200, {"clock_ms": self.clock_ms()}
 
@@ -227,6 +232,8 @@
         self.stopped[run.task] = max(self.stopped.get(run.task, 0), run.attempt)
         if how == "done":
             self.world.done.setdefault(run.task, False)
+        else:
+            self.world.note_wasted(run)
         if self.world.phase_of(run.task).get("gang"):
             self._end_members(run, how)
 
@@ -267,12 +274,25 @@
             self.end(run, "failed")
             return
         if not self.hangs:
-            run.worked_s += elapsed_s * self.speed
+            factor = REMOTE_FACTOR if self._is_remote(run, phase) else 1.0
+            run.worked_s += elapsed_s * self.speed / factor
         work_s = run.payload.get("work_s", 1.0)
         run.worked_s = min(run.worked_s, work_s)
         if run.worked_s >= work_s and self.world.is_done(run, phase):
             self.end(run, "done")
 
+    def _is_remote(
+        self, run: platform_oracle.Run, phase: dict[str, Any]
+    ) -> bool:
+        rack = self.labels[-1]
+        if phase.get("affinity", rack) != rack:
+            return True
+        return bool(phase.get("same_rack")) and any(
+            target.labels[-1] != rack
+            for name in self.world.gang_of(run)
+            for target, _ in self.world.running(name)
+        )
+
     def _fails_now(self, run: platform_oracle.Run) -> bool:
         fails = run.payload.get("fails", 0)
         return self.world.starts.get(run.task, 0) <= fails
