Keep room for urgent work where stops take longer than it can wait

Change: what urgent jobs without that much time to spare asked for in the last 10 s, times the length of a stop, times six, is kept free in one rack. The length is a setting, bounds.stop_ms. A test replays the load; one mutant.

--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -259,6 +259,8 @@
         reservations: room that is being freed, by job and step.
         beyond_guarantee: urgent jobs that exceed their organisation's
             guarantee, as of the last pass.
+        headroom: accelerators that are kept free for urgent work, by pool,
+            as of the last pass.
         roster: what the store holds about targets that may run something.
         roster_at_s: the roster is neither read nor written before.
         sweep_at_s: when ended jobs are looked for.
@@ -284,6 +286,7 @@
         dataclasses.field(default_factory=dict)
     )
     beyond_guarantee: frozenset[ids.JobId] = frozenset()
+    headroom: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
     roster: Roster = dataclasses.field(default_factory=lambda: Roster())
     roster_revision: int = 0
     roster_read: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -7,6 +7,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import guarantees
+from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
@@ -74,6 +75,9 @@
     schedule.beyond_guarantee = guarantees.beyond(
         schedule, state.catalog.current
     )
+    schedule.headroom = headroom.wanted(
+        schedule.jobs.values(), step.moment.unix_ms, state.limits.stop_s
+    )
     hopeless: set[placement.Demand] = set()
     for unit in sorted(_units(state, step), key=lambda unit: unit.urgency):
         demand = demand_of(unit, now_s)
@@ -241,7 +245,10 @@
                 + AVOIDED_PENALTY * (target.id in avoided),
             )
         )
-    return rooms
+    if unit.is_urgent:
+        return rooms
+    pool = unit.job.record.terms.pool
+    return headroom.without_kept(rooms, schedule.headroom.get(pool, 0))
 
 
 def is_usable(target: schedule_state.Target, unit: Unit, now_s: float) -> bool:
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -49,6 +49,7 @@
     revoke_ms: Milliseconds
     run_lease_ms: Milliseconds
     restore_ms: Milliseconds
+    stop_ms: Milliseconds
     early_ms: Milliseconds
     retention_s: common.Seconds
     drain_s: common.Seconds
@@ -96,5 +97,6 @@
         retention_s=bounds.retention_s,
         drain_s=bounds.drain_s,
         restore_s=bounds.restore_ms / 1_000,
+        stop_s=bounds.stop_ms / 1_000,
         early_s=bounds.early_ms / 1_000,
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -69,6 +69,7 @@
         retention_s: how long the state of an ended job is kept.
         drain_s: a leaving process has this long before it is killed.
         restore_s: how long a run takes to resume from a checkpoint.
+        stop_s: how long a stop takes at most.
         early_s: how much too early an occurrence may start.
     """
 
@@ -77,6 +78,7 @@
     retention_s: float = 120.0
     drain_s: float = 6.0
     restore_s: float = 0.6
+    stop_s: float = 0.4
     early_s: float = 0.25
 
 
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -6,6 +6,7 @@
 from dandelionpick.batch import admission
 from dandelionpick.batch import attendance
 from dandelionpick.batch import fencing
+from dandelionpick.batch import headroom
 from dandelionpick.batch import job_intake
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leadership_bounds
@@ -222,7 +223,17 @@
     store_health.note = note_and_forget
 
 
+def keep_no_room() -> None:
+    """Gives all room to work that can wait."""
+    headroom.GANG_ALLOWANCE = 0.0
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "room is kept for urgent work",
+        keep_no_room,
+        ("tests.test_batch_headroom.CrestTest",),
+    ),
     mutant.Mutant(
         "nobody replaces the scheduler while the store is away",
         forget_failed_calls,
