Load only what a command uses, so that a restarted instance serves sooner

Cause: `dandelionpick schedule` imported every command, and with them the whole path of `dandelionpick run`: 165 modules of ours, 0.84 s of processor and 54.3 MB on this machine. Change: the command line imports a command's module when it is used; each program has its own composition root; connections (http_pools) and the reading of settings (settings_file) no longer lead to the messages and limits of the other program. What is left is aiohttp, cleo, starlette and uvicorn.

--- a/dandelionpick/batch/peer_api.py
+++ b/dandelionpick/batch/peer_api.py
@@ -14,7 +14,7 @@
 from starlette import routing
 
 from dandelionpick import effects
-from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import http_requests
 from dandelionpick import kinds
 from dandelionpick import metrics
@@ -31,7 +31,7 @@
 
 
 async def send(
-    pools: http_client.Pools, call: effects.Call
+    pools: http_pools.Pools, call: effects.Call
 ) -> Result[Any, kinds.CallFailure]:
     """Sends a message to another instance.
 
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -6,7 +6,7 @@
 from returns.result import Result
 
 from dandelionpick import ids
-from dandelionpick import settings as common
+from dandelionpick import settings_file
 from dandelionpick.batch import state as state_lib
 
 Milliseconds = Annotated[
@@ -18,9 +18,9 @@
 class InstanceSection(msgspec.Struct, frozen=True):
     """Who this instance is."""
 
-    name: common.Name
-    failure_domain: common.Name
-    region: common.Name
+    name: settings_file.Name
+    failure_domain: settings_file.Name
+    region: settings_file.Name
 
 
 class ListenSection(msgspec.Struct, frozen=True):
@@ -32,15 +32,15 @@
         peers: for other instances, and for metrics.
     """
 
-    callers: common.Address
-    health: common.Address
-    peers: common.Address
+    callers: settings_file.Address
+    health: settings_file.Address
+    peers: settings_file.Address
 
 
 class StoreSection(msgspec.Struct, frozen=True):
     """Where the store is."""
 
-    address: common.Address
+    address: settings_file.Address
 
 
 class BoundsSection(msgspec.Struct, frozen=True):
@@ -51,8 +51,8 @@
     restore_ms: Milliseconds
     stop_ms: Milliseconds
     early_ms: Milliseconds
-    retention_s: common.Seconds
-    drain_s: common.Seconds
+    retention_s: settings_file.Seconds
+    drain_s: settings_file.Seconds
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -62,19 +62,19 @@
     listen: ListenSection
     store: StoreSection
     bounds: BoundsSection
-    server: common.ServerSection = common.ServerSection()
-    client: common.ClientSection = common.ClientSection()
-    tracing: common.TracingSection = common.TracingSection()
-    log: common.LogSection = common.LogSection()
+    server: settings_file.ServerSection = settings_file.ServerSection()
+    client: settings_file.ClientSection = settings_file.ClientSection()
+    tracing: settings_file.TracingSection = settings_file.TracingSection()
+    log: settings_file.LogSection = settings_file.LogSection()
 
 
-def load(path: str) -> Result[Settings, list[common.SettingsError]]:
+def load(path: str) -> Result[Settings, list[settings_file.SettingsError]]:
     """Reads and checks a settings file.
 
     Returns:
         The settings, or every error that was found.
     """
-    return common.read(path, Settings)
+    return settings_file.read(path, Settings)
 
 
 def identity_of(settings: Settings, peer_address: str) -> state_lib.Identity:
--- a/dandelionpick/cli_options.py
+++ b/dandelionpick/cli_options.py
@@ -1,11 +1,21 @@
 """Arguments and options of the command line, as data."""
 
+from absl import logging
 from cleo import helpers
 
+from dandelionpick import settings_file
+
 DEFAULT_DEADLINE_S = 30.0
 SERVER_VARIABLE = "DANDELIONPICK_SERVER"
 SETTINGS_VARIABLE = "DANDELIONPICK_NODE_FILE"
 
+LOG_LEVELS = {
+    settings_file.LogLevel.DEBUG: logging.DEBUG,
+    settings_file.LogLevel.INFO: logging.INFO,
+    settings_file.LogLevel.WARNING: logging.WARNING,
+    settings_file.LogLevel.ERROR: logging.ERROR,
+}
+
 SETTINGS = helpers.argument("settings", "Path of the settings file.")
 PLATFORM_SETTINGS = helpers.argument(
     "settings",
--- a/dandelionpick/http_requests.py
+++ b/dandelionpick/http_requests.py
@@ -9,14 +9,14 @@
 from returns.result import Result
 from returns.result import Success
 
-from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import kinds
 
 Exchange = tuple[int, bytes]
 
 
 async def request(
-    pools: http_client.Pools,
+    pools: http_pools.Pools,
     address: str,
     method: str,
     path: str,
@@ -42,7 +42,7 @@
     sent_headers = dict(headers or {})
     if data is not None:
         sent_headers["content-type"] = "application/json"
-    progress = http_client.Progress()
+    progress = http_pools.Progress()
     async with pools.use(address) as pool:
         try:
             async with (
@@ -60,6 +60,6 @@
         except TimeoutError:
             if progress.sending:
                 pools.retire_pool(address, pool)
-            return Failure(http_client.failure_of(progress))
+            return Failure(http_pools.failure_of(progress))
         except (aiohttp.ClientError, OSError):
-            return Failure(http_client.failure_of(progress))
+            return Failure(http_pools.failure_of(progress))
--- a/dandelionpick/platform/calls.py
+++ b/dandelionpick/platform/calls.py
@@ -5,7 +5,7 @@
 from returns.result import Result
 
 from dandelionpick import effects
-from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import kinds
 from dandelionpick.batch import peer_api
 from dandelionpick.platform import store
@@ -13,7 +13,7 @@
 
 
 async def send(
-    pools: http_client.Pools, call: effects.Call
+    pools: http_pools.Pools, call: effects.Call
 ) -> Result[Any, kinds.CallFailure]:
     """Performs a call.
 
--- a/dandelionpick/platform/store.py
+++ b/dandelionpick/platform/store.py
@@ -12,7 +12,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import http_requests
 from dandelionpick import ids
 from dandelionpick import kinds
@@ -70,7 +70,7 @@
 
 
 async def send(
-    pools: http_client.Pools, address: str, message: Any, timeout_s: float
+    pools: http_pools.Pools, address: str, message: Any, timeout_s: float
 ) -> Outcome:
     """Performs a call to the store.
 
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -9,7 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import http_requests
 from dandelionpick import ids
 from dandelionpick import kinds
@@ -135,7 +135,7 @@
 
 
 async def send(
-    pools: http_client.Pools, address: str, message: Any, timeout_s: float
+    pools: http_pools.Pools, address: str, message: Any, timeout_s: float
 ) -> Outcome:
     """Performs a call to a target.
 
--- a/dandelionpick/settings.py
+++ b/dandelionpick/settings.py
@@ -1,122 +1,32 @@
-"""Settings of an entry instance, read from an INI file and checked."""
+"""Settings of an entry instance."""
 
-import configparser
-import dataclasses
-import enum
 import functools
-import pathlib
-from collections.abc import Iterator
-from typing import Annotated
-from typing import Any
-from typing import TypeVar
 
 import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
-from dandelionpick import http_client
-from dandelionpick import http_protocol
+from dandelionpick import settings_file
 from dandelionpick import state as state_lib
 
-MAX_SECONDS = 365 * 86_400.0
-
-Address = Annotated[
-    str,
-    msgspec.Meta(
-        pattern=r"^\d+\.\d+\.\d+\.\d+:\d{1,5}$",
-        description="give an IPv4 address and a port, as in 10.0.0.1:8080",
-    ),
-]
-Name = Annotated[
-    str,
-    msgspec.Meta(
-        pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
-        description="use 1 to 63 lower-case letters, digits and hyphens",
-    ),
-]
-Share = Annotated[
-    float, msgspec.Meta(ge=0, le=1, description="give a number from 0 to 1")
-]
-Seconds = Annotated[
-    float,
-    msgspec.Meta(
-        gt=0,
-        le=MAX_SECONDS,
-        description="give a number of seconds above 0, at most a year",
-    ),
-]
-Positive = Annotated[
-    int, msgspec.Meta(gt=0, description="give a whole number above 0")
-]
-Flag = Annotated[bool, msgspec.Meta(description="give true or false")]
-
-SHARE_SUFFIXES = ("_share", "_ratio")
-# configparser copies the keys of its default section into every other one;
-# no section can have this name, so that [DEFAULT] is refused as unknown.
-NO_DEFAULT_SECTION = "]"
-
-
-class LogLevel(enum.Enum):
-    """Least severe log lines that are written."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
+LimitsSection = settings_file.section_of(state_lib.Limits)
 
 
 class InstanceSection(msgspec.Struct, frozen=True):
     """Who this instance is and where it listens."""
 
-    name: Name
-    failure_domain: Name
-    region: Name
-    listen: Address
+    name: settings_file.Name
+    failure_domain: settings_file.Name
+    region: settings_file.Name
+    listen: settings_file.Address
 
 
 class PlatformSection(msgspec.Struct, frozen=True):
     """Where the platform's services are."""
 
-    store: Address
-    instance_list: Address
-
-
-def _type_of_limit(field: dataclasses.Field) -> Any:
-    if field.type is bool:
-        return Flag
-    if field.type is int:
-        return Positive
-    return Share if field.name.endswith(SHARE_SUFFIXES) else Seconds
-
-
-def _section_of(limits: type) -> type:
-    """Builds the section of a dataclass of limits; each one is a setting."""
-    fields = [
-        (field.name, _type_of_limit(field), field.default)
-        for field in dataclasses.fields(limits)
-    ]
-    return msgspec.defstruct(f"{limits.__name__}Section", fields, frozen=True)
-
-
-LimitsSection = _section_of(state_lib.Limits)
-ServerSection = _section_of(http_protocol.InboundLimits)
-ClientSection = _section_of(http_client.PoolLimits)
-
-
-class TracingSection(msgspec.Struct, frozen=True):
-    """How many traces are kept."""
-
-    sampled_share: Share = 0.01
-
-
-class LogSection(msgspec.Struct, frozen=True):
-    """What is logged."""
-
-    level: Annotated[
-        LogLevel,
-        msgspec.Meta(description="use debug, info, warning or error"),
-    ] = LogLevel.INFO
+    store: settings_file.Address
+    instance_list: settings_file.Address
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -125,160 +35,33 @@
     instance: InstanceSection
     platform: PlatformSection
     limits: LimitsSection = LimitsSection()
-    server: ServerSection = ServerSection()
-    client: ClientSection = ClientSection()
-    tracing: TracingSection = TracingSection()
-    log: LogSection = LogSection()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsError:
-    """What is wrong with a settings file.
+    server: settings_file.ServerSection = settings_file.ServerSection()
+    client: settings_file.ClientSection = settings_file.ClientSection()
+    tracing: settings_file.TracingSection = settings_file.TracingSection()
+    log: settings_file.LogSection = settings_file.LogSection()
 
-    Attributes:
-        section: "" if the file as a whole is wrong.
-        key: "" if the section as a whole is wrong.
-    """
-
-    path: str
-    section: str
-    key: str
-    message: str
-    remedy: str
-
-    def __str__(self) -> str:
-        place = f"[{self.section}] {self.key}".rstrip() if self.section else ""
-        parts = [self.path, place, f"{self.message}; {self.remedy}"]
-        return ": ".join(filter(None, parts))
 
+SECTION_TYPES = settings_file.section_types(Settings)
 
-Sections = TypeVar("Sections", bound=msgspec.Struct)
 
-
-def load(path: str) -> Result[Settings, list[SettingsError]]:
+def load(path: str) -> Result[Settings, list[settings_file.SettingsError]]:
     """Reads and checks a settings file.
 
     Returns:
         The settings, or every error that was found.
     """
-    return read(path, Settings).bind(functools.partial(_check_limits, path))
-
-
-def read(
-    path: str, settings_type: type[Sections]
-) -> Result[Sections, list[SettingsError]]:
-    """Reads a settings file whose sections are the fields of a struct.
-
-    Returns:
-        The settings, or every error that was found.
-    """
-    parser = configparser.ConfigParser(
-        interpolation=None, default_section=NO_DEFAULT_SECTION
-    )
-    try:
-        parser.read_string(pathlib.Path(path).read_text(), source=path)
-    except OSError as error:
-        message = f"the file cannot be read ({error.strerror})"
-        remedy = "give the path of a readable settings file"
-        return Failure([SettingsError(path, "", "", message, remedy)])
-    except UnicodeDecodeError:
-        message = "the file is not UTF-8 text"
-        remedy = "save it as UTF-8"
-        return Failure([SettingsError(path, "", "", message, remedy)])
-    except configparser.Error as error:
-        return Failure([_syntax_error(path, error)])
-    sections = {name: dict(parser[name]) for name in parser.sections()}
-    found = list(_check(sections, path, section_types(settings_type)))
-    if found:
-        return Failure(found)
-    return Success(msgspec.convert(sections, settings_type, strict=False))
-
-
-def section_types(settings_type: type[msgspec.Struct]) -> dict[str, type]:
-    """Returns the type of each section."""
-    return {
-        field.name: field.type
-        for field in msgspec.structs.fields(settings_type)
-    }
-
-
-SECTION_TYPES = section_types(Settings)
-
-
-def _syntax_error(path: str, error: configparser.Error) -> SettingsError:
-    return SettingsError(
-        path,
-        getattr(error, "section", ""),
-        getattr(error, "option", ""),
-        " ".join(error.message.split()),
-        "correct the INI syntax",
-    )
-
-
-def _check(
-    sections: dict[str, dict[str, str]], path: str, types: dict[str, type]
-) -> Iterator[SettingsError]:
-    for name in sections:
-        if name not in types:
-            known = ", ".join(types)
-            yield SettingsError(
-                path, name, "", "unknown section", f"use one of {known}"
-            )
-    for name, section_type in types.items():
-        yield from _check_section(name, section_type, sections, path)
-
-
-def _check_section(
-    name: str,
-    section_type: type,
-    sections: dict[str, dict[str, str]],
-    path: str,
-) -> Iterator[SettingsError]:
-    values = sections.get(name, {})
-    fields = {
-        field.name: field for field in msgspec.structs.fields(section_type)
-    }
-    for key in values:
-        if key not in fields:
-            known = ", ".join(fields)
-            yield SettingsError(
-                path, name, key, "unknown key", f"use one of {known}"
-            )
-    for key, field in fields.items():
-        remedy = remedy_of(field.type)
-        if key in values:
-            problem = _problem_of(values[key], field.type)
-            if problem:
-                yield SettingsError(path, name, key, problem, remedy)
-        elif field.required:
-            yield SettingsError(path, name, key, "the key is missing", remedy)
-
-
-def _problem_of(text: str, field_type: Any) -> str:
-    """Returns what is wrong with a value, or ""."""
-    try:
-        msgspec.convert(text, field_type, strict=False)
-    except msgspec.ValidationError:
-        return f'the value "{text}" is not valid'
-    return ""
-
-
-def remedy_of(field_type: Any) -> str:
-    """Returns what the values of a setting look like."""
-    return next(
-        item.description
-        for item in field_type.__metadata__
-        if isinstance(item, msgspec.Meta)
+    return settings_file.read(path, Settings).bind(
+        functools.partial(_check_limits, path)
     )
 
 
 def _check_limits(
     path: str, settings: Settings
-) -> Result[Settings, list[SettingsError]]:
+) -> Result[Settings, list[settings_file.SettingsError]]:
     limits = settings.limits
     if limits.suspect_after_s > limits.heartbeat_period_s:
         return Success(settings)
-    error = SettingsError(
+    error = settings_file.SettingsError(
         path,
         "limits",
         "suspect_after_s",
@@ -291,14 +74,3 @@
 def limits_of(settings: Settings) -> state_lib.Limits:
     """Returns the reducer's limits."""
     return state_lib.Limits(**msgspec.structs.asdict(settings.limits))
-
-
-def inbound_limits_of(settings: Settings) -> http_protocol.InboundLimits:
-    """Returns the limits on inbound connections."""
-    values = msgspec.structs.asdict(settings.server)
-    return http_protocol.InboundLimits(**values)
-
-
-def pool_limits_of(settings: Settings) -> http_client.PoolLimits:
-    """Returns the limits on outgoing connections."""
-    return http_client.PoolLimits(**msgspec.structs.asdict(settings.client))
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -1,4 +1,4 @@
-"""The composition root: builds an instance from its settings and runs it."""
+"""The composition root of an entry instance."""
 
 import asyncio
 import functools
@@ -10,28 +10,17 @@
 from dandelionpick import api
 from dandelionpick import events
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import reducer
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import settings as settings_lib
+from dandelionpick import settings_file
 from dandelionpick import state as state_lib
 from dandelionpick import tracing
-from dandelionpick.batch import peer_api
-from dandelionpick.batch import reducer as batch_reducer
-from dandelionpick.batch import settings as batch_settings
-from dandelionpick.batch import state as batch_state
-from dandelionpick.platform import calls as platform_calls
-from dandelionpick.platform import configuration as platform_configuration
-from dandelionpick.platform import ingress
-from dandelionpick.platform import keys as platform_keys
-from dandelionpick.platform import targets as platform_targets
 from dandelionpick.status import ExitStatus
 
-# All requests have a response when the process exits; this lets the bytes of
-# the last ones go out before the platform kills the process.
-LAST_RESPONSES_S = 0.4
-
 
 def build_state(settings: settings_lib.Settings) -> state_lib.State:
     """Builds the reducer's first state."""
@@ -49,80 +38,6 @@
     )
 
 
-def build_batch_state(
-    settings: batch_settings.Settings, peer_address: str
-) -> batch_state.State:
-    """Builds the first state of an instance that schedules jobs.
-
-    Args:
-        settings: the checked settings.
-        peer_address: where other instances reach this one.
-    """
-    return batch_state.State(
-        identity=batch_settings.identity_of(settings, peer_address),
-        incarnation=ids.Incarnation(secrets.token_hex(8)),
-        formats=batch_state.Formats(
-            platform_keys.CONFIGURATION,
-            platform_keys.TARGETS,
-            platform_configuration.decode,
-            platform_targets.decode_entry,
-        ),
-        limits=batch_settings.limits_of(settings),
-        started_s=runtime_lib.clock_s(),
-    )
-
-
-async def run_scheduler(settings: batch_settings.Settings) -> ExitStatus:
-    """Runs an instance that schedules jobs on the users' platform.
-
-    Args:
-        settings: the checked settings.
-
-    Raises:
-        OSError: one of the addresses can't be bound.
-    """
-    tracer = tracing.Tracer(
-        settings.instance.name, settings.tracing.sampled_share
-    )
-    inbound = settings_lib.inbound_limits_of(settings)
-    outbound = settings_lib.pool_limits_of(settings)
-    listen = settings.listen
-    callers, health, peers = map(
-        server.bind, (listen.callers, listen.health, listen.peers)
-    )
-    async with http_client.Pools(outbound) as pools:
-        runtime = runtime_lib.Runtime(
-            build_batch_state(settings, server.address_of(peers)),
-            batch_reducer.reduce_guarded,
-            functools.partial(platform_calls.send, pools),
-            tracer,
-        )
-        apps = {
-            callers: ingress.build_callers(runtime, inbound.body_timeout_s),
-            health: ingress.build_health(runtime),
-            peers: peer_api.build(runtime),
-        }
-        ticks = asyncio.ensure_future(runtime.run_ticks())
-        logging.info(
-            "server: started as %s, incarnation %s, listening on %s",
-            settings.instance.name,
-            runtime.state.incarnation,
-            " ".join(map(server.address_of, apps)),
-        )
-        finished = await server.serve_until(
-            server.by_port(apps),
-            list(apps),
-            runtime.exited,
-            lambda: runtime.deliver(events.StopRequested(runtime.moment())),
-            inbound,
-            shutdown_limit_s=LAST_RESPONSES_S,
-        )
-        ticks.cancel()
-        await runtime.cancel_calls()
-    logging.info("server: stopped")
-    return ExitStatus.OK if finished else ExitStatus.INTERRUPTED
-
-
 async def run_instance(
     settings: settings_lib.Settings, listener: socket.socket
 ) -> ExitStatus:
@@ -135,9 +50,9 @@
     tracer = tracing.Tracer(
         settings.instance.name, settings.tracing.sampled_share
     )
-    inbound = settings_lib.inbound_limits_of(settings)
-    outbound = settings_lib.pool_limits_of(settings)
-    async with http_client.Pools(outbound) as pools:
+    inbound = settings_file.inbound_limits_of(settings.server)
+    outbound = settings_file.pool_limits_of(settings.client)
+    async with http_pools.Pools(outbound) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings),
             reducer.reduce_guarded,
--- a/tests/services.py
+++ b/tests/services.py
@@ -13,6 +13,7 @@
 
 from dandelionpick import effects
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import kinds
 from standins import deployment
@@ -63,7 +64,7 @@
         call = effects.Call(
             ids.CallId("contract"), self.destination, message, CALL_TIMEOUT_S
         )
-        async with http_client.Pools(http_client.PoolLimits(1)) as session:
+        async with http_pools.Pools(http_pools.PoolLimits(1)) as session:
             return await http_client.send(session, call)
 
     def control(self, changes: dict[str, Any]) -> None:
--- a/tests/test_executor_contract.py
+++ b/tests/test_executor_contract.py
@@ -16,6 +16,7 @@
 from dandelionpick import effects
 from dandelionpick import executor_messages as messages
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import kinds
 from standins import deployment
@@ -100,7 +101,7 @@
             kinds.Service.EXECUTOR, "executor", self.address
         )
         call = effects.Call(ids.CallId("1"), destination, message, 10.0)
-        async with http_client.Pools(http_client.PoolLimits(1)) as pools:
+        async with http_pools.Pools(http_pools.PoolLimits(1)) as pools:
             result = await http_client.send(pools, call)
         return result.unwrap() if isinstance(result, Success) else LOST
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -12,6 +12,7 @@
 from dandelionpick import errors
 from dandelionpick import executor_messages
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import list_messages
@@ -76,8 +77,8 @@
         }
         server = self.enterContext(fake_server.FakeServer(self.replies))
         self.link = self.enterContext(relay.Relay(server.address))
-        limits = http_client.PoolLimits()
-        self.pools = await self.enterAsyncContext(http_client.Pools(limits))
+        limits = http_pools.PoolLimits()
+        self.pools = await self.enterAsyncContext(http_pools.Pools(limits))
 
     async def send(self, message: Any, **fields: Any) -> Any:
         """Sends a call through the relay; returns reply or failure."""
@@ -176,7 +177,7 @@
     async def test_pools_of_unused_addresses_are_closed(self):
         await self.send(READ)
         (pool,) = self.pools.by_address.values()
-        long_ago_s = time.monotonic() - 2 * http_client.UNUSED_POOL_S
+        long_ago_s = time.monotonic() - 2 * http_pools.UNUSED_POOL_S
         pool.used_s = self.pools.swept_s = long_ago_s
         await self.send(READ)
         self.assertTrue(pool.retired)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,6 +10,7 @@
 
 from dandelionpick import core
 from dandelionpick import settings
+from dandelionpick import settings_file
 from dandelionpick import state as state_lib
 from dandelionpick.status import ExitStatus
 
@@ -42,7 +43,7 @@
         self.addCleanup(folder.cleanup)
         self.path = pathlib.Path(folder.name) / "entry.ini"
 
-    def errors_of(self, text: str) -> list[settings.SettingsError]:
+    def errors_of(self, text: str) -> list[settings_file.SettingsError]:
         self.path.write_text(text)
         loaded = settings.load(str(self.path))
         return [] if pipeline.is_successful(loaded) else loaded.failure()
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -10,6 +10,7 @@
 from dandelionpick import events
 from dandelionpick import executor_messages
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import list_messages
 from dandelionpick import wire
@@ -31,7 +32,7 @@
         self.received: list[str] = []
         address = await self.serve_executor()
         pools = await self.enterAsyncContext(
-            http_client.Pools(http_client.PoolLimits())
+            http_pools.Pools(http_pools.PoolLimits())
         )
         send = functools.partial(http_client.send, pools)
         entry = builders.executor_entry("executor-1", "a")
--- a/tests/test_worker_contract.py
+++ b/tests/test_worker_contract.py
@@ -10,6 +10,7 @@
 
 from dandelionpick import effects
 from dandelionpick import http_client
+from dandelionpick import http_pools
 from dandelionpick import kinds
 from dandelionpick import worker_messages as messages
 from standins import deployment
@@ -125,7 +126,7 @@
         call = effects.Call("c", destination, message, 10.0)
 
         async def perform():
-            async with http_client.Pools(http_client.PoolLimits(1)) as session:
+            async with http_pools.Pools(http_pools.PoolLimits(1)) as session:
                 return await http_client.send(session, call)
 
         return asyncio.run(perform()).unwrap()
@@ -147,7 +148,7 @@
         call = effects.Call("c", destination, message, 0.3)
 
         async def perform():
-            async with http_client.Pools(http_client.PoolLimits(1)) as session:
+            async with http_pools.Pools(http_pools.PoolLimits(1)) as session:
                 return await http_client.send(session, call)
 
         failure = asyncio.run(perform()).failure()
