--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -21,6 +21,7 @@
 from cleo.helpers import option
 
 from bench import load_patterns
+from dandelionpick.batch import locality
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
 from dandelionpick.batch import scheduling
@@ -31,15 +32,20 @@
 from tests import batch_fabric
 
 OUTPUT = pathlib.Path("build/experiment.jsonl")
-# What a core second of work that is thrown away costs, in worth, and how many
-# cores an accelerator counts for.
+# What a core second of work that is thrown away costs, in worth; the users' price.
 WASTE_PRICE = 0.0013
+# A day of the users' bench lasts as long.
 ARRIVALS_S = 34.0
 # Jobs that take longer than this earn nothing, or were stragglers.
 REST_S = 46.0
 POLL_S = 0.1
+# How many targets a fault strikes, an eighth of them, and how much slower slow
+# ones are; as in the users' disturbances.
+STRUCK_TARGETS = 3
 SLOW_FACTOR = 6.5
+# Demand swings within seconds; the worst windows are this long.
 WINDOW_S = 5.0
+# How often a caller sends a job that is refused.
 TRIES = 4
 
 
@@ -66,6 +72,11 @@
     """Changes nothing."""
 
 
+def _far_early() -> None:
+    """Lets work run in the wrong rack after its estimated run time."""
+    locality.PATIENCE_BUSY = locality.PATIENCE_IDLE
+
+
 def _first_come() -> None:
     """Starts steps in the order in which their jobs were accepted."""
     urgency = scheduling.urgency
@@ -100,6 +111,7 @@
 POLICIES: dict[str, Callable[[], None]] = {
     "product": _product,
     "no-headroom": _no_headroom,
+    "far-early": _far_early,
     "first-come": _first_come,
     "first-fit": _first_fit,
 }
@@ -180,7 +192,9 @@
 
     def _strike(self, fault: str) -> None:
         targets = list(self.fabric.world.targets.values())
-        struck = random.Random(self.draws.random()).sample(targets, 3)
+        struck = random.Random(self.draws.random()).sample(
+            targets, STRUCK_TARGETS
+        )
         for target in targets:
             if fault == "heal":
                 target.fails = target.hangs = False
