--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -32,7 +32,8 @@
 from tests import batch_fabric
 
 OUTPUT = pathlib.Path("build/experiment.jsonl")
-# What a core second of work that is thrown away costs, in worth; the users' price.
+# What a core second of work that is thrown away costs, in worth: the users'
+# price.
 WASTE_PRICE = 0.0013
 # A day of the users' bench lasts as long.
 ARRIVALS_S = 34.0
