--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -29,6 +29,7 @@
 JOBS = (
     "tests.test_batch_jobs",
     "tests.test_batch_faults",
+    "tests.test_batch_succession",
     "tests.test_batch_store_faults",
 )
 ALL = (*JOBS, "tests.test_batch_fuzz")
--- /dev/null
+++ b/tests/test_batch_succession.py
@@ -0,0 +1,359 @@
+"""The scheduler goes, and another instance takes its work over."""
+
+import unittest
+
+import msgspec
+
+from dandelionpick import events
+from dandelionpick import kinds
+from dandelionpick.batch import attendance
+from dandelionpick.batch import leadership
+from dandelionpick.batch import model
+from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import store_api
+from dandelionpick.batch import watches
+from dandelionpick.batch import watching
+from standins import platform_store
+from tests import batch_builders as builders
+from tests import batch_fabric
+from tests import test_batch_jobs
+
+# What is allowed until another instance places work, after a scheduler was
+# killed, and after it has fallen silent.
+KILLED_TAKEOVER_S = 1.5
+SILENT_TAKEOVER_S = 2.5
+STORE = "store"
+
+
+class SchedulerTest(test_batch_jobs.BatchTest):
+    """The scheduler goes, and another one takes its work over."""
+
+    def test_killed_scheduler_is_replaced(self):
+        """Guards against work that ends with the scheduler."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(6), work_s=4.0))
+        fabric.run_for(1.0)
+        taken_s = self.taken_over(fabric, fabric.kill)
+        self.assertLess(taken_s, KILLED_TAKEOVER_S)
+        fabric.until_completed(1, limit_s=6.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 6)
+
+    def taken_over(self, fabric, fault) -> float:
+        """Applies a fault to the scheduler; returns the seconds without one."""
+        first = fabric.scheduler()
+        fault(first.name)
+        return fabric.run_until(
+            lambda: fabric.scheduler() not in (None, first), 5.0
+        )
+
+    def test_silent_scheduler_is_replaced(self):
+        """Guards against work that waits for a machine without power."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(6), work_s=4.0))
+        fabric.run_for(1.0)
+        taken_s = self.taken_over(fabric, fabric.cut_power)
+        self.assertLess(taken_s, SILENT_TAKEOVER_S)
+        fabric.until_completed(1, limit_s=6.0)
+
+    def test_killed_scheduler_is_replaced_before_its_lease_ends(self):
+        """Guards against placement that waits for a lease of a dead process."""
+        fabric = self.build()
+        taken_s = self.taken_over(fabric, fabric.kill)
+        self.assertLess(taken_s, leadership.LEASE_TTL_S / 2)
+
+    def test_refused_scheduler_is_replaced_before_its_lease_ends(self):
+        """Guards against placement by a scheduler that can't see new jobs."""
+        fabric = self.build()
+
+        def refuse(name):
+            fabric.store.outages[name] = platform_store.Outage.BUSY
+
+        taken_s = self.taken_over(fabric, refuse)
+        self.assertLess(taken_s, 0.75 * leadership.LEASE_TTL_S)
+
+    def test_scheduler_stays_while_the_store_refuses_everybody(self):
+        """Guards against takeovers in turn by instances without the store."""
+        fabric = self.build()
+        first = fabric.scheduler()
+        fabric.submit(1, builders.body(builders.phase(8), work_s=1.0))
+        for _ in range(8):
+            fabric.store.outages[""] = platform_store.Outage.BUSY
+            fabric.run_for(3.0)
+            del fabric.store.outages[""]
+            fabric.run_for(1.5)
+            self.assertIs(fabric.scheduler(), first)
+        fabric.until_completed(1)
+
+    def test_instances_that_refuse_each_other_do_not_take_turns(self):
+        """Guards against endless takeovers across a link that refuses."""
+        fabric = self.build(instances=2)
+        first, second = fabric.instances.values()
+        refused = kinds.CallFailure.NOT_SENT
+        epochs = set()
+        for _ in range(80):
+            for instance in (first, second):
+                epochs.add(instance.state.authority.epoch)
+                for call_id, call in list(instance.state.calls.items()):
+                    if isinstance(call.context, attendance.AttendContext):
+                        failed = events.Failed(
+                            fabric.moment(), call_id, refused
+                        )
+                        fabric.deliver(instance, failed)
+            fabric.run_for(0.1)
+        self.assertLessEqual(len(epochs), 4)
+
+    def test_planned_stop_hands_the_role_over_at_once(self):
+        """Guards against a lease that has to expire at a planned stop."""
+        fabric = self.build()
+        first = fabric.scheduler()
+        fabric.stop(first.name)
+        taken_s = fabric.run_until(
+            lambda: fabric.scheduler() not in (None, first), 5.0
+        )
+        self.assertLess(taken_s, 0.6)
+        fabric.run_for(4.0)
+        self.assertTrue(first.exited)
+
+    def test_open_requests_are_answered_before_the_process_is_killed(self):
+        """Guards against a stop that cuts a request off."""
+        fabric = self.build()
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        fabric.stop("e1")
+        fabric.run_for(2.3)
+        message = builders.submit(1, builders.one_task(), deadline_s=9.0)
+        replies = fabric.send("e1", message)
+        fabric.run_for(2.9)
+        self.assertTrue(fabric.instances["e1"].exited)
+        self.assertTrue(replies)
+
+    def test_scheduler_that_the_store_refuses_is_replaced(self):
+        """Guards against two schedulers that start the same task."""
+        for outage in platform_store.Outage:
+            with self.subTest(outage):
+                fabric = self.build()
+                fabric.submit(1, builders.body(builders.phase(6), work_s=6.0))
+                first = fabric.scheduler()
+                fabric.store.outages[first.name] = outage
+                fabric.run_until(
+                    lambda fabric=fabric, first=first: (
+                        fabric.scheduler() not in (None, first)
+                    ),
+                    5.0,
+                )
+                fabric.submit(2, builders.body(), name=fabric.scheduler().name)
+                fabric.until_completed(2, limit_s=4.0)
+                self.assertIs(
+                    batch_fabric.role_of(first), state_lib.Role.FOLLOWING
+                )
+                fabric.until_completed(1, limit_s=8.0)
+                self.assertEqual(fabric.world.broken, [])
+
+    def test_frozen_scheduler_orders_nothing_after_its_replacement(self):
+        """Guards against orders of a scheduler whose lease has expired."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(8), work_s=5.0))
+        first = fabric.scheduler()
+        fabric.run_for(0.5)
+        fabric.freeze(first.name)
+        fabric.run_for(3.0)
+        second = fabric.scheduler()
+        self.assertIsNot(second, first)
+        fabric.submit(2, builders.body(), name=second.name)
+        fabric.thaw(first.name)
+        fabric.until_completed(1, 2, limit_s=10.0)
+
+    def test_replaced_scheduler_stores_nothing(self):
+        """Guards against progress of a scheduler that was replaced.
+
+        Its watches have fallen silent, so that it does not know it yet.
+        """
+        fabric = self.build(instances=1)
+        fabric.submit(1, builders.body(work_s=1.0))
+        fabric.run_for(0.5)
+        state = fabric.scheduler().state
+        for kind in (watches.SchedulerWatch, watches.IntakeWatch):
+            watching.stop(state, kind)
+        successor = state_lib.SchedulerRecord("e9", "e9-1", "e9:7000")
+        fabric.store.put(state_lib.SCHEDULER, msgspec.json.encode(successor))
+        fabric.run_for(1.5)
+        key = state_lib.PROGRESS + builders.job_id(1)
+        self.assertNotIn(key, fabric.store.items)
+        self.assertIs(state.authority.role, state_lib.Role.FOLLOWING)
+
+    def test_all_instances_restart(self):
+        """Guards against state that only the processes had."""
+        fabric = self.build()
+        steps = (builders.phase(4), builders.phase(4, after=[0]))
+        fabric.submit(1, builders.body(*steps, work_s=2.0))
+        fabric.run_for(1.0)
+        for name in list(fabric.instances):
+            fabric.kill(name)
+        fabric.run_for(3.0)
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        fabric.until_completed(1, limit_s=10.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 8)
+
+    def test_restarted_scheduler_does_not_wait_for_its_own_lease(self):
+        """Guards against a pause after all instances were restarted."""
+        fabric = self.build()
+        for name in list(fabric.instances):
+            fabric.kill(name)
+        fabric.run_for(0.2)
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        taken_s = fabric.run_until(fabric.scheduler, 5.0)
+        self.assertLess(taken_s, 0.6)
+
+    def test_scheduler_knows_no_job_accepted_after_its_replacement(self):
+        """Guards against a watch that is ahead of the watch of the election.
+
+        A successor starts jobs that were accepted after its takeover without
+        waiting for targets that it can't read.
+        """
+        fabric = self.build()
+        first = fabric.scheduler()
+        record = model.JobRecord(
+            "q1", "ward", model.QueueTerms("pool"), builders.one_task(), 0
+        )
+        intake = fabric.call_of(first, watches.IntakeWatch)
+        revision = fabric.store.revision
+        items = (
+            store_api.Item(state_lib.SCHEDULER, b"{}", revision + 1),
+            store_api.Item(
+                state_lib.JOBS + builders.job_id(1),
+                model.encode(record),
+                revision + 2,
+            ),
+        )
+        changed = store_api.Changed(items, frozenset(), revision + 2)
+        fabric.deliver(first, events.Returned(fabric.moment(), intake, changed))
+        fabric.run_for(0.2)
+        self.assertEqual(fabric.world.starts, {})
+        self.assertIs(batch_fabric.role_of(first), state_lib.Role.FOLLOWING)
+
+    def test_takeover_with_a_target_that_cannot_be_read(self):
+        """Guards against a second start of what runs behind a cut."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=40.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        self.assertEqual(len(fabric.world.targets["t0"].runs), 8)
+        self.part_from_others(fabric, first.name, "t0")
+        fabric.part(first.name, STORE)
+        fabric.run_for(60.0)
+        self.assertEqual(fabric.world.broken, [])
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=90.0)
+
+    def test_isolated_scheduler_stops_extending_in_time(self):
+        """Guards against leases that an isolated scheduler extends for ever.
+
+        Nobody can tell it about its successor, which waits for a bound only.
+        """
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=60.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        self.part_from_others(fabric, first.name, "t0")
+        others = [name for name in fabric.instances if name != first.name]
+        for place in (STORE, "t1", "t2", *others):
+            fabric.part(first.name, place)
+        fabric.run_for(60.0)
+        self.assertEqual(fabric.world.broken, [])
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=90.0)
+
+    def test_target_that_is_gone_for_the_store_too_holds_less_up(self):
+        """Guards against tasks that wait for a target that nobody knows.
+
+        Seen on a played day: a target left while the store was away, so that
+        the roster could not say that it was silent.
+        """
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(24), work_s=8.0))
+        fabric.run_for(1.0)
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        fabric.crash_target("t0")
+        fabric.run_for(5.0)
+        fabric.kill(fabric.scheduler().name)
+        fabric.store.outages.clear()
+        # A takeover, the longest lease and the work itself.
+        fabric.until_completed(1, limit_s=23.0)
+
+    def part_from_others(
+        self, fabric: batch_fabric.Fabric, name: str, target: str
+    ) -> None:
+        for other in fabric.instances:
+            if other != name:
+                fabric.part(other, target)
+
+    def test_silent_target_is_extended_only_after_the_store_knows(self):
+        """Guards against a successor that trusts an outdated lease end."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=60.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        self.part_from_others(fabric, first.name, "t0")
+        fabric.part(first.name, "t0")
+        fabric.run_for(2.5)
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        fabric.cut.discard(frozenset((first.name, "t0")))
+        fabric.run_for(7.0)
+        fabric.kill(first.name)
+        fabric.store.outages.clear()
+        fabric.run_for(20.0)
+        self.assertEqual(fabric.world.broken, [])
+
+    def test_adopted_runs_keep_the_lease_of_their_first_scheduler(self):
+        """Guards against a second start of what an earlier scheduler extended.
+
+        Seen on a played day: the target was marked as silent, so that the new
+        scheduler had extended nothing there when one listing got no reply.
+        """
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(12), work_s=8.0), 2)
+        fabric.run_for(1.0)
+        first = fabric.scheduler()
+        for name in fabric.instances:
+            fabric.part(name, "t0")
+        fabric.run_for(2.5)
+        fabric.kill(first.name)
+        fabric.cut.clear()
+        fabric.run_until(lambda: fabric.scheduler() not in (None, first), 5.0)
+        for name in fabric.instances:
+            fabric.part(name, "t0")
+        fabric.run_for(2.0)
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=8.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 12)
+
+    def test_end_during_an_outage_survives_all_instances(self):
+        """Guards against an end that nobody remembers."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(2), work_s=2.0))
+        fabric.run_for(1.0)
+        fabric.store.outages[""] = platform_store.Outage.SILENT
+        # Idle targets are listed every 3 s.
+        fabric.run_for(6.0)
+        for name in fabric.instances:
+            fabric.kill(name)
+        fabric.store.outages.clear()
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        fabric.until_completed(1, limit_s=10.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 2)
+
+    def test_target_that_left_before_the_takeover_holds_nothing_up(self):
+        """Guards against tasks that wait for a target that is gone."""
+        fabric = self.build()
+        fabric.submit(1, builders.body(builders.phase(24), work_s=8.0))
+        fabric.run_for(1.0)
+        fabric.crash_target("t0")
+        fabric.run_for(14.0)
+        fabric.kill(fabric.scheduler().name)
+        fabric.until_completed(1, limit_s=14.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
