Gather what logs say about a job into one time line

dandelionpick explain ID LOGS puts a job's lines of all instances in order, with those about elections, the store and the job's targets in between. A parameter that listings did not use goes.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -223,7 +223,7 @@
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    _note_answer(state, step, target, context, listed)
+    _note_answer(state, step, target, listed)
     for ended in sorted(listed.ended, key=lambda ended: ended.number):
         if ended.number > target.processed:
             target.processed = ended.number
@@ -249,7 +249,6 @@
     state: state_lib.State,
     step: dispatch.Step,
     target: schedule_state.Target,
-    context: ListContext,
     listed: target_api.RunsListed,
 ) -> None:
     schedule = state.schedule
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -30,6 +30,7 @@
     "run": Entry("cli_run", "RunCommand", False),
     "check-settings": Entry("cli_run", "CheckSettingsCommand", False),
     "schedule": Entry("cli_schedule", "ScheduleCommand"),
+    "explain": Entry("cli_explain", "ExplainCommand", False),
     "request submit": Entry("cli_requests", "SubmitCommand"),
     "request fetch": Entry("cli_requests", "FetchCommand"),
     "request cancel": Entry("cli_requests", "CancelCommand"),
--- a/dandelionpick/cli_options.py
+++ b/dandelionpick/cli_options.py
@@ -22,6 +22,13 @@
     f"Path of the settings file (default: {SETTINGS_VARIABLE}).",
     optional=True,
 )
+JOB_ID = helpers.argument("id", "Id of the job, the end of its path.")
+LOG_FILES = helpers.argument(
+    "logs",
+    'Log files of all instances; "-" or none reads stdin.',
+    optional=True,
+    multiple=True,
+)
 KEY = helpers.argument("key", "Key of the request or job.")
 TREE_PATH = helpers.argument(
     "path", 'Keys from the root of the tree, separated by "/".'
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,95 @@
+"""The command that gathers what logs say about a job."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from cleo.io.outputs import buffered_output
+
+from dandelionpick import core
+from dandelionpick.status import ExitStatus
+
+JOB = "f1e70623bcfcf75d"
+OTHER = "aaaaaaaaaaaaaaaa"
+
+
+def line(second: int, part: str, message: str, **fields) -> str:
+    """Builds a log line."""
+    values = {
+        "time": f"2026-01-10T07:44:{second:02}.000+00:00",
+        "level": "info",
+        "instance": f"e{second % 2}",
+        "part": part,
+        "message": message,
+        **fields,
+    }
+    return json.dumps(values)
+
+
+LOG_A = (
+    line(1, "scheduler", "became the scheduler in epoch 3"),
+    line(3, "scheduler", "starting 1 of 1 tasks", job=JOB, targets=["t1"]),
+    line(4, "targets", "t1 can't be listed: lost"),
+    line(4, "targets", "t2 can't be listed: lost"),
+    line(9, "scheduler", "job completed", job=JOB, seconds=7.0),
+    line(9, "scheduler", "job completed", job=OTHER),
+)
+LOG_B = (
+    "not a log line",
+    "  2.1 e0 " + line(2, "intake", "Submit accepted", job=JOB),
+    line(5, "scheduler", "replacing e1 in epoch 3 before its lease ends"),
+    line(6, "scheduler", f"stopping 4 runs for {JOB} of rank 0.0"),
+    "{broken",
+)
+
+
+class ExplainTest(unittest.TestCase):
+    """An engineer sees one time line of a job from many logs."""
+
+    def setUp(self):
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.paths = [str(folder / "a.log"), str(folder / "b.log")]
+        for path, lines in zip(self.paths, (LOG_A, LOG_B), strict=True):
+            pathlib.Path(path).write_text("\n".join(lines))
+
+    def run_command(self, *args: str) -> tuple[ExitStatus, str, str]:
+        out, err = (buffered_output.BufferedOutput() for _ in range(2))
+        status = core.main(["dandelionpick", "explain", *args], {}, out, err)
+        return status, out.fetch(), err.fetch()
+
+    def test_lines_of_all_instances_come_by_time(self):
+        """Guards against a cause that stands in another instance's log."""
+        status, text, _ = self.run_command(JOB, *self.paths)
+        self.assertEqual(status, ExitStatus.OK)
+        messages = [row.split(": ", 1)[1] for row in text.splitlines()]
+        self.assertEqual(
+            messages,
+            [
+                "Submit accepted",
+                "starting 1 of 1 tasks targets=['t1']",
+                "t1 can't be listed: lost",
+                "replacing e1 in epoch 3 before its lease ends",
+                f"stopping 4 runs for {JOB} of rank 0.0",
+                "job completed seconds=7.0",
+            ],
+        )
+
+    def test_json_lines_can_be_read_by_programs(self):
+        """Guards against output that only people can read."""
+        _, text, _ = self.run_command(JOB, *self.paths, "--json")
+        rows = [json.loads(row) for row in text.splitlines()]
+        self.assertEqual(rows[-1]["fields"], {"seconds": 7.0})
+
+    def test_errors_name_the_remedy(self):
+        """Guards against an empty answer to a wrong id or file."""
+        status, _, error = self.run_command("0" * 16, *self.paths)
+        self.assertEqual(status, ExitStatus.FAILURE)
+        self.assertIn("give the logs of all instances", error)
+        status, _, error = self.run_command(JOB, self.paths[0] + ".gone")
+        self.assertEqual(status, ExitStatus.FAILURE)
+        self.assertIn("give readable log files", error)
+
+
+if __name__ == "__main__":
+    unittest.main()
