--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -323,7 +323,7 @@
     authority = state.authority
     authority.role = state_lib.Role.LEADING
     if authority.replaces:
-        state.attendance.replaced_s = step.moment.now_s
+        state.monitoring.replaced_s = step.moment.now_s
     authority.epoch = epoch
     authority.campaign_s = None
     authority.record_epoch = epoch
--- a/dandelionpick/batch/messages.py
+++ b/dandelionpick/batch/messages.py
@@ -98,7 +98,7 @@
     """The receiver is not the scheduler, or has not taken over yet."""
 
 
-class Attend(msgspec.Struct, frozen=True, tag="attend"):
+class Monitor(msgspec.Struct, frozen=True, tag="monitor"):
     """Asks the scheduler to say when it can't go on.
 
     Attributes:
@@ -110,11 +110,11 @@
     wait_s: float
 
 
-class Attending(msgspec.Struct, frozen=True, tag="attending"):
+class StillScheduling(msgspec.Struct, frozen=True, tag="still_scheduling"):
     """The scheduler goes on."""
 
 
-class Unserved(msgspec.Struct, frozen=True, tag="unserved"):
+class StoreRefuses(msgspec.Struct, frozen=True, tag="store_refuses"):
     """The store refuses the scheduler.
 
     Attributes:
@@ -124,5 +124,5 @@
     since_s: float
 
 
-PeerMessage = Relay | Attend
-PeerReply = Relayed | NotScheduler | Attending | Unserved
+PeerMessage = Relay | Monitor
+PeerReply = Relayed | NotScheduler | StillScheduling | StoreRefuses
--- a/dandelionpick/batch/attendance.py
+++ b/dandelionpick/batch/monitoring.py
@@ -22,7 +22,7 @@
 # How long a call stays open; a silent connection is noticed soon after.
 WAIT_S = 2.0
 TIMEOUT_MARGIN_S = 0.6
-# Pause before the next call to a scheduler that gave no use to wait for.
+# Pause after a call that the scheduler answered at once, or refused.
 RETRY_S = 0.2
 # Where two instances can't reach each other, each would replace the other for
 # ever; an instance replaces a scheduler early at most once in this time.
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AttendContext:
+class MonitorContext:
     """A call at the scheduler.
 
     Attributes:
@@ -43,10 +43,10 @@
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Attends on the scheduler, and answers those who attend on this one."""
-    _answer_visitors(state, step)
-    attendance = state.attendance
-    if not attendance.pending and step.moment.now_s >= attendance.call_at_s:
+    """Monitors the scheduler, and answers those who monitor this one."""
+    _answer_monitors(state, step)
+    monitoring = state.monitoring
+    if not monitoring.pending and step.moment.now_s >= monitoring.call_at_s:
         _call(state, step)
 
 
@@ -61,22 +61,22 @@
         or record.instance == state.identity.instance
     ):
         return
-    state.attendance.pending = True
+    state.monitoring.pending = True
     dispatch.call(
         state,
         step,
         effects.Destination(
             kinds.Service.PEER, record.instance, record.address
         ),
-        messages.Attend(authority.record_epoch, WAIT_S),
-        AttendContext(authority.record_epoch, step.moment.now_s, again),
+        messages.Monitor(authority.record_epoch, WAIT_S),
+        MonitorContext(authority.record_epoch, step.moment.now_s, again),
         WAIT_S + TIMEOUT_MARGIN_S,
     )
 
 
 @dispatch.receive.register
 def _(
-    message: messages.Attend,
+    message: messages.Monitor,
     state: state_lib.State,
     step: dispatch.Step,
     exchange_id: ids.ExchangeId,
@@ -89,43 +89,43 @@
         step.respond(exchange_id, messages.NotScheduler())
         return
     wait_s = min(message.wait_s, WAIT_S)
-    state.attendance.visitors[exchange_id] = step.moment.now_s + wait_s
-    _answer_visitors(state, step)
+    state.monitoring.monitors[exchange_id] = step.moment.now_s + wait_s
+    _answer_monitors(state, step)
 
 
-def _answer_visitors(state: state_lib.State, step: dispatch.Step) -> None:
+def _answer_monitors(state: state_lib.State, step: dispatch.Step) -> None:
     now_s = step.moment.now_s
     refused_s = leadership.refused_for_s(state, now_s)
-    visitors = state.attendance.visitors
-    for exchange_id, until_s in list(visitors.items()):
+    monitors = state.monitoring.monitors
+    for exchange_id, until_s in list(monitors.items()):
         reply: messages.PeerReply
         if state.authority.role is not state_lib.Role.LEADING:
             reply = messages.NotScheduler()
         elif refused_s:
-            reply = messages.Unserved(refused_s)
+            reply = messages.StoreRefuses(refused_s)
         elif now_s >= until_s:
-            reply = messages.Attending()
+            reply = messages.StillScheduling()
         else:
             continue
-        del visitors[exchange_id]
+        del monitors[exchange_id]
         step.respond(exchange_id, reply)
 
 
 @dispatch.returned.register
 def _(
-    context: AttendContext,
+    context: MonitorContext,
     state: state_lib.State,
     step: dispatch.Step,
     reply: Any,
 ) -> None:
-    attendance = state.attendance
-    attendance.pending = False
-    if isinstance(reply, messages.Attending):
+    monitoring = state.monitoring
+    monitoring.pending = False
+    if isinstance(reply, messages.StillScheduling):
         _call(state, step)
         return
     now_s = step.moment.now_s
-    attendance.call_at_s = now_s + RETRY_S
-    if not isinstance(reply, messages.Unserved):
+    monitoring.call_at_s = now_s + RETRY_S
+    if not isinstance(reply, messages.StoreRefuses):
         return
     health = state.store_health
     # The store may be away for everybody.
@@ -135,20 +135,20 @@
 
 @dispatch.failed.register
 def _(
-    context: AttendContext,
+    context: MonitorContext,
     state: state_lib.State,
     step: dispatch.Step,
     failure: kinds.CallFailure,
 ) -> None:
-    attendance = state.attendance
-    attendance.pending = False
+    monitoring = state.monitoring
+    monitoring.pending = False
     now_s = step.moment.now_s
     prompt = now_s - context.sent_s < leadership.PROMPT_S
     if failure is kinds.CallFailure.NOT_SENT and prompt:
-        attendance.call_at_s = now_s + RETRY_S
+        monitoring.call_at_s = now_s + RETRY_S
         _replace(state, step, context, "nothing listens at its address")
     elif context.again and prompt:
-        attendance.call_at_s = now_s + RETRY_S
+        monitoring.call_at_s = now_s + RETRY_S
     else:
         # A connection that broke says nothing about the process yet.
         _call(state, step, again=True)
@@ -157,18 +157,18 @@
 def _replace(
     state: state_lib.State,
     step: dispatch.Step,
-    context: AttendContext,
+    context: MonitorContext,
     reason: str,
 ) -> None:
     authority = state.authority
-    attendance = state.attendance
+    monitoring = state.monitoring
     now_s = step.moment.now_s
     if (
         authority.role is not state_lib.Role.FOLLOWING
         or authority.record is None
         or authority.record_epoch != context.epoch
         or authority.campaign_s is not None
-        or now_s < attendance.replaced_s + REPLACE_PERIOD_S
+        or now_s < monitoring.replaced_s + REPLACE_PERIOD_S
     ):
         return
     step.note(
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -8,10 +8,10 @@
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import reduction
-from dandelionpick.batch import attendance
 from dandelionpick.batch import configuration
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leaving
+from dandelionpick.batch import monitoring
 from dandelionpick.batch import polling
 from dandelionpick.batch import requests
 from dandelionpick.batch import retention
@@ -31,7 +31,7 @@
 TICKS: tuple[reduction.Handler, ...] = (
     watching.tick,
     leadership.tick,
-    attendance.tick,
+    monitoring.tick,
     takeover.tick,
     roster.tick,
     polling.tick,
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -134,18 +134,18 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Attendance:
+class Monitoring:
     """Calls that tell the other instances at once that a scheduler is gone.
 
     Attributes:
-        visitors: exchanges of instances that attend on this scheduler, with
+        monitors: exchanges of instances that monitor this scheduler, with
             the time at which each has to be answered.
         pending: our call at the scheduler is in progress.
         call_at_s: when to send the next one.
         replaced_s: when this instance last replaced a scheduler early.
     """
 
-    visitors: dict[ids.ExchangeId, float] = dataclasses.field(
+    monitors: dict[ids.ExchangeId, float] = dataclasses.field(
         default_factory=dict
     )
     pending: bool = False
@@ -248,7 +248,7 @@
     calls_made: int = 0
     catalog: KnownCatalog = dataclasses.field(default_factory=KnownCatalog)
     authority: Authority = dataclasses.field(default_factory=Authority)
-    attendance: Attendance = dataclasses.field(default_factory=Attendance)
+    monitoring: Monitoring = dataclasses.field(default_factory=Monitoring)
     schedule: schedule_state.Schedule | None = None
     open_requests: dict[ids.ExchangeId, OpenRequest] = dataclasses.field(
         default_factory=dict
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -4,13 +4,13 @@
 
 from dandelionpick import errors
 from dandelionpick.batch import admission
-from dandelionpick.batch import attendance
 from dandelionpick.batch import fencing
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_intake
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import locality
+from dandelionpick.batch import monitoring
 from dandelionpick.batch import orders
 from dandelionpick.batch import polling
 from dandelionpick.batch import roster
@@ -204,14 +204,14 @@
     )
 
 
-def attend_nobody() -> None:
+def monitor_nobody() -> None:
     """Waits for the lease of a scheduler that has ended."""
-    attendance._call = lambda state, step, again=False: None
+    monitoring._call = lambda state, step, again=False: None
 
 
 def replace_endlessly() -> None:
     """Replaces schedulers across a link that refuses, without a pause."""
-    attendance.REPLACE_PERIOD_S = 0.0
+    monitoring.REPLACE_PERIOD_S = 0.0
 
 
 def forget_failed_calls() -> None:
@@ -252,7 +252,7 @@
         JOBS,
     ),
     mutant.Mutant(
-        "a scheduler that has ended is replaced at once", attend_nobody, JOBS
+        "a scheduler that has ended is replaced at once", monitor_nobody, JOBS
     ),
     mutant.Mutant(
         "instances that refuse each other pause", replace_endlessly, JOBS
--- a/tests/test_batch_succession.py
+++ b/tests/test_batch_succession.py
@@ -6,9 +6,9 @@
 
 from dandelionpick import events
 from dandelionpick import kinds
-from dandelionpick.batch import attendance
 from dandelionpick.batch import leadership
 from dandelionpick.batch import model
+from dandelionpick.batch import monitoring
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 from dandelionpick.batch import watches
@@ -94,7 +94,7 @@
             for instance in (first, second):
                 epochs.add(instance.state.authority.epoch)
                 for call_id, call in list(instance.state.calls.items()):
-                    if isinstance(call.context, attendance.AttendContext):
+                    if isinstance(call.context, monitoring.MonitorContext):
                         failed = events.Failed(
                             fabric.moment(), call_id, refused
                         )
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -50,11 +50,11 @@
         ("POST", "/hold"),
         b'{"clock_ms":1,"running":[],"finished":[],"born":1}',
     ),
-    "attendance": (
+    "monitoring": (
         PEER,
-        messages.Attend(EPOCH, 0.1),
+        messages.Monitor(EPOCH, 0.1),
         ("POST", "/v1/peer"),
-        b'{"type":"attending"}',
+        b'{"type":"still_scheduling"}',
     ),
 }
 
@@ -98,7 +98,7 @@
         with socket.socket() as bound:
             bound.bind(("127.0.0.1", 0))
             host, port = bound.getsockname()
-            message = messages.Attend(EPOCH, 0.1)
+            message = messages.Monitor(EPOCH, 0.1)
             result = await self.send(PEER, message, f"{host}:{port}")
         self.assertEqual(result.failure(), kinds.CallFailure.NOT_SENT)
 
