--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -23,16 +23,6 @@
 # Three renewals may be lost before the lease ends; a killed scheduler is
 # noticed within this time.
 LEASE_TTL_S = 1.2
-KEEP_PERIOD_S = 0.3
-KEEP_TIMEOUT_S = 0.4
-# A refused renewal is repeated after this time, so that a refusal that lasts
-# is known well before the lease ends.
-KEEP_RETRY_S = 0.1
-# A call that fails sooner than this was refused or reset; one that takes longer
-# may only be slow.
-PROMPT_S = 0.3
-# Refused renewals in a row after which the store is taken to refuse us.
-REFUSALS = 2
 # Candidates near the store come first: each waits this many times its
 # shortest round trip.
 CAMPAIGN_RTTS = 4.0
@@ -57,14 +47,6 @@
     sent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeepContext:
-    """The scheduler's lease is renewed."""
-
-    epoch: ids.Epoch
-    sent_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResignContext:
     """The scheduler's lease is ended."""
@@ -80,17 +62,14 @@
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Campaigns if there is no scheduler, and renews the lease."""
+    """Campaigns if there is no scheduler; steps down if it was replaced."""
     authority = state.authority
     now_s = step.moment.now_s
     if authority.role is state_lib.Role.FOLLOWING:
         if authority.campaign_s is not None and now_s >= authority.campaign_s:
             _campaign(state, step)
-    elif authority.role is state_lib.Role.LEADING:
-        if authority.fenced:
-            step_down(state, step, "a target has seen a higher epoch")
-        else:
-            _keep(state, step)
+    elif authority.role is state_lib.Role.LEADING and authority.fenced:
+        step_down(state, step, "a target has seen a higher epoch")
 
 
 def step_down(state: state_lib.State, step: dispatch.Step, reason: str) -> None:
@@ -340,75 +319,6 @@
     takeover.begin(state, step, epoch)
 
 
-def _keep(state: state_lib.State, step: dispatch.Step) -> None:
-    authority = state.authority
-    now_s = step.moment.now_s
-    if authority.keep_pending or now_s < authority.keep_at_s:
-        return
-    authority.keep_pending = True
-    authority.keep_at_s = now_s + KEEP_PERIOD_S
-    state_lib.call_store(
-        state,
-        step,
-        store_api.KeepLease(authority.lease),
-        KeepContext(authority.epoch, now_s),
-        KEEP_TIMEOUT_S,
-    )
-
-
-@dispatch.returned.register
-def _(
-    context: KeepContext,
-    state: state_lib.State,
-    step: dispatch.Step,
-    reply: Any,
-) -> None:
-    authority = state.authority
-    if context.epoch != authority.epoch:
-        return
-    authority.keep_pending = False
-    if isinstance(reply, store_api.LeaseHeld):
-        authority.kept_s = max(authority.kept_s, context.sent_s)
-        authority.refusals = 0
-    elif isinstance(reply, store_api.LeaseEnded):
-        authority.record = None
-        step_down(state, step, "its lease has ended")
-    else:
-        _note_refusal(authority, step, context)
-
-
-@dispatch.failed.register
-def _(
-    context: KeepContext,
-    state: state_lib.State,
-    step: dispatch.Step,
-    failure: kinds.CallFailure,
-) -> None:
-    authority = state.authority
-    if context.epoch != authority.epoch:
-        return
-    authority.keep_pending = False
-    if step.moment.now_s - context.sent_s < PROMPT_S:
-        _note_refusal(authority, step, context)
-
-
-def _note_refusal(
-    authority: state_lib.Authority, step: dispatch.Step, context: KeepContext
-) -> None:
-    if not authority.refusals:
-        authority.refused_s = context.sent_s
-    authority.refusals += 1
-    authority.keep_at_s = step.moment.now_s + KEEP_RETRY_S
-
-
-def refused_for_s(state: state_lib.State, now_s: float) -> float:
-    """Returns for how long the store has refused the scheduler; 0 if not."""
-    authority = state.authority
-    if authority.refusals < REFUSALS:
-        return 0.0
-    return now_s - authority.refused_s
-
-
 @dispatch.returned.register
 def _(
     context: ResignContext,
--- a/dandelionpick/batch/monitoring.py
+++ b/dandelionpick/batch/monitoring.py
@@ -17,6 +17,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import leadership
 from dandelionpick.batch import messages
+from dandelionpick.batch import renewal
 from dandelionpick.batch import state as state_lib
 
 # How long a call stays open; a silent connection is noticed soon after.
@@ -95,7 +96,7 @@
 
 def _answer_monitors(state: state_lib.State, step: dispatch.Step) -> None:
     now_s = step.moment.now_s
-    refused_s = leadership.refused_for_s(state, now_s)
+    refused_s = renewal.refused_for_s(state, now_s)
     monitors = state.monitoring.monitors
     for exchange_id, until_s in list(monitors.items()):
         reply: messages.PeerReply
@@ -143,7 +144,7 @@
     monitoring = state.monitoring
     monitoring.pending = False
     now_s = step.moment.now_s
-    prompt = now_s - context.sent_s < leadership.PROMPT_S
+    prompt = now_s - context.sent_s < renewal.PROMPT_S
     if failure is kinds.CallFailure.NOT_SENT and prompt:
         monitoring.call_at_s = now_s + RETRY_S
         _replace(state, step, context, "nothing listens at its address")
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -13,6 +13,7 @@
 from dandelionpick.batch import leaving
 from dandelionpick.batch import monitoring
 from dandelionpick.batch import polling
+from dandelionpick.batch import renewal
 from dandelionpick.batch import requests
 from dandelionpick.batch import retention
 from dandelionpick.batch import roster
@@ -31,6 +32,7 @@
 TICKS: tuple[reduction.Handler, ...] = (
     watching.tick,
     leadership.tick,
+    renewal.tick,
     monitoring.tick,
     takeover.tick,
     roster.tick,
