--- a/tests/test_batch_succession.py
+++ b/tests/test_batch_succession.py
@@ -42,6 +42,10 @@
         """Applies a fault to the scheduler; returns the seconds without one."""
         first = fabric.scheduler()
         fault(first.name)
+        return self.await_successor(fabric, first)
+
+    def await_successor(self, fabric, first) -> float:
+        """Waits for a scheduler other than `first`; returns the seconds."""
         return fabric.run_until(
             lambda: fabric.scheduler() not in (None, first), 5.0
         )
@@ -107,9 +111,7 @@
         fabric = self.build()
         first = fabric.scheduler()
         fabric.stop(first.name)
-        taken_s = fabric.run_until(
-            lambda: fabric.scheduler() not in (None, first), 5.0
-        )
+        taken_s = self.await_successor(fabric, first)
         self.assertLess(taken_s, 0.6)
         fabric.run_for(4.0)
         self.assertTrue(first.exited)
@@ -134,12 +136,7 @@
                 fabric.submit(1, builders.body(builders.phase(6), work_s=6.0))
                 first = fabric.scheduler()
                 fabric.store.outages[first.name] = outage
-                fabric.run_until(
-                    lambda fabric=fabric, first=first: (
-                        fabric.scheduler() not in (None, first)
-                    ),
-                    5.0,
-                )
+                self.await_successor(fabric, first)
                 fabric.submit(2, builders.body(), name=fabric.scheduler().name)
                 fabric.until_completed(2, limit_s=4.0)
                 self.assertIs(
@@ -320,7 +317,7 @@
         fabric.run_for(2.5)
         fabric.kill(first.name)
         fabric.cut.clear()
-        fabric.run_until(lambda: fabric.scheduler() not in (None, first), 5.0)
+        self.await_successor(fabric, first)
         for name in fabric.instances:
             fabric.part(name, "t0")
         fabric.run_for(2.0)
