Build the free capacity once a scheduling pass

Cause: at the large site (270 targets) a pass with 100 to 300 waiting steps took 45 to 1,450 ms, every 20 ms: each step compared itself with each target, and a preemption packed the pool again for each victim that it considered. The event loop of the scheduler stood still, replies were read late and taken for lost, starts were stopped and repeated, and the queue grew.

Ruled out: the store (its calls took 4 ms), the processor of the instance that led (2.15 cores, first elected because strong instances start first), the takeover (0.02 s at the start).

Change: PassCapacity is built once a pass and kept up to date; how many tasks of a shape fit in a rack is counted once until the rack changes; preemption counts with increments and looks at the victims of a rack only; passes follow each other at a longer interval while many steps wait.

--- a/dandelionpick/batch/headroom.py
+++ b/dandelionpick/batch/headroom.py
@@ -13,9 +13,9 @@
 from collections.abc import Sequence
 
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import model
-from dandelionpick.batch import placement
 from dandelionpick.batch import schedule_state
 
 # Urgent demand of this past period is expected to recur. The period is short
@@ -54,8 +54,8 @@
 
 
 def subtract_headroom(
-    candidates: Sequence[placement.Candidate], accelerators: int
-) -> list[placement.Candidate]:
+    candidates: Sequence[free_capacity.Candidate], accelerators: int
+) -> list[free_capacity.Candidate]:
     """Removes headroom from the rack with the most free accelerators.
 
     Args:
--- a/dandelionpick/batch/model.py
+++ b/dandelionpick/batch/model.py
@@ -63,16 +63,14 @@
 
         An amount of zero fits any number of times.
         """
-        counts = [
-            have // need
-            for need, have in (
-                (self.accelerators, available.accelerators),
-                (self.cpu_millis, available.cpu_millis),
-                (self.memory_mb, available.memory_mb),
-            )
-            if need
-        ]
-        return max(0, min(counts, default=sys.maxsize))
+        count = sys.maxsize
+        if self.accelerators:
+            count = available.accelerators // self.accelerators
+        if self.cpu_millis:
+            count = min(count, available.cpu_millis // self.cpu_millis)
+        if self.memory_mb:
+            count = min(count, available.memory_mb // self.memory_mb)
+        return max(0, count)
 
     def plus(self, other: "Resources") -> "Resources":
         """Returns the sum of two amounts."""
--- /dev/null
+++ b/dandelionpick/batch/pass_capacity.py
@@ -0,0 +1,160 @@
+"""Free capacity that one scheduling pass may use, by pool.
+
+It is built once a pass and updated with each start, because building it for
+each waiting step would take most of the scheduler's processor time while many
+steps wait.
+"""
+
+import dataclasses
+from typing import Any
+
+from dandelionpick import ids
+from dandelionpick.batch import free_capacity
+from dandelionpick.batch import headroom
+from dandelionpick.batch import model
+from dandelionpick.batch import roster
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import target_api
+from dandelionpick.batch import target_health
+
+# Penalty that places targets on which a task of the unit failed after all
+# others.
+AVOIDED_TARGET_PENALTY = 4.0
+
+
+class PassCapacity:
+    """The free capacity of all pools during one pass.
+
+    Attributes:
+        urgent: what urgent work may use, by pool: everything that is free and
+            not reserved.
+        other: what other work may use, by pool. It is derived from `urgent`
+            when the first unit asks for it; urgent units come before it.
+    """
+
+    def __init__(self, schedule: schedule_state.Schedule, now_s: float):
+        self.schedule = schedule
+        self.now_s = now_s
+        self.urgent: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
+        self.other: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
+
+    def of_pool(
+        self, pool: ids.PoolName, is_urgent: bool
+    ) -> free_capacity.FreeCapacity:
+        """Returns the free capacity of a pool."""
+        if pool not in self.urgent:
+            self.urgent[pool] = _build(self.schedule, pool, self.now_s)
+        if is_urgent:
+            return self.urgent[pool]
+        if pool not in self.other:
+            self.other[pool] = free_capacity.FreeCapacity(
+                headroom.subtract_headroom(
+                    list(self.urgent[pool].candidates()),
+                    self.schedule.headroom.get(pool, 0),
+                )
+            )
+        return self.other[pool]
+
+    def racks_for(self, unit: Any) -> free_capacity.Racks:
+        """Returns the candidates of a unit, by rack."""
+        pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
+        reservation = self.schedule.reservations.get(unit.key)
+        avoided: set[ids.TargetId] = set()
+        for task in unit.tasks:
+            avoided |= task.avoided_targets
+        max_per_target = unit.step_run.spec.max_per_target
+        if reservation is None and not avoided and not max_per_target:
+            return pool.racks
+        own = reservation.resources if reservation else {}
+        running = _count_running(unit) if max_per_target else {}
+        candidates = []
+        for candidate in pool.candidates():
+            target = candidate.target
+            changes: dict[str, Any] = {}
+            if target in own:
+                changes["free"] = candidate.free.plus(own[target])
+            if target in avoided:
+                changes["penalty"] = candidate.penalty + AVOIDED_TARGET_PENALTY
+            if max_per_target:
+                changes["max_tasks"] = max(
+                    0, max_per_target - running.get(target, 0)
+                )
+            if changes:
+                candidate = dataclasses.replace(candidate, **changes)
+            candidates.append(candidate)
+        return free_capacity.group(candidates)
+
+    def take(self, unit: Any, target: ids.TargetId) -> None:
+        """Records that a task of a unit starts on a target."""
+        pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
+        pool.take(target, unit.needs)
+
+    def reserve(self, unit: Any) -> None:
+        """Records a reservation that was made for a unit during the pass."""
+        for target, amount in self._reserved(unit):
+            pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
+            pool.take(target, amount)
+
+    def release(self, unit: Any) -> None:
+        """Records that the reservation of a unit ends."""
+        for target, amount in self._reserved(unit):
+            pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
+            pool.put_back(target, amount)
+
+    def _reserved(
+        self, unit: Any
+    ) -> list[tuple[ids.TargetId, model.Resources]]:
+        reservation = self.schedule.reservations.get(unit.key)
+        return list(reservation.resources.items()) if reservation else []
+
+
+def _build(
+    schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
+) -> free_capacity.FreeCapacity:
+    candidates = []
+    for target in schedule.targets.values():
+        if not roster.may_use(schedule, target):
+            continue
+        if not is_usable(target, pool, now_s):
+            continue
+        entry = target.entry
+        assert entry is not None
+        candidates.append(
+            free_capacity.Candidate(
+                target.id,
+                entry.rack,
+                target.free(),
+                penalty=target_health.penalty(target),
+                labels=entry.labels,
+            )
+        )
+    capacity = free_capacity.FreeCapacity(candidates)
+    for reservation in schedule.reservations.values():
+        for target_id, amount in reservation.resources.items():
+            capacity.take(target_id, amount)
+    return capacity
+
+
+def is_usable(
+    target: schedule_state.Target, pool: ids.PoolName, now_s: float
+) -> bool:
+    """Returns whether tasks can be started on a target of a pool."""
+    entry = target.entry
+    return (
+        entry is not None
+        and entry.pool == pool
+        and entry.state is target_api.TargetState.READY
+        and target.listed
+        and not target.failed
+        and now_s >= max(target.backoff_until_s, target.quarantined_until_s)
+        and all(run.job_known for run in target.runs.values())
+    )
+
+
+def _count_running(unit: Any) -> dict[ids.TargetId, int]:
+    """Returns how many tasks of a unit's step run on each target."""
+    running: dict[ids.TargetId, int] = {}
+    for task in unit.step_run.tasks:
+        for run in task.runs.values():
+            running[run.target] = running.get(run.target, 0) + 1
+    return running
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -5,28 +5,13 @@
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection
 
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import model
 
 
-@dataclasses.dataclass(slots=True)
-class Candidate:
-    """A target that can take tasks of the step.
-
-    Attributes:
-        max_tasks: how many more tasks the step's limit per target allows.
-        penalty: targets with a lower penalty are preferred.
-    """
-
-    target: ids.TargetId
-    rack: ids.Rack
-    free: model.Resources
-    max_tasks: int
-    penalty: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
     """Tasks to place, with their constraints.
@@ -55,72 +40,57 @@
     max_per_target: int = 0
 
 
-def capacity_for(needs: model.Resources, candidate: Candidate) -> int:
-    """Returns how many tasks fit on a target."""
-    return max(
-        0, min(candidate.max_tasks, needs.count_fitting_in(candidate.free))
-    )
-
-
 def choose_targets(
-    demand: Demand, candidates: Sequence[Candidate]
+    demand: Demand, racks: free_capacity.Racks
 ) -> list[ids.TargetId]:
     """Returns a target for each task that can be placed.
 
     Args:
         demand: the tasks to place.
-        candidates: the targets that can be used.
+        racks: the targets that can be used, by rack.
 
     Returns:
         One target per task, possibly repeated; `demand.count` targets, or fewer
         unless the demand is all-or-nothing, in which case none if not all fit.
     """
-    by_rack: dict[ids.Rack, list[Candidate]] = {}
-    for candidate in candidates:
-        by_rack.setdefault(candidate.rack, []).append(candidate)
     if demand.data_rack:
-        in_data_rack = by_rack.get(ids.Rack(demand.data_rack), [])
-        placed = _pack(demand, in_data_rack)
+        data_rack = racks.get(ids.Rack(demand.data_rack))
+        placed = _pack(demand, [data_rack] if data_rack else [])
         if placed or not demand.relax_locality:
             return placed
     if demand.one_rack and demand.count > 1:
-        return _pack_into_one_rack(demand, by_rack, candidates)
-    return _pack(demand, candidates)
+        return _pack_into_one_rack(demand, racks)
+    return _pack(demand, racks.values())
 
 
 def _pack_into_one_rack(
-    demand: Demand,
-    by_rack: dict[ids.Rack, list[Candidate]],
-    candidates: Sequence[Candidate],
+    demand: Demand, racks: free_capacity.Racks
 ) -> list[ids.TargetId]:
-    best: list[Candidate] | None = None
+    best: free_capacity.Rack | None = None
     best_spare = 0
-    for members in by_rack.values():
-        fitting = sum(
-            capacity_for(demand.needs, candidate) for candidate in members
-        )
-        spare = fitting - demand.count
+    for rack in racks.values():
+        spare = rack.count_fitting(demand.needs, demand.label) - demand.count
         if spare >= 0 and (best is None or spare < best_spare):
-            best, best_spare = members, spare
+            best, best_spare = rack, spare
     if best is not None:
-        return _pack(demand, best)
-    return _pack(demand, candidates) if demand.relax_locality else []
+        return _pack(demand, [best])
+    return _pack(demand, racks.values()) if demand.relax_locality else []
 
 
 def _pack(
-    demand: Demand, candidates: Sequence[Candidate]
+    demand: Demand, racks: Collection[free_capacity.Rack]
 ) -> list[ids.TargetId]:
-    needs = demand.needs
+    needs, label = demand.needs, demand.label
+    total = sum(rack.count_fitting(needs, label) for rack in racks)
+    if total < (demand.count if demand.all_or_nothing else 1):
+        return []
     fitting = [
-        (capacity_for(needs, candidate), candidate)
-        for candidate in candidates
-        if needs.fits_in(candidate.free) and candidate.max_tasks > 0
+        (count, candidate)
+        for rack in racks
+        if rack.count_fitting(needs, label)
+        for candidate in rack.candidates
+        if (count := candidate.count_fitting(needs, label))
     ]
-    if (
-        demand.all_or_nothing
-        and sum(fits for fits, _ in fitting) < demand.count
-    ):
-        return []
     fitting.sort(
         key=lambda pair: (
             pair[1].penalty,
@@ -130,9 +100,9 @@
         )
     )
     placed: list[ids.TargetId] = []
-    for fits, candidate in fitting:
+    for count, candidate in fitting:
         placed.extend(
-            [candidate.target] * min(fits, demand.count - len(placed))
+            [candidate.target] * min(count, demand.count - len(placed))
         )
         if len(placed) == demand.count:
             break
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -9,14 +9,16 @@
 """
 
 import collections
+import copy
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
@@ -63,29 +65,55 @@
         return sum(victim.cost for victim in self.victims)
 
 
+class VictimIndex:
+    """The runs that may be preempted during one scheduling pass, by rank."""
+
+    def __init__(self, schedule: schedule_state.Schedule, now_s: float):
+        self.schedule = schedule
+        self.now_s = now_s
+        self.by_rank: dict[float, list[Victim]] = {}
+
+    def of_rank(self, rank: float) -> list[Victim]:
+        """Returns what work of a rank may preempt, the cheapest first."""
+        if rank not in self.by_rank:
+            victims = _find_victims(self.schedule, rank, self.now_s)
+            victims.sort(key=lambda victim: victim.cost)
+            self.by_rank[rank] = victims
+        return [victim for victim in self.by_rank[rank] if _may_stop(victim)]
+
+
+def _may_stop(victim: Victim) -> bool:
+    """Returns whether none of the runs is being stopped already."""
+    return all(
+        run.state is schedule_state.RunState.RUNNING for run in victim.runs
+    )
+
+
 def preempt_for(
     state: state_lib.State,
     step: dispatch.Step,
     unit: Any,
     demand: placement.Demand,
-    candidates: Sequence[placement.Candidate],
-) -> None:
-    """Stops runs of a lower rank so that a unit fits, if that is possible."""
+    racks: free_capacity.Racks,
+    victims: Sequence[Victim],
+) -> bool:
+    """Stops runs of a lower rank so that a unit fits, if that is possible.
+
+    Returns:
+        Whether room was reserved for the unit.
+    """
     schedule = state.schedule
     assert schedule is not None
-    now_s = step.moment.now_s
-    if unit.key in schedule.reservations:
-        return
-    rank = guarantees.rank(schedule, unit.job)
-    plan = choose_victims(
-        demand, candidates, _find_victims(schedule, rank, now_s)
-    )
+    candidates = [
+        candidate for rack in racks.values() for candidate in rack.candidates
+    ]
+    plan = choose_victims(demand, candidates, victims)
     if plan is None:
-        return
+        return False
     counts = collections.Counter(plan.targets)
     schedule.reservations[unit.key] = schedule_state.Reservation(
         {target: demand.needs.times(counts[target]) for target in counts},
-        now_s + RESERVATION_S,
+        step.moment.now_s + RESERVATION_S,
     )
     for victim in plan.victims:
         for run in victim.runs:
@@ -97,24 +125,30 @@
     step.note(
         effects.Component.SCHEDULER,
         f"stopping {sum(len(victim.runs) for victim in plan.victims)} runs"
-        f" at a cost of {plan.cost:.0f} core seconds for {unit.job.id} of"
-        f" rank {rank}",
+        f" at a cost of {plan.cost:.0f} core seconds for {unit.job.id}",
     )
+    return True
 
 
 def choose_victims(
     demand: placement.Demand,
-    candidates: Sequence[placement.Candidate],
+    candidates: Sequence[free_capacity.Candidate],
     victims: Sequence[Victim],
 ) -> PreemptionPlan | None:
     """Returns the cheapest plan that makes the demand fit, or None."""
-    racks: Iterable[Sequence[placement.Candidate]] = [candidates]
-    if demand.one_rack or demand.data_rack:
-        by_rack: dict[ids.Rack, list[placement.Candidate]] = {}
-        for candidate in candidates:
-            by_rack.setdefault(candidate.rack, []).append(candidate)
-        racks = by_rack.values()
-    plans = (_cheapest_plan(demand, members, victims) for members in racks)
+    ordered = sorted(victims, key=lambda victim: victim.cost)
+    if not demand.one_rack and not demand.data_rack:
+        return _cheapest_plan(demand, candidates, ordered)
+    racks = {
+        name: rack.candidates
+        for name, rack in free_capacity.group(candidates).items()
+        if demand.relax_locality or demand.data_rack in ("", name)
+    }
+    by_rack = _victims_by_rack(racks, ordered)
+    plans = (
+        _cheapest_plan(demand, members, by_rack.get(name, []))
+        for name, members in racks.items()
+    )
     return min(
         (plan for plan in plans if plan is not None),
         key=lambda plan: plan.cost,
@@ -122,53 +156,103 @@
     )
 
 
+def _victims_by_rack(
+    racks: Mapping[ids.Rack, Sequence[free_capacity.Candidate]],
+    victims: Sequence[Victim],
+) -> dict[ids.Rack, list[Victim]]:
+    """Returns the victims that occupy targets of each rack, in their order."""
+    rack_of = {
+        candidate.target: name
+        for name, members in racks.items()
+        for candidate in members
+    }
+    found: dict[ids.Rack, list[Victim]] = {}
+    for victim in victims:
+        for name in {rack_of.get(target) for target in victim.resources}:
+            if name is not None:
+                found.setdefault(name, []).append(victim)
+    return found
+
+
+class _Room:
+    """Counts how many tasks fit while victims are added and dropped.
+
+    Attributes:
+        candidates: the targets, with the resources that the victims free.
+        count: how many tasks fit.
+    """
+
+    def __init__(
+        self,
+        demand: placement.Demand,
+        candidates: Sequence[free_capacity.Candidate],
+    ):
+        self.demand = demand
+        self.candidates = {
+            candidate.target: copy.copy(candidate) for candidate in candidates
+        }
+        self.count = sum(map(self._count, self.candidates.values()))
+
+    def _count(self, candidate: free_capacity.Candidate) -> int:
+        return candidate.count_fitting(self.demand.needs, self.demand.label)
+
+    def add(self, victim: Victim) -> None:
+        """Frees what a victim occupies."""
+        for target, amount in victim.resources.items():
+            self._change(target, amount)
+
+    def drop(self, victim: Victim) -> None:
+        """Undoes `add`."""
+        for target, amount in victim.resources.items():
+            self._change(target, amount.times(-1))
+
+    def _change(self, target: ids.TargetId, amount: model.Resources) -> None:
+        candidate = self.candidates.get(target)
+        if candidate is not None:
+            self.count -= self._count(candidate)
+            candidate.free = candidate.free.plus(amount)
+            self.count += self._count(candidate)
+
+
 def _cheapest_plan(
     demand: placement.Demand,
-    candidates: Sequence[placement.Candidate],
+    candidates: Sequence[free_capacity.Candidate],
     victims: Sequence[Victim],
 ) -> PreemptionPlan | None:
     """Adds the cheapest victims until the demand fits, then drops the unneeded.
 
     Unneeded victims are dropped in order of falling cost.
+
+    Args:
+        demand: what has to fit.
+        candidates: the targets that may be used.
+        victims: what may be stopped, by rising cost.
     """
-    members = {candidate.target for candidate in candidates}
+    room = _Room(demand, candidates)
     taken: list[Victim] = []
-    placed: list[ids.TargetId] = []
-    for victim in sorted(victims, key=lambda victim: victim.cost):
-        if members.isdisjoint(victim.resources):
+    for victim in victims:
+        if room.candidates.keys().isdisjoint(victim.resources):
             continue
         taken.append(victim)
-        placed = _place_without(demand, candidates, taken)
-        if placed:
+        room.add(victim)
+        if room.count >= demand.count:
             break
-    if not placed:
+    if room.count < demand.count:
+        return None
+    for victim in reversed(list(taken)):
+        room.drop(victim)
+        if room.count >= demand.count:
+            taken.remove(victim)
+        else:
+            room.add(victim)
+    placed = placement.choose_targets(
+        demand, free_capacity.group(room.candidates.values())
+    )
+    if len(placed) < demand.count:
         return None
-    for victim in sorted(taken, key=lambda victim: -victim.cost):
-        fewer = [other for other in taken if other is not victim]
-        without = _place_without(demand, candidates, fewer)
-        if without:
-            taken, placed = fewer, without
     return PreemptionPlan(tuple(taken), tuple(placed))
 
 
-def _place_without(
-    demand: placement.Demand,
-    candidates: Sequence[placement.Candidate],
-    victims: Sequence[Victim],
-) -> list[ids.TargetId]:
-    free = {candidate.target: candidate.free for candidate in candidates}
-    for victim in victims:
-        for target, occupied in victim.resources.items():
-            if target in free:
-                free[target] = free[target].plus(occupied)
-    freed = [
-        dataclasses.replace(candidate, free=free[candidate.target])
-        for candidate in candidates
-    ]
-    placed = placement.choose_targets(demand, freed)
-    return placed if len(placed) == demand.count else []
-
-
 def _find_victims(
     schedule: schedule_state.Schedule, rank: float, now_s: float
 ) -> list[Victim]:
@@ -178,6 +262,8 @@
         if rank_gap <= 0 or job.ended:
             continue
         for step_run in job.steps.values():
+            if not step_run.open:
+                continue
             for tasks in _preemption_groups(step_run):
                 victim = _make_victim(step_run, tasks, rank_gap, now_s)
                 if victim is not None:
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -6,6 +6,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
@@ -13,25 +14,27 @@
 from dandelionpick.batch import locality
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
+from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import placement
 from dandelionpick.batch import preemption
-from dandelionpick.batch import roster
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
-from dandelionpick.batch import target_api
-from dandelionpick.batch import target_health
 
 # Changes that arrive together, such as the ends of a gang's tasks, are
 # handled by one pass.
 PASS_PERIOD_S = 0.02
+# Added to the interval for each unit that the last pass left waiting. A pass
+# takes about 0.1 ms for each on the weakest scheduler, so that passes use at
+# most about a third of its processor however many units wait.
+PASS_PERIOD_PER_UNIT_S = 0.000_3
+# Longest interval between passes while something changes; urgent work has to
+# start within seconds.
+MAX_PASS_PERIOD_S = 0.2
 # Interval between passes while nothing changes; a pass also checks times, such
 # as due occurrences.
 IDLE_PASS_S = 0.25
-# Penalty that places targets on which a task of the unit failed after all
-# others.
-AVOIDED_TARGET_PENALTY = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,12 +56,37 @@
         """Identifies the step: job, occurrence and number."""
         return self.job.id, self.step_run.occurrence, self.step_run.number
 
+    @property
+    def needs(self) -> model.Resources:
+        """What each task occupies on its target."""
+        return runs.occupied_resources(self.step_run.spec)
+
     @property
     def is_urgent(self) -> bool:
         """Whether the unit may preempt other work."""
         return self.job.record.terms.priority == guarantees.URGENT_PRIORITY
 
 
+@dataclasses.dataclass(slots=True)
+class SchedulingPass:
+    """What one pass has found out so far.
+
+    Attributes:
+        capacity: the free capacity.
+        victims: the runs that may be preempted.
+        unplaceable: demands that did not fit.
+        unreclaimable: urgent demands for which no preemption makes room, with
+            their rank.
+    """
+
+    capacity: pass_capacity.PassCapacity
+    victims: preemption.VictimIndex
+    unplaceable: set[placement.Demand] = dataclasses.field(default_factory=set)
+    unreclaimable: set[tuple[placement.Demand, float]] = dataclasses.field(
+        default_factory=set
+    )
+
+
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Runs a scheduling pass if something has changed or the last is old."""
     schedule = state.schedule
@@ -71,7 +99,7 @@
     ):
         return
     since_s = now_s - schedule.last_pass_s
-    if since_s < (PASS_PERIOD_S if schedule.dirty else IDLE_PASS_S):
+    if since_s < (pass_period_s(schedule) if schedule.dirty else IDLE_PASS_S):
         return
     schedule.dirty = False
     schedule.last_pass_s = now_s
@@ -82,19 +110,30 @@
     schedule.headroom = headroom.required_accelerators(
         schedule.jobs.values(), step.moment.unix_ms, state.limits.stop_s
     )
-    unplaceable: set[placement.Demand] = set()
-    for unit in sorted(
-        _pending_units(state, step), key=lambda unit: unit.urgency
-    ):
+    current = SchedulingPass(
+        pass_capacity.PassCapacity(schedule, now_s),
+        preemption.VictimIndex(schedule, now_s),
+    )
+    units = sorted(_pending_units(state, step), key=lambda unit: unit.urgency)
+    schedule.waiting_units = len(units)
+    for unit in units:
         demand = demand_of(schedule, unit, now_s)
         # Free resources only shrink during a pass, so a demand that did not fit
         # earlier in the pass doesn't fit now.
-        if demand in unplaceable or place(state, step, unit, demand):
+        if demand in current.unplaceable or place(
+            state, step, current, unit, demand
+        ):
             continue
         # With a limit per target, the result also depends on where tasks of the
         # step already run, so it doesn't hold for other steps.
         if not demand.max_per_target:
-            unplaceable.add(demand)
+            current.unplaceable.add(demand)
+
+
+def pass_period_s(schedule: schedule_state.Schedule) -> float:
+    """Returns the shortest interval between passes while something changes."""
+    period_s = PASS_PERIOD_S + PASS_PERIOD_PER_UNIT_S * schedule.waiting_units
+    return min(period_s, MAX_PASS_PERIOD_S)
 
 
 def _drop_expired_reservations(
@@ -167,6 +206,7 @@
 def place(
     state: state_lib.State,
     step: dispatch.Step,
+    current: SchedulingPass,
     unit: PlacementUnit,
     demand: placement.Demand,
 ) -> bool:
@@ -178,13 +218,15 @@
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    candidates = candidates_for(schedule, unit, now_s)
-    chosen = placement.choose_targets(demand, candidates)
+    capacity = current.capacity
+    racks = capacity.racks_for(unit)
+    chosen = placement.choose_targets(demand, racks)
     if not chosen:
         if unit.is_urgent:
-            preemption.preempt_for(state, step, unit, demand, candidates)
+            _preempt(state, step, current, unit, demand, racks)
             return True
         return False
+    capacity.release(unit)
     schedule.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
     waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
@@ -208,12 +250,37 @@
         targets=sorted(set(chosen)),
     )
     for task, target_id in zip(unit.tasks, chosen, strict=False):
+        capacity.take(unit, target_id)
         orders.start(state, step, task, unit.step_run, target_id, attempt)
         target = schedule.targets[target_id]
         target.poll_at_s = min(target.poll_at_s, now_s)
     return True
 
 
+def _preempt(
+    state: state_lib.State,
+    step: dispatch.Step,
+    current: SchedulingPass,
+    unit: PlacementUnit,
+    demand: placement.Demand,
+    racks: free_capacity.Racks,
+) -> None:
+    """Stops other work for an urgent unit, unless that was tried in vain."""
+    schedule = state.schedule
+    assert schedule is not None
+    rank = guarantees.rank(schedule, unit.job)
+    if unit.key in schedule.reservations:
+        return
+    if (demand, rank) in current.unreclaimable:
+        return
+    if preemption.preempt_for(
+        state, step, unit, demand, racks, current.victims.of_rank(rank)
+    ):
+        current.capacity.reserve(unit)
+    elif not demand.max_per_target:
+        current.unreclaimable.add((demand, rank))
+
+
 def demand_of(
     schedule: schedule_state.Schedule, unit: PlacementUnit, now_s: float
 ) -> placement.Demand:
@@ -224,7 +291,7 @@
         pool=terms.pool,
         label=spec.required_label,
         max_per_target=spec.max_per_target,
-        needs=runs.occupied_resources(spec),
+        needs=unit.needs,
         count=len(unit.tasks),
         all_or_nothing=spec.gang,
         one_rack=spec.gang and spec.one_rack,
@@ -233,84 +300,3 @@
             schedule, terms, unit.step_run, now_s
         ),
     )
-
-
-def candidates_for(
-    schedule: schedule_state.Schedule, unit: PlacementUnit, now_s: float
-) -> list[placement.Candidate]:
-    """Returns the targets that can take tasks of a unit."""
-    spec = unit.step_run.spec
-    avoided_targets = set.union(*(task.avoided_targets for task in unit.tasks))
-    reserved = _reserved_for_others(schedule, unit)
-    candidates = []
-    for target in schedule.targets.values():
-        if not roster.may_use(schedule, target):
-            continue
-        if not is_usable(target, unit, now_s):
-            continue
-        entry = target.entry
-        assert entry is not None
-        free = target.free()
-        if target.id in reserved:
-            free = free.minus(reserved[target.id])
-        candidates.append(
-            placement.Candidate(
-                target.id,
-                entry.rack,
-                free,
-                _max_tasks(unit, target, spec),
-                target_health.penalty(target)
-                + AVOIDED_TARGET_PENALTY * (target.id in avoided_targets),
-            )
-        )
-    if unit.is_urgent:
-        return candidates
-    pool = unit.job.record.terms.pool
-    return headroom.subtract_headroom(
-        candidates, schedule.headroom.get(pool, 0)
-    )
-
-
-def is_usable(
-    target: schedule_state.Target, unit: PlacementUnit, now_s: float
-) -> bool:
-    """Returns whether tasks of a unit can be started on a target."""
-    entry = target.entry
-    label = unit.step_run.spec.required_label
-    return (
-        entry is not None
-        and entry.pool == unit.job.record.terms.pool
-        and entry.state is target_api.TargetState.READY
-        and (not label or label in entry.labels)
-        and target.listed
-        and not target.failed
-        and now_s >= max(target.backoff_until_s, target.quarantined_until_s)
-        and all(run.job_known for run in target.runs.values())
-    )
-
-
-def _max_tasks(
-    unit: PlacementUnit, target: schedule_state.Target, spec: model.StepSpec
-) -> int:
-    if not spec.max_per_target:
-        return spec.tasks
-    running = sum(
-        run.target == target.id
-        for task in unit.step_run.tasks
-        for run in task.runs.values()
-    )
-    return spec.max_per_target - running
-
-
-def _reserved_for_others(
-    schedule: schedule_state.Schedule, unit: PlacementUnit
-) -> dict[ids.TargetId, model.Resources]:
-    """Returns the resources that are reserved for other units, by target."""
-    total: dict[ids.TargetId, model.Resources] = {}
-    for key, reservation in schedule.reservations.items():
-        if key == unit.key:
-            continue
-        for target_id, amount in reservation.resources.items():
-            earlier = total.get(target_id, model.Resources())
-            total[target_id] = earlier.plus(amount)
-    return total
--- a/dandelionpick/events.py
+++ b/dandelionpick/events.py
@@ -15,11 +15,13 @@
         now_s: monotonic seconds.
         unix_ms: Unix time in milliseconds.
         random_value: a random number in [0, 1).
+        lag_s: how late the event loop ran its last tick.
     """
 
     now_s: float
     unix_ms: int
     random_value: float
+    lag_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -3,6 +3,8 @@
 import json
 from typing import Any
 
+from dandelionpick import dispatch
+from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
@@ -51,6 +53,16 @@
     )
 
 
+def moment(now_s: float, lag_s: float = 0.0) -> events.Moment:
+    """Builds the moment of an event."""
+    return events.Moment(now_s, round(now_s * 1_000), 0.5, lag_s)
+
+
+def step(at: events.Moment) -> dispatch.Step:
+    """Builds an empty step."""
+    return dispatch.Step(at)
+
+
 def route(priority: int, **fields: Any) -> dict[str, Any]:
     """Builds a route of the configuration."""
     return {
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -12,12 +12,12 @@
 from dandelionpick.batch import locality
 from dandelionpick.batch import monitoring
 from dandelionpick.batch import orders
+from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import polling
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import runs
 from dandelionpick.batch import saving
-from dandelionpick.batch import scheduling
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_health
 from dandelionpick.batch import submission
@@ -140,14 +140,14 @@
 
 def use_draining() -> None:
     """Starts work on draining targets."""
-    usable = scheduling.is_usable
+    usable = pass_capacity.is_usable
 
-    def is_usable(target, unit, now_s):
-        return usable(target, unit, now_s) or (
+    def is_usable(target, pool, now_s):
+        return usable(target, pool, now_s) or (
             target.entry is not None and target.listed and not target.failed
         )
 
-    scheduling.is_usable = is_usable
+    pass_capacity.is_usable = is_usable
 
 
 def overcommit() -> None:
--- a/tests/test_batch_headroom.py
+++ b/tests/test_batch_headroom.py
@@ -3,9 +3,9 @@
 import unittest
 
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
 from dandelionpick.batch import model
-from dandelionpick.batch import placement
 from dandelionpick.batch import schedule_state
 from tests import batch_builders as builders
 from tests import test_batch_jobs
@@ -36,10 +36,10 @@
 
 def make_candidate(
     name: str, rack: str, accelerators: int
-) -> placement.Candidate:
+) -> free_capacity.Candidate:
     """Builds a target with free accelerators."""
     free = model.Resources(64_000, 131_072, accelerators)
-    return placement.Candidate(ids.TargetId(name), ids.Rack(rack), free, 99)
+    return free_capacity.Candidate(ids.TargetId(name), ids.Rack(rack), free, 99)
 
 
 class RequiredAcceleratorsTest(unittest.TestCase):
--- a/tests/test_batch_reclaim.py
+++ b/tests/test_batch_reclaim.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dandelionpick import ids
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import model
 from dandelionpick.batch import placement
 from dandelionpick.batch import preemption
@@ -13,9 +14,11 @@
 GPU = model.Resources(accelerators=1)
 
 
-def make_candidate(name: str, rack: str, free: int = 0) -> placement.Candidate:
+def make_candidate(
+    name: str, rack: str, free: int = 0
+) -> free_capacity.Candidate:
     """Builds a target with free accelerators."""
-    return placement.Candidate(
+    return free_capacity.Candidate(
         ids.TargetId(name), ids.Rack(rack), GPU.times(free), 99
     )
 
