Don't take the scheduler's own delay for the silence of targets

Cause: timeouts of calls ran while the event loop was busy, so that a reply that had arrived was not read in time; a start without a reply was stopped 0.6 s after the decision to start it, whether or not a listing could show it; all idle targets were listed at the same moment every 3 s.

Change: timeouts don't count the time in which the loop was late (loop_lag); a start without a reply is looked up, and stopped only once a later listing lacks it or its target can't be listed for 1.5 s; at most 16 idle listings are in progress, runs whose lease ends first are listed first; instances tell the scheduler their processor, which ranks its successors and hands over to a stronger one if its loop is late for long.

--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -18,6 +18,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
+from dandelionpick.batch import succession
 from dandelionpick.batch import takeover
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
@@ -67,6 +68,7 @@
     """Starts a campaign that is due; steps down if another scheduler leads."""
     election = state.election
     now_s = step.moment.now_s
+    succession.record_lag(state, step)
     if election.role is state_lib.Role.FOLLOWING:
         if (
             election.campaign_at_s is not None
@@ -75,6 +77,9 @@
             _campaign(state, step)
     elif election.role is state_lib.Role.LEADING and election.fenced:
         step_down(state, step, "its epoch is over")
+    elif succession.should_hand_over(state, now_s):
+        succession.note_handover(state, step)
+        hand_over(state, step)
 
 
 def step_down(state: state_lib.State, step: dispatch.Step, reason: str) -> None:
@@ -94,6 +99,21 @@
         election.campaign_at_s = next_campaign_s(state, step)
 
 
+def hand_over(state: state_lib.State, step: dispatch.Step) -> None:
+    """Releases the scheduler's lease and stays a candidate of the last rank."""
+    election = state.election
+    step.note(
+        effects.Component.SCHEDULER, f"handed over in epoch {election.epoch}"
+    )
+    takeover.abandon(state)
+    state_lib.call_store(
+        state, step, store_api.EndLease(election.lease), ResignContext()
+    )
+    election.role = state_lib.Role.FOLLOWING
+    election.lease = ids.LeaseId(0)
+    state.monitoring.rank = succession.MAX_RANK
+
+
 def resign(state: state_lib.State, step: dispatch.Step) -> None:
     """Releases the scheduler's lease before the process exits."""
     election = state.election
@@ -112,7 +132,9 @@
     """Returns the time at which this instance starts to campaign."""
     rtt_s = min(state.store_health.min_rtt_s, 0.1)
     delay_s = (
-        CAMPAIGN_RTTS * rtt_s + CAMPAIGN_JITTER_S * step.moment.random_value
+        CAMPAIGN_RTTS * rtt_s
+        + CAMPAIGN_JITTER_S * step.moment.random_value
+        + succession.campaign_delay_s(state)
     )
     return step.moment.now_s + delay_s
 
@@ -329,6 +351,9 @@
         state.identity.instance, state.incarnation, state.identity.peer_address
     )
     election.renewed_s = renewed_s
+    election.elected_s = step.moment.now_s
+    election.lag_share = 0.0
+    state.monitoring.candidates.clear()
     election.renew_at_s = 0.0
     election.renewal_pending = False
     election.refusals = 0
--- a/dandelionpick/batch/messages.py
+++ b/dandelionpick/batch/messages.py
@@ -98,20 +98,33 @@
     """The receiver is not the scheduler, or has not finished its takeover."""
 
 
-class Monitor(msgspec.Struct, frozen=True, tag="monitor"):
+class Monitor(msgspec.Struct, frozen=True, tag="monitor", omit_defaults=True):
     """Asks the scheduler to report when it can't continue (long poll).
 
     Attributes:
         epoch: the epoch of the scheduler that is addressed.
         wait_s: the reply is delayed by this long if there is nothing to report.
+        instance: the sender; "" from an instance of an earlier version.
+        strength: processor cores of the sender.
     """
 
     epoch: ids.Epoch
     wait_s: float
+    instance: ids.InstanceId = ids.InstanceId("")
+    strength: float = 0.0
 
 
-class StillScheduling(msgspec.Struct, frozen=True, tag="still_scheduling"):
-    """The scheduler continues."""
+class StillScheduling(
+    msgspec.Struct, frozen=True, tag="still_scheduling", omit_defaults=True
+):
+    """The scheduler continues.
+
+    Attributes:
+        rank: how many instances should succeed the scheduler rather than the
+            receiver.
+    """
+
+    rank: int = 0
 
 
 class StoreRefuses(msgspec.Struct, frozen=True, tag="store_refuses"):
--- a/dandelionpick/batch/monitoring.py
+++ b/dandelionpick/batch/monitoring.py
@@ -20,6 +20,7 @@
 from dandelionpick.batch import messages
 from dandelionpick.batch import renewal
 from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import succession
 
 # How long a call stays open. A connection that no longer carries data is
 # detected shortly afterwards, by the timeout of the call.
@@ -75,7 +76,12 @@
         effects.Destination(
             kinds.Service.PEER, record.instance, record.address
         ),
-        messages.Monitor(election.record_epoch, WAIT_S),
+        messages.Monitor(
+            election.record_epoch,
+            WAIT_S,
+            state.identity.instance,
+            state.identity.strength,
+        ),
         MonitorContext(election.record_epoch, step.moment.now_s, is_retry),
         WAIT_S + TIMEOUT_MARGIN_S,
     )
@@ -95,8 +101,15 @@
     ):
         step.respond(exchange_id, messages.NotScheduler())
         return
-    wait_s = min(message.wait_s, WAIT_S)
-    state.monitoring.monitors[exchange_id] = step.moment.now_s + wait_s
+    now_s = step.moment.now_s
+    until_s = now_s + min(message.wait_s, WAIT_S)
+    state.monitoring.monitors[exchange_id] = state_lib.OpenMonitor(
+        message.instance, until_s
+    )
+    if message.instance:
+        succession.record_candidate(
+            state, message.instance, message.strength, now_s
+        )
     _answer_monitors(state, step)
 
 
@@ -104,14 +117,15 @@
     now_s = step.moment.now_s
     refused_s = renewal.refused_for_s(state, now_s)
     monitors = state.monitoring.monitors
-    for exchange_id, until_s in list(monitors.items()):
+    for exchange_id, monitor in list(monitors.items()):
         reply: messages.PeerReply
         if state.election.role is not state_lib.Role.LEADING:
             reply = messages.NotScheduler()
         elif refused_s:
             reply = messages.StoreRefuses(refused_s)
-        elif now_s >= until_s:
-            reply = messages.StillScheduling()
+        elif now_s >= monitor.until_s:
+            rank = succession.rank_of(state, monitor.instance, now_s)
+            reply = messages.StillScheduling(rank)
         else:
             continue
         del monitors[exchange_id]
@@ -128,6 +142,7 @@
     monitoring = state.monitoring
     monitoring.call_pending = False
     if isinstance(reply, messages.StillScheduling):
+        monitoring.rank = reply.rank
         _call_scheduler(state, step)
         return
     now_s = step.moment.now_s
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -234,6 +234,7 @@
     target.backoff_until_s = step.moment.now_s + BACKOFF_S
     if run.state is schedule_state.RunState.ORDERED:
         run.state = schedule_state.RunState.UNRESOLVED
+        run.unresolved_s = step.moment.now_s
         # A listing in progress may still wait for an end; a new one returns at
         # once.
         target.poll_pending = False
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -22,7 +22,7 @@
 # How long a listing waits for an end. A connection that has gone silent is
 # noticed soon after, well within the lease.
 WAIT_S = 1.0
-# The same while a start without a reply has to be resolved.
+# The same while the stop of a start without a reply has to be confirmed.
 UNRESOLVED_WAIT_S = 0.15
 # Interval between listings while ends can't be stored. Such ends are not
 # acknowledged, so each listing returns them at once instead of waiting.
@@ -30,10 +30,18 @@
 # Interval between listings of a target that runs nothing, so that its clock is
 # known and a dead target is found before work is sent to it.
 IDLE_PERIOD_S = 3.0
+# Listings of targets that run nothing that may be in progress at the same time.
+# Others wait, so that a scheduler with hundreds of targets does not keep its
+# event loop busy with them.
+MAX_IDLE_LISTINGS = 16
+# The same for targets that a new scheduler lists for the first time, which it
+# waits for.
+MAX_FIRST_LISTINGS = 64
 RETRY_S = 0.25
-# A start without a reply that no listing shows is stopped after this time, so
-# that its gang starts again well within the time that its members wait.
-UNRESOLVED_TIMEOUT_S = 0.6
+# A start without a reply is normally looked up. If its target can't be listed
+# either for this long, it is stopped, so that its gang starts again elsewhere
+# well within the 3 s that its members wait.
+UNRESOLVED_TIMEOUT_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,8 +64,36 @@
         return
     for target in list(schedule.targets.values()):
         _resolve_runs(state, step, target)
-        if not target.poll_pending and now_s >= target.poll_at_s:
-            poll(state, step, target)
+    for target in due_targets(schedule, now_s):
+        poll(state, step, target)
+
+
+def due_targets(
+    schedule: schedule_state.Schedule, now_s: float
+) -> list[schedule_state.Target]:
+    """Returns the targets to list now: those whose runs need a lease first.
+
+    Of the others, which run nothing, at most a few are listed at a time.
+    """
+    busy, first, idle = [], [], []
+    listing_first = listing_idle = 0
+    for target in schedule.targets.values():
+        if target.poll_pending:
+            listing_first += not target.listed
+            listing_idle += target.listed and not target.runs
+        elif now_s < target.poll_at_s:
+            continue
+        elif target.runs:
+            busy.append(target)
+        elif target.listed:
+            idle.append(target)
+        else:
+            first.append(target)
+    busy.sort(key=lambda target: target.lease_ends_s)
+    idle.sort(key=lambda target: target.poll_at_s)
+    first_room = max(0, MAX_FIRST_LISTINGS - listing_first)
+    idle_room = max(0, MAX_IDLE_LISTINGS - listing_idle)
+    return busy + first[:first_room] + idle[:idle_room]
 
 
 def poll(
@@ -98,11 +134,15 @@
 def _wait_s(target: schedule_state.Target) -> float:
     if not target.runs:
         return 0.0
-    unresolved = any(
-        run.state is schedule_state.RunState.UNRESOLVED
+    unresolved = [
+        run
         for run in target.runs.values()
-    )
-    return UNRESOLVED_WAIT_S if unresolved else WAIT_S
+        if run.state is schedule_state.RunState.UNRESOLVED
+    ]
+    if not unresolved:
+        return WAIT_S
+    stopped = all(run.stop_sent_s > float("-inf") for run in unresolved)
+    return UNRESOLVED_WAIT_S if stopped else 0.0
 
 
 def _drop_stored_ends(
@@ -146,7 +186,7 @@
         return
     for run in list(target.runs.values()):
         unresolved = run.state is schedule_state.RunState.UNRESOLVED
-        if unresolved and now_s - run.ordered_s < UNRESOLVED_TIMEOUT_S:
+        if unresolved and not _should_stop_unresolved(run, now_s):
             continue
         stopping = unresolved or run.state is schedule_state.RunState.STOPPING
         if stopping and now_s - run.stop_sent_s >= orders.STOP_RETRY_S:
@@ -155,6 +195,14 @@
             orders.stop(state, step, run)
 
 
+def _should_stop_unresolved(run: schedule_state.Run, now_s: float) -> bool:
+    """Returns whether to stop a start without a reply, or repeat its stop."""
+    return (
+        run.stop_sent_s > float("-inf")
+        or now_s - run.unresolved_s >= UNRESOLVED_TIMEOUT_S
+    )
+
+
 @dispatch.on_failure.register
 def _(
     context: ListContext,
@@ -237,8 +285,12 @@
         listed_keys.add((running.task, running.attempt))
         _apply_running(state, step, target, running)
     _mark_missing_lost(state, step, target, context, listed_keys)
+    _stop_missing_unresolved(state, step, target, context)
     target_health.reschedule_stalled_runs(state, step, target)
     _drop_stored_ends(schedule, target)
+    if schedule.stage is schedule_state.Stage.FENCING:
+        # The next targets are listed without waiting for a tick.
+        tick(state, step)
     if target.ends:
         target.poll_at_s = now_s + UNSAVED_PERIOD_S
     elif target.runs:
@@ -366,3 +418,33 @@
             continue
         if min(run.confirmed_s, run.stopped_s) < context.sent_s:
             run_endings.mark_lost(state, step, run)
+
+
+def _stop_missing_unresolved(
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    context: ListContext,
+) -> None:
+    """Stops starts without a reply that a later listing does not show.
+
+    The stop keeps them from taking effect later. Other members of the gang
+    would wait for them in vain.
+    """
+    for run in list(target.runs.values()):
+        if (
+            run.state is schedule_state.RunState.UNRESOLVED
+            and run.unresolved_s <= context.sent_s
+            and run.stop_sent_s == float("-inf")
+        ):
+            step.note(
+                effects.Component.SCHEDULER,
+                "stopping a start without a reply, which a later listing lacks",
+                job=run.task.job_id,
+                task=run.task.task_name(),
+                attempt=run.attempt,
+                target=target.id,
+                unresolved_s=round(step.moment.now_s - run.unresolved_s, 3),
+            )
+            orders.stop_other_gang_members(state, step, run)
+            orders.stop(state, step, run)
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -34,6 +34,9 @@
         needs: the resources that it occupies.
         job_known: the task belongs to a job that the scheduler knows.
         ordered_s: when the start was sent or the run was adopted.
+        unresolved_s: when the call that starts it failed; inf before. A listing
+            that was sent later and lacks the run shows that the start has not
+            taken effect so far.
         confirmed_s: when the start was confirmed; inf before. A listing that
             was sent later shows the run or its end.
         stop_sent_s: when the last stop was sent; -inf before the first.
@@ -50,6 +53,7 @@
     state: RunState
     ordered_s: float
     job_known: bool = True
+    unresolved_s: float = float("inf")
     confirmed_s: float = float("inf")
     stop_sent_s: float = float("-inf")
     stopped_s: float = float("inf")
@@ -294,6 +298,7 @@
         fencing_started_s: when the fencing stage began.
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
+        waiting_units: how many steps it found waiting for room.
         unsaved: jobs whose progress has to be stored.
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
@@ -322,6 +327,7 @@
     )
     dirty: bool = True
     last_pass_s: float = float("-inf")
+    waiting_units: int = 0
     unsaved: set[ids.JobId] = dataclasses.field(default_factory=set)
     saving: bool = False
     save_at_s: float = float("-inf")
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -15,6 +15,12 @@
 ]
 
 
+Processor = Annotated[
+    float,
+    msgspec.Meta(ge=0, description="give processor cores, 0 or more"),
+]
+
+
 class InstanceSection(msgspec.Struct, frozen=True):
     """Identity of this instance."""
 
@@ -55,6 +61,18 @@
     drain_s: settings_file.Seconds
 
 
+class CapacitySection(msgspec.Struct, frozen=True):
+    """Processor of this instance; decides who becomes the scheduler.
+
+    Attributes:
+        processor_share: share of a core that the process gets.
+        core_speed: how many times as fast as an ordinary core it is.
+    """
+
+    processor_share: Processor = 0.0
+    core_speed: Processor = 1.0
+
+
 class Settings(msgspec.Struct, frozen=True):
     """All sections of the settings file."""
 
@@ -62,6 +80,7 @@
     listen: ListenSection
     store: StoreSection
     bounds: BoundsSection
+    capacity: CapacitySection = CapacitySection()
     server: settings_file.ServerSection = settings_file.ServerSection()
     client: settings_file.ClientSection = settings_file.ClientSection()
     tracing: settings_file.TracingSection = settings_file.TracingSection()
@@ -85,6 +104,8 @@
         region=ids.Region(settings.instance.region),
         store_address=settings.store.address,
         peer_address=peer_address,
+        strength=settings.capacity.processor_share
+        * settings.capacity.core_speed,
     )
 
 
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -37,6 +37,7 @@
     Attributes:
         store_address: address of the platform's store.
         peer_address: address at which other instances reach this one.
+        strength: processor cores of this instance; 0 if unknown.
     """
 
     instance: ids.InstanceId
@@ -44,6 +45,7 @@
     region: ids.Region
     store_address: str
     peer_address: str
+    strength: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,6 +126,10 @@
         first_refusal_s: when the first of them was sent.
         fenced: a target or the store has shown that this instance's epoch is
             over.
+        elected_s: when this instance last became the scheduler.
+        lag_share: share of the time in which the event loop was late, averaged
+            over the last seconds.
+        lag_recorded_s: when it was last updated.
     """
 
     role: Role = Role.FOLLOWING
@@ -139,6 +145,34 @@
     refusals: int = 0
     first_refusal_s: float = float("inf")
     fenced: bool = False
+    elected_s: float = float("-inf")
+    lag_share: float = 0.0
+    lag_recorded_s: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenMonitor:
+    """A Monitor call of another instance that waits for its reply.
+
+    Attributes:
+        until_s: the time by which it has to be answered.
+    """
+
+    instance: ids.InstanceId
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An instance that may succeed this scheduler.
+
+    Attributes:
+        strength: its processor cores.
+        called_s: when it last called.
+    """
+
+    strength: float
+    called_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,17 +180,23 @@
     """State of the Monitor calls, by which instances detect a failed scheduler.
 
     Attributes:
-        monitors: open exchanges of the instances that monitor this scheduler,
-            with the time by which each has to be answered.
+        monitors: open exchanges of the instances that monitor this scheduler.
+        candidates: the instances that may succeed this scheduler.
+        rank: how many instances should succeed the scheduler rather than this
+            one, according to the scheduler.
         call_pending: whether the call of this instance to the scheduler is in
             progress.
         call_at_s: when to send the next call.
         last_replaced_s: when this instance last replaced a scheduler early.
     """
 
-    monitors: dict[ids.ExchangeId, float] = dataclasses.field(
+    monitors: dict[ids.ExchangeId, OpenMonitor] = dataclasses.field(
+        default_factory=dict
+    )
+    candidates: dict[ids.InstanceId, Candidate] = dataclasses.field(
         default_factory=dict
     )
+    rank: int = 0
     call_pending: bool = False
     call_at_s: float = float("-inf")
     last_replaced_s: float = float("-inf")
--- a/dandelionpick/batch/wiring.py
+++ b/dandelionpick/batch/wiring.py
@@ -9,6 +9,7 @@
 from dandelionpick import events
 from dandelionpick import http_pools
 from dandelionpick import ids
+from dandelionpick import loop_lag
 from dandelionpick import runtime as runtime_lib
 from dandelionpick import server
 from dandelionpick import settings_file
@@ -70,12 +71,14 @@
     callers, health, peers = map(
         server.bind, (listen.callers, listen.health, listen.peers)
     )
-    async with http_pools.Pools(outbound) as pools:
+    lag = loop_lag.LoopLag()
+    async with http_pools.Pools(outbound, lag) as pools:
         runtime = runtime_lib.Runtime(
             build_state(settings, server.address_of(peers)),
             batch_reducer.reduce_guarded,
             functools.partial(platform_calls.send, pools),
             tracer,
+            lag,
         )
         apps = {
             callers: ingress.build_caller_app(runtime, inbound.body_timeout_s),
--- a/dandelionpick/http_pools.py
+++ b/dandelionpick/http_pools.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from dandelionpick import kinds
+from dandelionpick import loop_lag
 
 # A pool that has had no calls for this time is closed.
 UNUSED_POOL_TIMEOUT_S = 60.0
@@ -64,10 +65,14 @@
     A call that times out closes its own connection. The idle connections to
     the same address may have stopped responding for the same reason, so the
     whole pool is retired and later calls open new connections.
+
+    Attributes:
+        lag: how late the event loop is; timeouts of calls exclude it.
     """
 
-    def __init__(self, limits: PoolLimits):
+    def __init__(self, limits: PoolLimits, lag: loop_lag.LoopLag | None = None):
         self.limits = limits
+        self.lag = lag or loop_lag.LoopLag()
         self.by_address: dict[str, Pool] = {}
         self.close_tasks: set[asyncio.Task] = set()
         self.last_sweep_s = time.monotonic()
--- a/dandelionpick/http_requests.py
+++ b/dandelionpick/http_requests.py
@@ -1,6 +1,5 @@
 """Sends one HTTP request and returns its status and body."""
 
-import asyncio
 from typing import Any
 
 import aiohttp
@@ -11,6 +10,7 @@
 
 from dandelionpick import http_pools
 from dandelionpick import kinds
+from dandelionpick import loop_lag
 
 RawResponse = tuple[int, bytes]
 
@@ -31,7 +31,8 @@
         address: host and port.
         method: the HTTP method.
         path: path and query.
-        timeout_s: seconds in which the whole response must be received.
+        timeout_s: seconds in which the whole response must be received, not
+            counting those in which the own event loop was late.
         body: encoded as JSON; None for no body.
         headers: additional headers.
 
@@ -47,7 +48,7 @@
     async with pools.use(address) as pool:
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                loop_lag.timeout(timeout_s, pools.lag),
                 pool.session.request(
                     method,
                     f"http://{address}{path}",
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -55,6 +55,11 @@
         "Requests forwarded to another failure domain, by region.",
         ["same_region"],
     ),
+    "handovers_total": prometheus_client.Counter(
+        "dandelionpick_handovers_total",
+        "Times that this instance resigned as the scheduler because it was"
+        " late and a stronger instance was known.",
+    ),
     "takeovers_total": prometheus_client.Counter(
         "dandelionpick_takeovers_total",
         "Times that this instance became the scheduler.",
--- a/dandelionpick/runtime.py
+++ b/dandelionpick/runtime.py
@@ -18,6 +18,7 @@
 from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick import loop_lag
 from dandelionpick import metrics
 from dandelionpick import peer_messages
 from dandelionpick import reduction as reduction_lib
@@ -56,6 +57,7 @@
         exchanges: futures of the responses that are still due, by exchange.
         call_tasks: tasks of the calls in progress.
         last_tick_s: `clock_s` at the last tick, or at the last detected stall.
+        lag: how late the ticks are; the timeouts of calls exclude it.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         reduce: Reduce,
         send: Sender,
         tracer: tracing.Tracer,
+        lag: loop_lag.LoopLag | None = None,
     ):
         self.state = state
         self.reduce = reduce
@@ -75,6 +78,7 @@
         self.random = random.Random()
         self.exchange_numbers = itertools.count(1)
         self.last_tick_s = clock_s()
+        self.lag = lag or loop_lag.LoopLag()
 
     def moment(self) -> events.Moment:
         """Returns the current time and a new random number."""
@@ -82,6 +86,7 @@
             now_s=clock_s(),
             unix_ms=time.time_ns() // 1_000_000,
             random_value=self.random.random(),
+            lag_s=self.lag.last_s,
         )
 
     def deliver(self, event: events.Event) -> None:
@@ -140,6 +145,7 @@
         self.last_tick_s = clock_s()
         while not self.exit_requested.is_set():
             await asyncio.sleep(TICK_PERIOD_S)
+            self.lag.record_tick(TICK_PERIOD_S)
             moment = self.moment()
             lag_s = max(0.0, moment.now_s - self.last_tick_s - TICK_PERIOD_S)
             if lag_s <= STALL_THRESHOLD_S:
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -5,6 +5,7 @@
 can be executed late.
 """
 
+import dataclasses
 import heapq
 import itertools
 import json
@@ -41,6 +42,7 @@
         up: whether the process runs.
         frozen: whether the process is suspended.
         held_events: events that are delivered when it resumes.
+        lag_s: how late its event loop handles every event.
         exited: whether it has ended by itself after a planned stop.
     """
 
@@ -53,6 +55,7 @@
         self.up = True
         self.frozen = False
         self.held_events: list[events.Event] = []
+        self.lag_s = 0.0
         self.exited = False
 
 
@@ -62,6 +65,7 @@
     Attributes:
         scheduled: heap of the actions that are due later.
         cut: pairs of names that can't reach each other.
+        muted_targets: targets that carry out orders and whose replies are lost.
         powered_machines: instances whose machine is up, so that it refuses
             connections if the process has ended.
         reply_callbacks: what receives the reply of an open exchange, by
@@ -92,6 +96,7 @@
         self.powered_machines: set[str] = set()
         self.process_numbers = itertools.count(1)
         self.cut: set[frozenset[str]] = set()
+        self.muted_targets: set[str] = set()
         self.late_share = 0.0
         self.late_s = 5.0
         self.retention_s = retention_s
@@ -332,6 +337,19 @@
         if instance.frozen:
             instance.held_events.append(event)
             return
+        if instance.lag_s:
+            self.call_later(
+                instance.lag_s, lambda: self._apply_late(instance, event)
+            )
+            return
+        self._apply(instance, event)
+
+    def _apply_late(self, instance: Instance, event: events.Event) -> None:
+        if instance.up:
+            late = dataclasses.replace(event, moment=self.moment())
+            self._apply(instance, late)
+
+    def _apply(self, instance: Instance, event: events.Event) -> None:
         reduction = reducer.reduce_guarded(instance.state, event)
         self.faults.extend(reduction.faults)
         for effect in reduction.effects:
