Bound the starts that are in flight

Cause: a pass starts everything that fits at once; on a weak or throttled scheduler a few jobs of 40 to 230 tasks keep the loop and the link busy, and replies and renewals of leases behind them are late (small twin of the large site, first second).

Change: start_window.py bounds the starts without a reply; the bound grows with fast replies and shrinks at most once in 0.5 s with slow or lost ones. What is left keeps its place in the order of the next pass. The first-fit policy of bench.experiment follows the signature of placement.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -22,6 +22,7 @@
 from cleo.helpers import option
 
 from bench import load_patterns
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import locality
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
@@ -101,13 +102,16 @@
     """Chooses targets by name instead of by the capacity left on them."""
     fill = scheduling.placement._pack
 
-    def first_fit(demand: Any, rooms: Any) -> Any:
-        ordered = sorted(rooms, key=lambda room: room.target)
+    def first_fit(demand: Any, racks: Any) -> Any:
+        candidates = [
+            candidate for rack in racks for candidate in rack.candidates
+        ]
+        candidates.sort(key=lambda candidate: candidate.target)
         numbered = [
-            dataclasses.replace(room, penalty=float(number))
-            for number, room in enumerate(ordered)
+            dataclasses.replace(candidate, penalty=float(number))
+            for number, candidate in enumerate(candidates)
         ]
-        return fill(demand, numbered)
+        return fill(demand, [free_capacity.Rack(numbered)])
 
     scheduling.placement._pack = first_fit
 
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -109,6 +109,7 @@
         lease_until_ms(state, target, now_s),
         task.checkpoint,
     )
+    schedule.starts.record_sent()
     context = StartContext(schedule.epoch, run)
     dispatch.call(
         state, step, destination(target), message, context, START_TIMEOUT_S
@@ -189,6 +190,26 @@
     return target
 
 
+def _record_start_reply(
+    context: StartContext, state: state_lib.State, now_s: float
+) -> None:
+    schedule = state.schedule
+    if schedule is not None and schedule.epoch == context.epoch:
+        window = schedule.starts
+        window.record_reply(now_s, now_s - context.run.ordered_s)
+        schedule.dirty |= window.exhausted
+
+
+def _record_start_failure(
+    context: StartContext, state: state_lib.State, now_s: float
+) -> None:
+    schedule = state.schedule
+    if schedule is not None and schedule.epoch == context.epoch:
+        window = schedule.starts
+        window.record_failure(now_s)
+        schedule.dirty |= window.exhausted
+
+
 @dispatch.on_reply.register
 def _(
     context: StartContext,
@@ -197,6 +218,7 @@
     reply: Any,
 ) -> None:
     run = context.run
+    _record_start_reply(context, state, step.moment.now_s)
     if isinstance(reply, target_api.Rejected):
         step.count("orders_total", "start", reply.problem.value)
     if fencing.is_fenced(reply):
@@ -224,6 +246,7 @@
     failure: kinds.CallFailure,
 ) -> None:
     run = context.run
+    _record_start_failure(context, state, step.moment.now_s)
     step.count("orders_total", "start", failure.value)
     target = _target_if_current(state, context.epoch, run)
     if target is None:
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -7,6 +7,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import model
+from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
 
 # Attempts of an epoch are numbered from epoch << ATTEMPT_BITS, so that the
@@ -298,6 +299,7 @@
         fencing_started_s: when the fencing stage began.
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
+        starts: bounds the starts that are in flight.
         waiting_units: how many steps it found waiting for room.
         unsaved: jobs whose progress has to be stored.
         saving: a commit of progress is in progress.
@@ -327,6 +329,9 @@
     )
     dirty: bool = True
     last_pass_s: float = float("-inf")
+    starts: start_window.StartWindow = dataclasses.field(
+        default_factory=start_window.StartWindow
+    )
     waiting_units: int = 0
     unsaved: set[ids.JobId] = dataclasses.field(default_factory=set)
     saving: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -116,7 +116,12 @@
     )
     units = sorted(_pending_units(state, step), key=lambda unit: unit.urgency)
     schedule.waiting_units = len(units)
+    window = schedule.starts
+    window.exhausted = False
     for unit in units:
+        if not window.has_room():
+            window.exhausted = True
+            break
         demand = demand_of(schedule, unit, now_s)
         # Free resources only shrink during a pass, so a demand that did not fit
         # earlier in the pass doesn't fit now.
--- a/dandelionpick/batch/start_window.py
+++ b/dandelionpick/batch/start_window.py
@@ -1,8 +1,8 @@
 """Bounds how many starts are on their way to targets at the same time.
 
 A burst of wide jobs asks for hundreds of starts at once. Sent together they
-keep a weak scheduler, or its link, busy for so long that replies and renewals of
-leases are late. The bound follows the round trips that are seen: it grows by
+keep a weak scheduler, or its link, busy for so long that replies and renewals
+of leases are late. The bound follows the round trips that are seen: it grows by
 about one each round trip and shrinks by a third when starts take long or get no
 reply. Work that is not started yet keeps its place in the order of the next
 pass.
--- a/tests/test_batch_overload.py
+++ b/tests/test_batch_overload.py
@@ -14,7 +14,10 @@
 from dandelionpick import http_requests
 from dandelionpick import loop_lag
 from dandelionpick import runtime
+from dandelionpick.batch import scheduling
+from dandelionpick.batch import start_window
 from tests import batch_builders as builders
+from tests import crest_builders
 from tests import test_batch_jobs
 
 
@@ -138,6 +141,54 @@
         fabric.until_completed(1, limit_s=6.0)
 
 
+class StartWindowTest(unittest.TestCase):
+    """The number of starts in flight follows the round trips that are seen."""
+
+    def test_shrinks_once_for_a_burst_of_slow_starts(self):
+        """Guards against a bound that collapses with one late burst."""
+        window = start_window.StartWindow()
+        for _ in range(90):
+            window.record_sent()
+        for _ in range(90):
+            window.record_reply(1.0, seconds=0.6)
+        self.assertAlmostEqual(
+            window.limit,
+            start_window.INITIAL_LIMIT * start_window.DECREASE_FACTOR,
+        )
+        self.assertEqual(window.in_flight, 0)
+
+    def test_recovers_with_fast_replies(self):
+        """Guards against a scheduler that stays slow after an overload."""
+        window = start_window.StartWindow(limit=start_window.MIN_LIMIT)
+        for _ in range(2_000):
+            window.record_sent()
+            window.record_reply(1.0, seconds=0.02)
+        self.assertGreater(window.limit, 3 * start_window.MIN_LIMIT)
+
+    def test_never_blocks_for_good(self):
+        """Guards against a bound below one step after lasting failures."""
+        window = start_window.StartWindow()
+        for second in range(100):
+            window.record_sent()
+            window.record_failure(float(second))
+        self.assertTrue(window.has_room())
+
+    def test_pass_leaves_work_that_the_bound_does_not_allow(self):
+        """Guards against a burst of starts that makes renewals late."""
+        state = crest_builders.scheduler_state(270)
+        schedule = state.schedule
+        for _ in range(20):
+            crest_builders.add_job(
+                schedule, crest_builders.BATCH_SHAPES[2], priority=2
+            )
+        step = builders.step(builders.moment(1.0))
+        scheduling.tick(state, step)
+        starts = schedule.starts.in_flight
+        tasks = crest_builders.BATCH_SHAPES[2].tasks
+        self.assertLess(starts, start_window.INITIAL_LIMIT + tasks)
+        self.assertTrue(schedule.starts.exhausted)
+
+
 class SlowSchedulerTest(test_batch_jobs.BatchTest):
     """A scheduler whose event loop handles everything a second late."""
 
