Read a reply's body for as long as parts of it arrive

Ruled out: the store (it answered the other region within 0.2 s), decoding.

Change: the timeout of a call ends with the response's headers; a body is given up after 1 s without a byte, or 6 s in all.

--- a/dandelionpick/http_requests.py
+++ b/dandelionpick/http_requests.py
@@ -1,5 +1,6 @@
 """Sends one HTTP request and returns its status and body."""
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -14,6 +15,12 @@
 
 RawResponse = tuple[int, bytes]
 
+# A body of which nothing arrives for this long is abandoned.
+BODY_IDLE_TIMEOUT_S = 1.0
+# Longest time for a body. A large configuration takes seconds when all
+# instances of a region read it over one link; giving up would add another copy.
+BODY_TIMEOUT_S = 6.0
+
 
 async def request(
     pools: http_pools.Pools,
@@ -31,8 +38,8 @@
         address: host and port.
         method: the HTTP method.
         path: path and query.
-        timeout_s: seconds in which the whole response must be received, not
-            counting those in which the own event loop was late.
+        timeout_s: seconds in which the response must begin, not counting those
+            in which the own event loop was late.
         body: encoded as JSON; None for no body.
         headers: additional headers.
 
@@ -47,21 +54,41 @@
     progress = http_pools.RequestProgress()
     async with pools.use(address) as pool:
         try:
-            async with (
-                loop_lag.timeout(timeout_s, pools.lag),
-                pool.session.request(
+            async with loop_lag.timeout(timeout_s, pools.lag):
+                response = await pool.session.request(
                     method,
                     f"http://{address}{path}",
                     data=data,
                     headers=sent_headers,
                     allow_redirects=False,
                     trace_request_ctx=progress,
-                ) as response,
-            ):
-                return Success((response.status, await response.read()))
+                )
+            async with response:
+                body = await _read_body(response, pools.lag)
+                return Success((response.status, body))
         except TimeoutError:
             if progress.sending:
                 pools.retire_pool(address, pool)
             return Failure(http_pools.classify_failure(progress))
         except (aiohttp.ClientError, OSError):
             return Failure(http_pools.classify_failure(progress))
+
+
+async def _read_body(
+    response: aiohttp.ClientResponse, lag: loop_lag.LoopLag
+) -> bytes:
+    """Reads a body for as long as parts of it arrive.
+
+    Raises:
+        TimeoutError: nothing arrived for a while, or the body took too long.
+    """
+    if response.content.is_eof():
+        return await response.read()
+    parts: list[bytes] = []
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        while True:
+            async with loop_lag.timeout(BODY_IDLE_TIMEOUT_S, lag):
+                part = await response.content.readany()
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
--- a/tests/test_batch_overload.py
+++ b/tests/test_batch_overload.py
@@ -12,6 +12,7 @@
 
 from dandelionpick import http_pools
 from dandelionpick import http_requests
+from dandelionpick import kinds
 from dandelionpick import loop_lag
 from dandelionpick import runtime
 from dandelionpick.batch import scheduling
@@ -73,6 +74,53 @@
             await asyncio.sleep(runtime.TICK_PERIOD_S)
 
 
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A large reply over a full link, as when all read a new configuration."""
+
+    PART = b"x" * 10_000
+    PARTS = 8
+
+    async def request(self, sent_parts: int):
+        """Sends a request whose reply arrives in parts."""
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            length = len(self.PART) * self.PARTS
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length
+            )
+            for _ in range(sent_parts):
+                await asyncio.sleep(0.1)
+                writer.write(self.PART)
+                await writer.drain()
+            await closed.wait()
+            writer.close()
+
+        closed = asyncio.Event()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pools = await self.enterAsyncContext(
+            http_pools.Pools(http_pools.PoolLimits())
+        )
+        try:
+            return await http_requests.request(
+                pools, f"127.0.0.1:{port}", "GET", "/", 0.3
+            )
+        finally:
+            closed.set()
+            server.close()
+
+    async def test_body_may_take_longer_than_the_timeout(self):
+        """Guards against reading a large value again and again."""
+        result = await self.request(self.PARTS)
+        self.assertEqual(result.unwrap(), (200, self.PART * self.PARTS))
+
+    async def test_body_that_stops_is_given_up(self):
+        """Guards against a call that never ends."""
+        result = await self.request(self.PARTS - 1)
+        self.assertEqual(result.failure(), kinds.CallFailure.LOST)
+
+
 class LoopLagTimeoutTest(unittest.IsolatedAsyncioTestCase):
     """Timeouts exclude the time in which the event loop was late."""
 
