Don't repeat work that may be done on a silent target; stop only what pays

Tasks that had ended as done there were started again when the leases had ended, and their ends were listed later.

Change: while such a target is registered, a run that may have ended by its progress waits until the target answers or its entry is gone; others start again as before. A reservation lasts for a stop and 0.6 s.

--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -97,6 +97,7 @@
         now_s,
         progressed_s=now_s,
         percent=task.percent,
+        first_percent=task.percent,
         checkpoint=task.checkpoint,
     )
     runs.add(schedule, run, task)
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -18,6 +18,7 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
+from dandelionpick.batch import unheard_runs
 
 # How long a listing waits for an end. A connection that has gone silent is
 # noticed soon after, well within the lease.
@@ -164,8 +165,9 @@
 ) -> None:
     """Stops unresolved starts, repeats stops, and drops lost runs.
 
-    The runs of a target are lost if it fails to answer after it drained or its
-    lease ended.
+    The runs of a target are lost if it fails to answer after it drained. If it
+    fails to answer after its lease ended, those are lost that can't have ended
+    before.
     """
     now_s = step.moment.now_s
     if target.failed and target.departed and target.runs:
@@ -176,14 +178,7 @@
         run_endings.mark_all_lost(state, step, target)
         return
     if target.failed and now_s > target.lease_ends_s and target.runs:
-        step.note(
-            effects.Component.TARGETS,
-            f"{target.id} has not answered since its lease ended;"
-            f" {len(target.runs)} runs are lost",
-            warning=True,
-        )
-        run_endings.mark_all_lost(state, step, target)
-        return
+        _drop_lost_runs(state, step, target)
     for run in list(target.runs.values()):
         unresolved = run.state is schedule_state.RunState.UNRESOLVED
         if unresolved and not _should_stop_unresolved(run, now_s):
@@ -195,6 +190,32 @@
             orders.stop(state, step, run)
 
 
+def _drop_lost_runs(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Drops the runs of a target without leases that are lost."""
+    schedule = state.schedule
+    assert schedule is not None
+    lost = [
+        run
+        for run in target.runs.values()
+        if unheard_runs.is_lost(schedule, target, run)
+    ]
+    waiting = len(target.runs) - len(lost)
+    if lost or not target.unheard:
+        step.note(
+            effects.Component.TARGETS,
+            f"{target.id} has not answered since its lease ended;"
+            f" {len(lost)} runs are lost, {waiting} may have ended there",
+            warning=True,
+            registered=target.entry is not None,
+            silent_s=round(step.moment.now_s - target.failing_since_s, 1),
+        )
+    target.unheard = True
+    for run in lost:
+        run_endings.mark_lost(state, step, run)
+
+
 def _should_stop_unresolved(run: schedule_state.Run, now_s: float) -> bool:
     """Returns whether to stop a start without a reply, or repeat its stop."""
     return (
@@ -322,6 +343,7 @@
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
     target.failed = False
+    target.unheard = False
     target.failing_since_s = float("inf")
     target.clock_ms = listed.clock_ms
     target.clock_s = now_s
@@ -391,6 +413,7 @@
         confirmed_s=now_s,
         progressed_s=now_s,
         percent=running.percent,
+        first_percent=running.percent,
     )
     runs.add(schedule, run, task)
     unwanted = task is None or job is None or job.ended or task.done
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -11,6 +11,7 @@
 import collections
 import copy
 import dataclasses
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
@@ -23,19 +24,25 @@
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import placement
+from dandelionpick.batch import preemption_gain
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
-# How long resources stay reserved for the step after the victims were told to
-# stop; a stop takes at most 0.9 s, and its end is listed soon after.
-RESERVATION_S = 2.0
+# How long resources stay reserved for a step after its victims should have
+# stopped; their ends are listed within this time. Then the step is planned for
+# again.
+LISTED_MARGIN_S = 0.6
+# A start without a reply may still take effect, and stops of its gang are on
+# their way.
+PREEMPTIBLE_STATES = (
+    schedule_state.RunState.RUNNING,
+    schedule_state.RunState.STOPPING,
+)
 # Cost factor between work of one priority and the next higher one.
 PRIORITY_WEIGHT = 4.0
 # Seconds of work that each preemption costs in any case: the start of the next
 # attempt.
 RESTART_S = 1.0
-# How many processor cores an accelerator counts as when costs are compared.
-CORES_PER_ACCELERATOR = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,11 +52,15 @@
     Attributes:
         resources: what the runs occupy, by target.
         cost: weighted work that is lost by stopping them, in core seconds.
+        lost_core_s: the same without weights.
+        remaining_s: how long they are expected to last.
     """
 
     runs: tuple[schedule_state.Run, ...]
     resources: dict[ids.TargetId, model.Resources]
     cost: float
+    lost_core_s: float = 0.0
+    remaining_s: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +75,11 @@
         """Weighted work that is lost, in core seconds."""
         return sum(victim.cost for victim in self.victims)
 
+    @property
+    def lost_core_s(self) -> float:
+        """Work that is lost, in core seconds."""
+        return sum(victim.lost_core_s for victim in self.victims)
+
 
 class VictimIndex:
     """The runs that may be preempted during one scheduling pass, by rank."""
@@ -74,18 +90,42 @@
         self.by_rank: dict[float, list[Victim]] = {}
 
     def of_rank(self, rank: float) -> list[Victim]:
-        """Returns what work of a rank may preempt, the cheapest first."""
+        """Returns what work of a rank may preempt, the cheapest first.
+
+        Runs that end soon come first and cost nothing.
+        """
         if rank not in self.by_rank:
             victims = _find_victims(self.schedule, rank, self.now_s)
             victims.sort(key=lambda victim: victim.cost)
             self.by_rank[rank] = victims
-        return [victim for victim in self.by_rank[rank] if _may_stop(victim)]
-
-
-def _may_stop(victim: Victim) -> bool:
-    """Returns whether none of the runs is being stopped already."""
-    return all(
-        run.state is schedule_state.RunState.RUNNING for run in victim.runs
+        victims = self.by_rank[rank]
+        soon_s = preemption_gain.NEAR_END_S
+        ending = [
+            dataclasses.replace(
+                victim,
+                cost=0.0,
+                lost_core_s=0.0,
+                remaining_s=_remaining_s(victim),
+            )
+            for victim in victims
+            if _remaining_s(victim) <= soon_s
+        ]
+        return ending + [
+            victim for victim in victims if _remaining_s(victim) > soon_s
+        ]
+
+
+def _remaining_s(victim: Victim) -> float:
+    """Returns how long a victim lasts; 0 if it is being stopped."""
+    if _is_stopping(victim.runs):
+        return 0.0
+    return victim.remaining_s
+
+
+def _is_stopping(runs: Sequence[schedule_state.Run]) -> bool:
+    """Returns whether all runs are being stopped already."""
+    return bool(runs) and all(
+        run.state is schedule_state.RunState.STOPPING for run in runs
     )
 
 
@@ -95,39 +135,73 @@
     unit: Any,
     demand: placement.Demand,
     racks: free_capacity.Racks,
-    victims: Sequence[Victim],
+    index: VictimIndex,
 ) -> bool:
-    """Stops runs of a lower rank so that a unit fits, if that is possible.
+    """Reserves room for a unit, and stops runs of a lower rank for it.
+
+    Args:
+        state: the instance's state.
+        step: the current step.
+        unit: the urgent unit that does not fit.
+        demand: its resources and constraints.
+        racks: its candidates.
+        index: the runs that may be preempted.
 
     Returns:
         Whether room was reserved for the unit.
     """
     schedule = state.schedule
     assert schedule is not None
+    now_s = step.moment.now_s
+    rank = guarantees.rank(schedule, unit.job)
     candidates = [
         candidate for rack in racks.values() for candidate in rack.candidates
     ]
-    plan = choose_victims(demand, candidates, victims)
+    plan = choose_victims(demand, candidates, index.of_rank(rank))
     if plan is None:
         return False
+    covered = unit.job.id not in schedule.over_guarantee
+    if not covered and not preemption_gain.pays(
+        plan.lost_core_s, unit.step_run.spec, len(unit.tasks)
+    ):
+        return False
     counts = collections.Counter(plan.targets)
     schedule.reservations[unit.key] = schedule_state.Reservation(
-        {target: demand.needs.times(counts[target]) for target in counts},
-        step.moment.now_s + RESERVATION_S,
+        {target: unit.needs.times(counts[target]) for target in counts},
+        now_s + state.limits.stop_s + LISTED_MARGIN_S,
     )
-    for victim in plan.victims:
-        for run in victim.runs:
-            step.count("preemptions_total")
-            orders.stop(state, step, run)
-            task = schedule.task_of(run.task)
-            if task is not None:
-                task.preemptions += 1
+    _stop_victims(state, step, unit, plan)
+    return True
+
+
+def _stop_victims(
+    state: state_lib.State,
+    step: dispatch.Step,
+    unit: Any,
+    plan: PreemptionPlan,
+) -> None:
+    """Stops the victims of a plan that don't end by themselves soon."""
+    schedule = state.schedule
+    assert schedule is not None
+    stopped = [
+        run
+        for victim in plan.victims
+        if victim.remaining_s > preemption_gain.NEAR_END_S
+        for run in victim.runs
+    ]
+    for run in stopped:
+        step.count("preemptions_total")
+        orders.stop(state, step, run)
+        task = schedule.task_of(run.task)
+        if task is not None:
+            task.preemptions += 1
     step.note(
         effects.Component.SCHEDULER,
-        f"stopping {sum(len(victim.runs) for victim in plan.victims)} runs"
-        f" at a cost of {plan.cost:.0f} core seconds for {unit.job.id}",
+        f"stopping {len(stopped)} runs for {unit.job.id}",
+        cost_core_s=round(plan.cost),
+        lost_core_s=round(plan.lost_core_s),
+        covered=unit.job.id not in schedule.over_guarantee,
     )
-    return True
 
 
 def choose_victims(
@@ -257,20 +331,30 @@
     schedule: schedule_state.Schedule, rank: float, now_s: float
 ) -> list[Victim]:
     victims = []
-    for job in schedule.jobs.values():
-        rank_gap = guarantees.rank(schedule, job) - rank
-        if rank_gap <= 0 or job.ended:
+    for key in _running_steps(schedule):
+        job = schedule.jobs.get(key[0])
+        step_run = job and job.steps.get(key[1:])
+        if not job or not step_run:
             continue
-        for step_run in job.steps.values():
-            if not step_run.open:
-                continue
-            for tasks in _preemption_groups(step_run):
-                victim = _make_victim(step_run, tasks, rank_gap, now_s)
-                if victim is not None:
-                    victims.append(victim)
+        rank_gap = guarantees.rank(schedule, job) - rank
+        for tasks in _preemption_groups(step_run):
+            victim = _make_victim(step_run, tasks, rank_gap, now_s)
+            if victim is not None:
+                victims.append(victim)
     return victims
 
 
+def _running_steps(
+    schedule: schedule_state.Schedule,
+) -> Iterable[tuple[ids.JobId, int, int]]:
+    """Returns job, occurrence and number of the steps that have runs."""
+    return dict.fromkeys(
+        (task.job_id, task.occurrence, task.step)
+        for target in schedule.targets.values()
+        for task, _ in target.runs
+    )
+
+
 def _preemption_groups(
     step_run: schedule_state.StepRun,
 ) -> list[list[schedule_state.Task]]:
@@ -286,27 +370,35 @@
     now_s: float,
 ) -> Victim | None:
     runs = [run for task in tasks for run in task.runs.values()]
-    if not runs or any(
-        run.state is not schedule_state.RunState.RUNNING for run in runs
+    if _is_stopping(runs):
+        return Victim(tuple(runs), _occupied(runs), 0.0, 0.0, 0.0)
+    if (
+        rank_gap <= 0
+        or not runs
+        or any(run.state not in PREEMPTIBLE_STATES for run in runs)
     ):
         return None
+    weight = 1 + max(task.preemptions for task in tasks)
+    lost = sum(_lost_core_seconds(step_run.spec, run, now_s) for run in runs)
+    cost = lost * weight / PRIORITY_WEIGHT ** (rank_gap - 1)
+    remaining_s = max(preemption_gain.remaining_s(run, now_s) for run in runs)
+    return Victim(tuple(runs), _occupied(runs), cost, lost, remaining_s)
+
+
+def _occupied(
+    runs: Sequence[schedule_state.Run],
+) -> dict[ids.TargetId, model.Resources]:
+    """Returns what runs occupy, by target."""
     resources: dict[ids.TargetId, model.Resources] = {}
     for run in runs:
         earlier = resources.get(run.target, model.Resources())
         resources[run.target] = earlier.plus(run.needs)
-    weight = 1 + max(task.preemptions for task in tasks)
-    lost = sum(_lost_core_seconds(step_run.spec, run, now_s) for run in runs)
-    cost = lost * weight / PRIORITY_WEIGHT ** (rank_gap - 1)
-    return Victim(tuple(runs), resources, cost)
+    return resources
 
 
 def _lost_core_seconds(
     spec: model.StepSpec, run: schedule_state.Run, now_s: float
 ) -> float:
     """Returns the core seconds of work that are lost if a run is stopped."""
-    cores = (
-        run.needs.cpu_millis / 1_000
-        + run.needs.accelerators * CORES_PER_ACCELERATOR
-    )
     worked_s = 0.0 if spec.checkpoints else now_s - run.ordered_s
-    return cores * (worked_s + RESTART_S)
+    return preemption_gain.cores_of(run.needs) * (worked_s + RESTART_S)
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -44,6 +44,7 @@
         stopped_s: when a stop was obeyed; inf before. If a listing that was
             sent later lacks the run, it will never run.
         percent: how much of the work is done.
+        first_percent: how much of it was done when the run started.
         progressed_s: when `percent` last rose.
     """
 
@@ -61,6 +62,7 @@
     stop_pending: bool = False
     checkpoint: str = ""
     percent: float = 0.0
+    first_percent: float = 0.0
     progressed_s: float = 0.0
 
 
@@ -161,6 +163,7 @@
             ignored.
         poll_at_s: the next listing is not sent before this time.
         failed: the last listing failed.
+        unheard: its leases have ended since it last answered.
         failing_since_s: when the first of the failed listings was sent.
         departed: it was draining when its entry was removed; once it stops
             answering, nothing runs there.
@@ -193,6 +196,7 @@
     poll_serial: int = 0
     poll_at_s: float = float("-inf")
     failed: bool = False
+    unheard: bool = False
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
     departed: bool = False
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -94,7 +94,7 @@
     if (
         schedule is None
         or schedule.stage is not schedule_state.Stage.READY
-        or not leadership_bounds.may_send_orders(state, now_s)
+        or not leadership_bounds.may_start(state, now_s)
         or state.drain.requested_s is not None
     ):
         return
@@ -270,7 +270,7 @@
     demand: placement.Demand,
     racks: free_capacity.Racks,
 ) -> None:
-    """Stops other work for an urgent unit, unless that was tried in vain."""
+    """Makes room for an urgent unit, unless that was tried in vain."""
     schedule = state.schedule
     assert schedule is not None
     rank = guarantees.rank(schedule, unit.job)
@@ -279,7 +279,7 @@
     if (demand, rank) in current.unreclaimable:
         return
     if preemption.preempt_for(
-        state, step, unit, demand, racks, current.victims.of_rank(rank)
+        state, step, unit, demand, racks, current.victims
     ):
         current.capacity.reserve(unit)
     elif not demand.max_per_target:
