Start nothing after a suspension before the lease was renewed

Change: after a stall of the event loop nothing is started until the store has renewed the lease. The roster of all targets is no longer built for each event.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 SEEDS ?= 4
 
-.PHONY: setup test lint format demo slopes decisions bench-path experiment fuzz mutants
+.PHONY: setup test lint format demo slopes decisions bench-path experiment regression fuzz mutants
 
 setup: $(STAMP)
 
@@ -44,6 +44,9 @@
 experiment: setup
 	$(PY) -m bench.experiment experiment --seeds $(SEEDS)
 
+regression: setup
+	$(PY) -m bench.regression regression
+
 fuzz: export FUZZ_SEED := $(SEED)
 fuzz: export FUZZ_EXAMPLES := $(EXAMPLES)
 fuzz: setup
--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -358,6 +358,7 @@
     election.renewal_pending = False
     election.refusals = 0
     election.fenced = False
+    election.unverified = False
     step.count("takeovers_total")
     step.note(
         effects.Component.SCHEDULER, f"became the scheduler in epoch {epoch}"
--- a/dandelionpick/batch/leadership_bounds.py
+++ b/dandelionpick/batch/leadership_bounds.py
@@ -11,6 +11,15 @@
 CLOCK_DRIFT_FACTOR = 1.02
 
 
+def may_start(state: state_lib.State, now_s: float) -> bool:
+    """Returns whether this instance may start and stop work.
+
+    After a suspension it has to renew its lease first, because targets that its
+    successor could not list would still obey it.
+    """
+    return may_send_orders(state, now_s) and not state.election.unverified
+
+
 def may_send_orders(state: state_lib.State, now_s: float) -> bool:
     """Returns whether this instance may send orders to targets.
 
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -48,7 +48,7 @@
 # starts without waiting for the next tick.
 FOLLOW_UP_HANDLERS: tuple[reduction.Handler, ...] = (
     takeover.tick,
-    roster.tick,
+    roster.follow_up,
     scheduling.tick,
     saving.tick,
 )
@@ -112,9 +112,10 @@
 def _(
     event: events.Stalled, state: state_lib.State, step: dispatch.Step
 ) -> None:
-    # No recovery is needed: deadlines are checked against a clock that keeps
-    # running during the stall, and targets refuse the orders of a scheduler
-    # that was replaced in the meantime.
+    # Deadlines are checked against a clock that keeps running during the stall,
+    # and targets that a successor has listed refuse the orders of a scheduler
+    # that was replaced in the meantime. The others would obey it.
+    renewal.verify_after_suspension(state, step)
     step.note(
         effects.Component.SCHEDULER,
         f"event loop stalled for {event.stall_s:.1f} s",
--- a/dandelionpick/batch/renewal.py
+++ b/dandelionpick/batch/renewal.py
@@ -32,6 +32,18 @@
     sent_s: float
 
 
+def verify_after_suspension(
+    state: state_lib.State, step: dispatch.Step
+) -> None:
+    """Renews the lease at once, and lets nothing start before."""
+    election = state.election
+    if election.role is not state_lib.Role.LEADING:
+        return
+    election.unverified = True
+    election.suspended_s = step.moment.now_s
+    _renew(state, step)
+
+
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Renews the lease if a renewal is due."""
     election = state.election
@@ -42,6 +54,12 @@
         or now_s < election.renew_at_s
     ):
         return
+    _renew(state, step)
+
+
+def _renew(state: state_lib.State, step: dispatch.Step) -> None:
+    election = state.election
+    now_s = step.moment.now_s
     election.renewal_pending = True
     election.renew_at_s = now_s + RENEWAL_PERIOD_S
     state_lib.call_store(
@@ -65,6 +83,7 @@
         return
     election.renewal_pending = False
     if isinstance(reply, store_api.LeaseHeld):
+        election.unverified &= context.sent_s < election.suspended_s
         election.renewed_s = max(election.renewed_s, context.sent_s)
         election.refusals = 0
     elif isinstance(reply, store_api.LeaseEnded):
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -85,6 +85,20 @@
     state_lib.call_store(state, step, commit, context)
 
 
+def follow_up(state: state_lib.State, step: dispatch.Step) -> None:
+    """Writes the roster at once if it lacks a target.
+
+    Building the roster takes time in proportion to the targets, so that other
+    changes wait for the next tick.
+    """
+    schedule = state.schedule
+    if schedule is not None and (
+        schedule.stage is not schedule_state.Stage.READY
+        or len(schedule.targets) > len(schedule.roster.addresses)
+    ):
+        tick(state, step)
+
+
 def may_use(
     schedule: schedule_state.Schedule, target: schedule_state.Target
 ) -> bool:
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -126,6 +126,10 @@
         first_refusal_s: when the first of them was sent.
         fenced: a target or the store has shown that this instance's epoch is
             over.
+        unverified: the process was suspended, so that another instance may
+            have become the scheduler; nothing is started until the store has
+            renewed the lease.
+        suspended_s: when the last suspension ended.
         elected_s: when this instance last became the scheduler.
         lag_share: share of the time in which the event loop was late, averaged
             over the last seconds.
@@ -145,6 +149,8 @@
     refusals: int = 0
     first_refusal_s: float = float("inf")
     fenced: bool = False
+    unverified: bool = False
+    suspended_s: float = float("-inf")
     elected_s: float = float("-inf")
     lag_share: float = 0.0
     lag_recorded_s: float = float("-inf")
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -33,6 +33,9 @@
 START_UNIX_MS = 1_700_000_000_000
 ADVANCE_PERIOD_S = 0.05
 ENTRY_TTL_S = 4.5
+# Length of a suspension as the runtime reports it; only that it is over the
+# threshold matters.
+SUSPENDED_S = 2.0
 
 
 class Instance:
@@ -153,6 +156,7 @@
         instance = self.instances[name]
         instance.frozen = False
         held, instance.held_events = instance.held_events, []
+        self.deliver(instance, events.Stalled(self.moment(), SUSPENDED_S))
         for event in held:
             self.deliver(instance, event)
 
--- a/tests/test_batch_crest.py
+++ b/tests/test_batch_crest.py
@@ -8,8 +8,12 @@
 import unittest
 from unittest import mock
 
+from dandelionpick import events
 from dandelionpick.batch import model
+from dandelionpick.batch import reducer
+from dandelionpick.batch import roster
 from dandelionpick.batch import scheduling
+from dandelionpick.batch import watches
 from tests import batch_builders
 from tests import crest_builders as builders
 
@@ -67,6 +71,25 @@
         self.assertLess(large, 12 * small)
 
 
+class EventCostTest(unittest.TestCase):
+    """An event that changes nothing costs the same with many targets."""
+
+    def test_roster_is_not_built_for_each_event(self):
+        """Guards against a cost of each reply in proportion to the targets."""
+        state = builders.scheduler_state(TARGETS)
+        state.schedule.roster_read = True
+        built = mock.Mock(return_value=state.schedule.roster)
+        watch = watches.TargetsWatch("targets/", 1.0)
+        watch.listed = True
+        state.watches[watches.TargetsWatch] = watch
+        with mock.patch.object(roster, "_build_roster", built):
+            for number in range(50):
+                moment = batch_builders.moment(1.0 + number / 1_000)
+                event = events.Stalled(moment, 1.1)
+                reducer.reduce_guarded(state, event)
+        self.assertEqual(built.call_count, 0)
+
+
 class PassIntervalTest(unittest.TestCase):
     """Passes follow each other at a longer interval while many units wait."""
 
