--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -2,8 +2,9 @@
 
 Builds the scheduler's state in memory, without a network, at several sizes up
 to the intended maximum. Times a scheduling pass on a full pool, a pass that
-places one job, and the processing of one target's listing. Prints a table and
-writes build/decisions.json.
+places one job, the processing of one target's listing, and a pass at a crest
+with urgent gangs among the waiting steps. Prints a table and writes
+build/decisions.json.
 """
 
 import json
@@ -23,11 +24,17 @@
 from dandelionpick.batch import scheduling
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
+from tests import crest_builders
 
 OUTPUT = pathlib.Path("build/decisions.json")
 # Numbers of targets, running tasks and queued jobs. TARGET_SIZE, the size that
 # the scheduler is designed for, is measured last.
-SIZES = ((24, 150, 20), (240, 1_300, 100), (1_000, 5_400, 400))
+SIZES = (
+    (24, 150, 20),
+    (90, 500, 40),
+    (270, 1_500, 120),
+    (1_000, 5_400, 400),
+)
 TARGET_SIZE = (3_700, 20_000, 1_000)
 ROUNDS = 7
 TARGETS_PER_RACK = 8
@@ -140,6 +147,20 @@
     return statistics.median(times)
 
 
+def measure_crest(targets: int, queued: int) -> float:
+    """Times the first pass at a crest: a tenth of what waits is urgent."""
+    state = crest_builders.scheduler_state(targets)
+    schedule = state.schedule
+    assert schedule is not None
+    crest_builders.fill(schedule)
+    urgent = max(1, queued // 10)
+    crest_builders.add_waiting(schedule, urgent, queued - urgent)
+    step = dispatch.Step(events.Moment(1.0, 1_000, 0.5))
+    started_s = time.perf_counter()
+    scheduling.tick(state, step)
+    return (time.perf_counter() - started_s) * 1_000
+
+
 def measure(targets: int, running: int, queued: int) -> dict[str, float]:
     """Times the scheduler's decisions at one state size."""
     state = build_state(targets, running, queued)
@@ -170,6 +191,7 @@
         )
         polling._apply_listing(state, step(), target, context, listed)
 
+    crest_ms = measure_crest(targets, queued)
     full_ms = median_time_ms(full_pass)
     listing_ms = median_time_ms(list_target)
     # Frees one rack, so that the next pass places the jobs that fit into it.
@@ -185,6 +207,7 @@
         "full_pass_ms": round(full_ms, 3),
         "placing_pass_ms": round(placing_ms, 3),
         "listing_ms": round(listing_ms, 3),
+        "crest_pass_ms": round(crest_ms, 3),
     }
 
 
