--- a/tests/test_batch_overload.py
+++ b/tests/test_batch_overload.py
@@ -255,5 +255,41 @@
         self.assertEqual(set(fabric.world.starts.values()), {1})
 
 
+class RecoveryTest(test_batch_jobs.BatchTest):
+    """A backlog of three times what the pool holds, and then a loss."""
+
+    def build_backlog(self):
+        fabric = self.build(target_count=6)
+        for number in range(1, 31):
+            body = builders.body(builders.phase(6), work_s=1.0)
+            fabric.submit(number, body, 2)
+        return fabric
+
+    def await_urgent(self, fabric) -> float:
+        """Submits an urgent job; returns the seconds until it starts."""
+        gang = builders.phase(4, gpu=2, gang=True)
+        fabric.submit(99, builders.body(gang), 0, fabric.scheduler().name)
+        task = f"{builders.job_id(99)}.0.0.0"
+        return fabric.run_until(lambda: task in fabric.world.starts, 5.0)
+
+    def test_new_work_is_served_after_all_processes_were_killed(self):
+        """Guards against a backlog that keeps new work out."""
+        fabric = self.build_backlog()
+        for name in list(fabric.instances):
+            fabric.kill(name)
+        fabric.run_for(1.0)
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        fabric.run_until(fabric.scheduler, 5.0)
+        self.await_urgent(fabric)
+        fabric.until_completed(*range(1, 31), limit_s=15.0)
+
+    def test_new_work_is_served_beside_a_backlog(self):
+        """Guards against an overload that lasts longer than its cause."""
+        fabric = self.build_backlog()
+        self.await_urgent(fabric)
+        fabric.until_completed(*range(1, 31), limit_s=12.0)
+
+
 if __name__ == "__main__":
     unittest.main()
