--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -13,12 +13,12 @@
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_endings
+from dandelionpick.batch import run_resolution
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
-from dandelionpick.batch import unheard_runs
 
 # How long a listing waits for an end. A connection that has gone silent is
 # noticed soon after, well within the lease.
@@ -39,10 +39,6 @@
 # waits for.
 MAX_FIRST_LISTINGS = 64
 RETRY_S = 0.25
-# A start without a reply is normally looked up. If its target can't be listed
-# either for this long, it is stopped, so that its gang starts again elsewhere
-# well within the 3 s that its members wait.
-UNRESOLVED_TIMEOUT_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +60,7 @@
     if schedule.stage is schedule_state.Stage.READING:
         return
     for target in list(schedule.targets.values()):
-        _resolve_runs(state, step, target)
+        run_resolution.resolve(state, step, target)
     for target in due_targets(schedule, now_s):
         poll(state, step, target)
 
@@ -160,70 +156,6 @@
     return acknowledged
 
 
-def _resolve_runs(
-    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
-) -> None:
-    """Stops unresolved starts, repeats stops, and drops lost runs.
-
-    The runs of a target are lost if it fails to answer after it drained. If it
-    fails to answer after its lease ended, those are lost that can't have ended
-    before.
-    """
-    now_s = step.moment.now_s
-    if target.failed and target.departed and target.runs:
-        step.note(
-            effects.Component.TARGETS,
-            f"{target.id} has shut down; {len(target.runs)} runs are lost",
-        )
-        run_endings.mark_all_lost(state, step, target)
-        return
-    if target.failed and now_s > target.lease_ends_s and target.runs:
-        _drop_lost_runs(state, step, target)
-    for run in list(target.runs.values()):
-        unresolved = run.state is schedule_state.RunState.UNRESOLVED
-        if unresolved and not _should_stop_unresolved(run, now_s):
-            continue
-        stopping = unresolved or run.state is schedule_state.RunState.STOPPING
-        if stopping and now_s - run.stop_sent_s >= orders.STOP_RETRY_S:
-            if unresolved:
-                orders.stop_other_gang_members(state, step, run)
-            orders.stop(state, step, run)
-
-
-def _drop_lost_runs(
-    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
-) -> None:
-    """Drops the runs of a target without leases that are lost."""
-    schedule = state.schedule
-    assert schedule is not None
-    lost = [
-        run
-        for run in target.runs.values()
-        if unheard_runs.is_lost(schedule, target, run)
-    ]
-    waiting = len(target.runs) - len(lost)
-    if lost or not target.unheard:
-        step.note(
-            effects.Component.TARGETS,
-            f"{target.id} has not answered since its lease ended;"
-            f" {len(lost)} runs are lost, {waiting} may have ended there",
-            warning=True,
-            registered=target.entry is not None,
-            silent_s=round(step.moment.now_s - target.failing_since_s, 1),
-        )
-    target.unheard = True
-    for run in lost:
-        run_endings.mark_lost(state, step, run)
-
-
-def _should_stop_unresolved(run: schedule_state.Run, now_s: float) -> bool:
-    """Returns whether to stop a start without a reply, or repeat its stop."""
-    return (
-        run.stop_sent_s > float("-inf")
-        or now_s - run.unresolved_s >= UNRESOLVED_TIMEOUT_S
-    )
-
-
 @dispatch.on_failure.register
 def _(
     context: ListContext,
@@ -305,8 +237,10 @@
     for running in listed.running:
         listed_keys.add((running.task, running.attempt))
         _apply_running(state, step, target, running)
-    _mark_missing_lost(state, step, target, context, listed_keys)
-    _stop_missing_unresolved(state, step, target, context)
+    run_resolution.mark_missing_lost(
+        state, step, target, context.sent_s, listed_keys
+    )
+    run_resolution.stop_missing_unresolved(state, step, target, context.sent_s)
     target_health.reschedule_stalled_runs(state, step, target)
     _drop_stored_ends(schedule, target)
     if schedule.stage is schedule_state.Stage.FENCING:
@@ -426,48 +360,3 @@
         )
         orders.stop(state, step, run)
     return run
-
-
-def _mark_missing_lost(
-    state: state_lib.State,
-    step: dispatch.Step,
-    target: schedule_state.Target,
-    context: ListContext,
-    listed_keys: set[tuple[Any, ids.Attempt]],
-) -> None:
-    """Marks runs as lost that a later listing proves to be gone."""
-    for key, run in list(target.runs.items()):
-        if key in listed_keys:
-            continue
-        if min(run.confirmed_s, run.stopped_s) < context.sent_s:
-            run_endings.mark_lost(state, step, run)
-
-
-def _stop_missing_unresolved(
-    state: state_lib.State,
-    step: dispatch.Step,
-    target: schedule_state.Target,
-    context: ListContext,
-) -> None:
-    """Stops starts without a reply that a later listing does not show.
-
-    The stop keeps them from taking effect later. Other members of the gang
-    would wait for them in vain.
-    """
-    for run in list(target.runs.values()):
-        if (
-            run.state is schedule_state.RunState.UNRESOLVED
-            and run.unresolved_s <= context.sent_s
-            and run.stop_sent_s == float("-inf")
-        ):
-            step.note(
-                effects.Component.SCHEDULER,
-                "stopping a start without a reply, which a later listing lacks",
-                job=run.task.job_id,
-                task=run.task.task_name(),
-                attempt=run.attempt,
-                target=target.id,
-                unresolved_s=round(step.moment.now_s - run.unresolved_s, 3),
-            )
-            orders.stop_other_gang_members(state, step, run)
-            orders.stop(state, step, run)
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -9,10 +9,8 @@
 """
 
 import collections
-import copy
 import dataclasses
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 
@@ -27,6 +25,7 @@
 from dandelionpick.batch import preemption_gain
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import victim_choice
 
 # How long resources stay reserved for a step after its victims should have
 # stopped; their ends are listed within this time. Then the step is planned for
@@ -45,51 +44,15 @@
 RESTART_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Victim:
-    """Runs that are preempted together: those of a gang or of one task.
-
-    Attributes:
-        resources: what the runs occupy, by target.
-        cost: weighted work that is lost by stopping them, in core seconds.
-        lost_core_s: the same without weights.
-        remaining_s: how long they are expected to last.
-    """
-
-    runs: tuple[schedule_state.Run, ...]
-    resources: dict[ids.TargetId, model.Resources]
-    cost: float
-    lost_core_s: float = 0.0
-    remaining_s: float = float("inf")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PreemptionPlan:
-    """Victims to stop, and the targets where the urgent tasks start then."""
-
-    victims: tuple[Victim, ...]
-    targets: tuple[ids.TargetId, ...]
-
-    @property
-    def cost(self) -> float:
-        """Weighted work that is lost, in core seconds."""
-        return sum(victim.cost for victim in self.victims)
-
-    @property
-    def lost_core_s(self) -> float:
-        """Work that is lost, in core seconds."""
-        return sum(victim.lost_core_s for victim in self.victims)
-
-
 class VictimIndex:
     """The runs that may be preempted during one scheduling pass, by rank."""
 
     def __init__(self, schedule: schedule_state.Schedule, now_s: float):
         self.schedule = schedule
         self.now_s = now_s
-        self.by_rank: dict[float, list[Victim]] = {}
+        self.by_rank: dict[float, list[victim_choice.Victim]] = {}
 
-    def of_rank(self, rank: float) -> list[Victim]:
+    def of_rank(self, rank: float) -> list[victim_choice.Victim]:
         """Returns what work of a rank may preempt, the cheapest first.
 
         Runs that end soon come first and cost nothing.
@@ -115,7 +78,7 @@
         ]
 
 
-def _remaining_s(victim: Victim) -> float:
+def _remaining_s(victim: victim_choice.Victim) -> float:
     """Returns how long a victim lasts; 0 if it is being stopped."""
     if _is_stopping(victim.runs):
         return 0.0
@@ -157,7 +120,7 @@
     candidates = [
         candidate for rack in racks.values() for candidate in rack.candidates
     ]
-    plan = choose_victims(demand, candidates, index.of_rank(rank))
+    plan = victim_choice.choose_victims(demand, candidates, index.of_rank(rank))
     if plan is None:
         return False
     covered = unit.job.id not in schedule.over_guarantee
@@ -178,7 +141,7 @@
     state: state_lib.State,
     step: dispatch.Step,
     unit: Any,
-    plan: PreemptionPlan,
+    plan: victim_choice.PreemptionPlan,
 ) -> None:
     """Stops the victims of a plan that don't end by themselves soon."""
     schedule = state.schedule
@@ -204,132 +167,9 @@
     )
 
 
-def choose_victims(
-    demand: placement.Demand,
-    candidates: Sequence[free_capacity.Candidate],
-    victims: Sequence[Victim],
-) -> PreemptionPlan | None:
-    """Returns the cheapest plan that makes the demand fit, or None."""
-    ordered = sorted(victims, key=lambda victim: victim.cost)
-    if not demand.one_rack and not demand.data_rack:
-        return _cheapest_plan(demand, candidates, ordered)
-    racks = {
-        name: rack.candidates
-        for name, rack in free_capacity.group(candidates).items()
-        if demand.relax_locality or demand.data_rack in ("", name)
-    }
-    by_rack = _victims_by_rack(racks, ordered)
-    plans = (
-        _cheapest_plan(demand, members, by_rack.get(name, []))
-        for name, members in racks.items()
-    )
-    return min(
-        (plan for plan in plans if plan is not None),
-        key=lambda plan: plan.cost,
-        default=None,
-    )
-
-
-def _victims_by_rack(
-    racks: Mapping[ids.Rack, Sequence[free_capacity.Candidate]],
-    victims: Sequence[Victim],
-) -> dict[ids.Rack, list[Victim]]:
-    """Returns the victims that occupy targets of each rack, in their order."""
-    rack_of = {
-        candidate.target: name
-        for name, members in racks.items()
-        for candidate in members
-    }
-    found: dict[ids.Rack, list[Victim]] = {}
-    for victim in victims:
-        for name in {rack_of.get(target) for target in victim.resources}:
-            if name is not None:
-                found.setdefault(name, []).append(victim)
-    return found
-
-
-class _Room:
-    """Counts how many tasks fit while victims are added and dropped.
-
-    Attributes:
-        candidates: the targets, with the resources that the victims free.
-        count: how many tasks fit.
-    """
-
-    def __init__(
-        self,
-        demand: placement.Demand,
-        candidates: Sequence[free_capacity.Candidate],
-    ):
-        self.demand = demand
-        self.candidates = {
-            candidate.target: copy.copy(candidate) for candidate in candidates
-        }
-        self.count = sum(map(self._count, self.candidates.values()))
-
-    def _count(self, candidate: free_capacity.Candidate) -> int:
-        return candidate.count_fitting(self.demand.needs, self.demand.label)
-
-    def add(self, victim: Victim) -> None:
-        """Frees what a victim occupies."""
-        for target, amount in victim.resources.items():
-            self._change(target, amount)
-
-    def drop(self, victim: Victim) -> None:
-        """Undoes `add`."""
-        for target, amount in victim.resources.items():
-            self._change(target, amount.times(-1))
-
-    def _change(self, target: ids.TargetId, amount: model.Resources) -> None:
-        candidate = self.candidates.get(target)
-        if candidate is not None:
-            self.count -= self._count(candidate)
-            candidate.free = candidate.free.plus(amount)
-            self.count += self._count(candidate)
-
-
-def _cheapest_plan(
-    demand: placement.Demand,
-    candidates: Sequence[free_capacity.Candidate],
-    victims: Sequence[Victim],
-) -> PreemptionPlan | None:
-    """Adds the cheapest victims until the demand fits, then drops the unneeded.
-
-    Unneeded victims are dropped in order of falling cost.
-
-    Args:
-        demand: what has to fit.
-        candidates: the targets that may be used.
-        victims: what may be stopped, by rising cost.
-    """
-    room = _Room(demand, candidates)
-    taken: list[Victim] = []
-    for victim in victims:
-        if room.candidates.keys().isdisjoint(victim.resources):
-            continue
-        taken.append(victim)
-        room.add(victim)
-        if room.count >= demand.count:
-            break
-    if room.count < demand.count:
-        return None
-    for victim in reversed(list(taken)):
-        room.drop(victim)
-        if room.count >= demand.count:
-            taken.remove(victim)
-        else:
-            room.add(victim)
-    placed = placement.choose_targets(
-        demand, free_capacity.group(room.candidates.values())
-    )
-    if len(placed) < demand.count:
-        return None
-    return PreemptionPlan(tuple(taken), tuple(placed))
-
-
 def _find_victims(
     schedule: schedule_state.Schedule, rank: float, now_s: float
-) -> list[Victim]:
+) -> list[victim_choice.Victim]:
     victims = []
     for key in _running_steps(schedule):
         job = schedule.jobs.get(key[0])
@@ -368,10 +208,10 @@
     tasks: Sequence[schedule_state.Task],
     rank_gap: float,
     now_s: float,
-) -> Victim | None:
+) -> victim_choice.Victim | None:
     runs = [run for task in tasks for run in task.runs.values()]
     if _is_stopping(runs):
-        return Victim(tuple(runs), _occupied(runs), 0.0, 0.0, 0.0)
+        return victim_choice.Victim(tuple(runs), _occupied(runs), 0.0, 0.0, 0.0)
     if (
         rank_gap <= 0
         or not runs
@@ -382,7 +222,9 @@
     lost = sum(_lost_core_seconds(step_run.spec, run, now_s) for run in runs)
     cost = lost * weight / PRIORITY_WEIGHT ** (rank_gap - 1)
     remaining_s = max(preemption_gain.remaining_s(run, now_s) for run in runs)
-    return Victim(tuple(runs), _occupied(runs), cost, lost, remaining_s)
+    return victim_choice.Victim(
+        tuple(runs), _occupied(runs), cost, lost, remaining_s
+    )
 
 
 def _occupied(
--- a/tests/test_batch_reclaim.py
+++ b/tests/test_batch_reclaim.py
@@ -6,7 +6,7 @@
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import model
 from dandelionpick.batch import placement
-from dandelionpick.batch import preemption
+from dandelionpick.batch import victim_choice
 from tests import batch_builders as builders
 from tests import batch_fabric
 from tests import test_batch_jobs
@@ -23,13 +23,13 @@
     )
 
 
-def make_victim(cost: float, **accelerators: int) -> preemption.Victim:
+def make_victim(cost: float, **accelerators: int) -> victim_choice.Victim:
     """Builds a victim that occupies accelerators of targets."""
     resources = {
         ids.TargetId(name): GPU.times(accelerators[name])
         for name in accelerators
     }
-    return preemption.Victim((), resources, cost)
+    return victim_choice.Victim((), resources, cost)
 
 
 class ChooseVictimsTest(unittest.TestCase):
@@ -37,7 +37,7 @@
 
     def choose(self, count: int, candidates, victims, **demand):
         demanded = placement.Demand(GPU, count, True, **demand)
-        return preemption.choose_victims(demanded, candidates, victims)
+        return victim_choice.choose_victims(demanded, candidates, victims)
 
     def test_cheapest_rack_is_chosen(self):
         """Guards against stopping a gang where cheaper single tasks suffice."""
