Name each lost run and the reason in the log

A crash of a target was one line with the number of the runs that were lost. Each lost run now has a line with job, task, attempt, target, progress and reason. No decision changes.

--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -1,5 +1,6 @@
 """Handles runs that end, and runs that are lost with their target."""
 
+import enum
 from typing import Any
 
 from dandelionpick import dispatch
@@ -15,6 +16,21 @@
 from dandelionpick.batch import target_health
 
 
+class Loss(enum.Enum):
+    """Why a run is gone without a listed end.
+
+    EXPIRED means that the target has no entry and has not answered since its
+    leases ended, UNHEARD the same for a target with an entry, and UNLISTED that
+    the target answers and does not know the run.
+    """
+
+    RESTARTED = "the target has restarted"
+    SHUT_DOWN = "the target has shut down"
+    EXPIRED = "the target is gone"
+    UNHEARD = "the target did not answer before its leases ended"
+    UNLISTED = "the target does not list it"
+
+
 def handle_restart(
     state: state_lib.State,
     step: dispatch.Step,
@@ -28,7 +44,7 @@
             f"{target.id} has restarted; {len(target.runs)} runs are lost",
             warning=True,
         )
-    mark_all_lost(state, step, target)
+    mark_all_lost(state, step, target, Loss.RESTARTED)
     target.started_ms = started_ms
     target.processed = 0
     target.ends.clear()
@@ -40,20 +56,37 @@
 
 
 def mark_all_lost(
-    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+    state: state_lib.State,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    loss: Loss,
 ) -> None:
     """Marks all runs of a target as lost."""
     for run in list(target.runs.values()):
-        mark_lost(state, step, run)
+        mark_lost(state, step, run, loss)
 
 
 def mark_lost(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State,
+    step: dispatch.Step,
+    run: schedule_state.Run,
+    loss: Loss,
 ) -> None:
     """Removes a run that is gone without having ended."""
     schedule = state.schedule
     assert schedule is not None
     step.count("runs_total", "lost")
+    step.note(
+        effects.Component.SCHEDULER,
+        f"run lost: {loss.value}",
+        job=run.task.job_id,
+        task=run.task.task_name(),
+        attempt=run.attempt,
+        target=run.target,
+        state=run.state.value,
+        percent=round(run.percent),
+        since_start_s=round(step.moment.now_s - run.ordered_s, 2),
+    )
     runs.keep_checkpoint(schedule, run, run.checkpoint, run.percent)
     orders.stop_other_gang_members(state, step, run)
     runs.remove(schedule, run)
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -36,7 +36,9 @@
             effects.Component.TARGETS,
             f"{target.id} has shut down; {len(target.runs)} runs are lost",
         )
-        run_endings.mark_all_lost(state, step, target)
+        run_endings.mark_all_lost(
+            state, step, target, run_endings.Loss.SHUT_DOWN
+        )
         return
     if target.failed and now_s > target.lease_ends_s and target.runs:
         _drop_lost_runs(state, step, target)
@@ -73,8 +75,11 @@
             silent_s=round(step.moment.now_s - target.failing_since_s, 1),
         )
     target.unheard = True
+    loss = (
+        run_endings.Loss.UNHEARD if target.entry else run_endings.Loss.EXPIRED
+    )
     for run in lost:
-        run_endings.mark_lost(state, step, run)
+        run_endings.mark_lost(state, step, run, loss)
 
 
 def _should_stop_unresolved(run: schedule_state.Run, now_s: float) -> bool:
@@ -97,7 +102,7 @@
         if key in listed_keys:
             continue
         if min(run.confirmed_s, run.stopped_s) < sent_s:
-            run_endings.mark_lost(state, step, run)
+            run_endings.mark_lost(state, step, run, run_endings.Loss.UNLISTED)
 
 
 def stop_missing_unresolved(
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -80,7 +80,9 @@
 
     def lose(state, step, target):
         if target.failed:
-            run_endings.mark_all_lost(state, step, target)
+            run_endings.mark_all_lost(
+                state, step, target, run_endings.Loss.UNHEARD
+            )
         resolve(state, step, target)
 
     run_resolution.resolve = lose
