Reproduce tasks that crash one target after the other

The targets of the simulation can now be crashed by a task, and come back after 3.3 s under another id, as on the users' platform; the oracle counts starts after the third crash.

--- a/standins/platform_oracle.py
+++ b/standins/platform_oracle.py
@@ -1,11 +1,17 @@
 """Shared state of the simulated targets, and an oracle that checks it."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
 # Tasks of a cancelled job may still start for this long after the cancellation
 # was acknowledged.
 CANCEL_GRACE_S = 3.0
+# A task that has crashed this many targets must be given up.
+MAX_CRASHES = 3
+# Starts after that many crashes that violate the guarantee. Fewer may happen if
+# schedulers are lost before they have recorded a crash.
+EXCESS_STARTS = 3
 
 
 @dataclasses.dataclass
@@ -37,6 +43,10 @@
         failures: number of failed runs that were acknowledged, by task.
         broken: violations that were found, one line each.
         starts: number of starts by task.
+        crashes: number of targets that a task has crashed, by task.
+        excess_starts: number of its starts after it had crashed as many targets
+            as a task may, by task.
+        on_crash: is called with a target that a task has crashed.
         targets_started_on: targets on which a task was started, by task.
         wasted_core_s: work that was discarded, in core seconds; an
             accelerator counts as eight cores.
@@ -52,6 +62,9 @@
         self.attempts: dict[str, int] = {}
         self.broken: list[str] = []
         self.starts: dict[str, int] = {}
+        self.crashes: dict[str, int] = {}
+        self.excess_starts: dict[str, int] = {}
+        self.on_crash: Callable[[Any], None] = lambda target: None
         self.targets_started_on: dict[str, set[str]] = {}
         self.wasted_core_s = 0.0
 
@@ -81,6 +94,13 @@
             cores = phase.get("cpu", 0) / 1_000 + 8 * phase.get("gpu", 0)
             self.wasted_core_s += cores * run.worked_s
 
+    def record_crash(self, target: Any, run: Run) -> None:
+        """Records that a run has crashed its target."""
+        self.crashes[run.task] = self.crashes.get(run.task, 0) + 1
+        for other in target.runs.values():
+            self.record_wasted(other)
+        self.on_crash(target)
+
     def running(self, task: str) -> list[tuple[Any, Run]]:
         """Returns the runs of a task on targets that are up."""
         targets = (
@@ -124,6 +144,8 @@
             self.broken.append(f"{task} was never submitted")
             return
         job = task.split(".")[0]
+        if self.crashes.get(task, 0) >= MAX_CRASHES:
+            self.excess_starts[task] = self.excess_starts.get(task, 0) + 1
         problems = {
             f"runs twice, at {now_s:.2f} s": bool(self.running(task)),
             "starts after its acknowledged end": bool(
@@ -133,6 +155,9 @@
             "starts after its last attempt": (
                 self.failures.get(task, 0) >= self.attempts.get(job, 99)
             ),
+            "starts although it crashes every target": (
+                self.excess_starts.get(task, 0) >= EXCESS_STARTS
+            ),
             "starts long after its cancellation": (
                 now_s > self.cancelled_s.get(job, float("inf")) + CANCEL_GRACE_S
             ),
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -1,7 +1,8 @@
 """Stand-ins for the platform's targets.
 
 A task's payload is JSON: `work_s` is its amount of work in seconds, and `fails`
-the number of its first starts that fail.
+the number of its first starts that fail. With `crashes`, the first task of each
+step crashes its target soon after it has started.
 """
 
 import dataclasses
@@ -16,6 +17,8 @@
 GANG_TIMEOUT_S = 3.0
 MAX_LEASE_S = 10.0
 MAX_ENDS_PER_LISTING = 500
+# Time from the start of a task that crashes its target to the crash.
+CRASH_AFTER_S = 0.01
 # Factor on the run time of work in the wrong rack or of a gang across racks.
 REMOTE_FACTOR = 3.0
 
@@ -274,10 +277,22 @@
             for row in self.unacknowledged_ends:
                 if row[3] == "done":
                     self.world.done[row[1]] = False
+        for run in list(self.runs.values()):
+            if self._crashes_target(run):
+                self.world.record_crash(self, run)
+                self.crash()
+                return
         for run in list(self.runs.values()):
             self._advance_run(run, elapsed_s, now_s)
         self._answer_listings()
 
+    def _crashes_target(self, run: platform_oracle.Run) -> bool:
+        return (
+            run.payload.get("crashes", False)
+            and run.task.endswith(".0")
+            and self.now_s >= run.started_s + CRASH_AFTER_S
+        )
+
     def _advance_run(
         self, run: platform_oracle.Run, elapsed_s: float, now_s: float
     ) -> None:
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -110,9 +110,14 @@
     }
 
 
-def body(*phases: dict[str, Any], work_s: float = 1.0, fails: int = 0) -> bytes:
+def body(
+    *phases: dict[str, Any],
+    work_s: float = 1.0,
+    fails: int = 0,
+    crashes: bool = False,
+) -> bytes:
     """Builds a job as callers send it."""
-    payload = json.dumps({"work_s": work_s, "fails": fails})
+    payload = json.dumps({"work_s": work_s, "fails": fails, "crashes": crashes})
     return json.dumps(
         {"spec": payload, "phases": list(phases or [phase()])}
     ).encode()
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -33,6 +33,8 @@
 START_UNIX_MS = 1_700_000_000_000
 ADVANCE_PERIOD_S = 0.05
 ENTRY_TTL_S = 4.5
+# How long a target that a task has crashed takes to restart.
+TARGET_RESTART_S = 3.3
 # Length of a suspension as the runtime reports it; only that it is over the
 # threshold matters.
 SUSPENDED_S = 2.0
@@ -77,6 +79,8 @@
             exchange if the instance is killed; by exchange.
         late_share: share of the orders to targets that get no reply and are
             executed `late_s` later.
+        renames_crashed: a target that a task has crashed comes back under
+            another id.
         retention_s: how long instances keep the state of ended jobs.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
@@ -102,6 +106,8 @@
         self.muted_targets: set[str] = set()
         self.late_share = 0.0
         self.late_s = 5.0
+        self.renames_crashed = True
+        self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
         self.log: list[str] = []
         self.faults: list[Exception] = []
@@ -182,6 +188,19 @@
         if back_s is not None:
             self.call_later(back_s, lambda: self._reboot(target))
 
+    def _restart_crashed(self, target: platform_targets.Target) -> None:
+        """Restarts a target that a task has crashed."""
+        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
+        if not self.renames_crashed:
+            self.call_later(TARGET_RESTART_S, lambda: self._reboot(target))
+            return
+        name, rack = f"{target.id}+", target.labels[-1]
+
+        def restart() -> None:
+            self.add_target(name, rack=rack)
+
+        self.call_later(TARGET_RESTART_S, restart)
+
     def _expire_entry(self, target: platform_targets.Target) -> None:
         if not target.up:
             self.store.remove(keys.TARGETS_PREFIX + target.id)
