Store what runs on a target before its crash can be noticed

Seen (our simulation, tests/test_batch_crash_budget.py): with the scheduler killed up to 1 s after each crash, a task that crashes its targets was started 16 times in 150 s (targets that come back under another id) and 57 to 96 times (under the same id). Killed 1.5 s or more after each crash: 3 times.

Cause: a crash was counted once its target had been silent for 1 s. A scheduler that is gone by then has told nobody what ran there, and its successor can't list it.

Ruled out: the roster as the place (it names targets, not runs, and is written for changes of targets only); a write before each start (nothing could be placed while the store is away).

Change: a run is stored with the job's progress when its start is confirmed, and removed with its end. A run that is stored, that nobody has, and whose target's incarnation is gone, was lost in a crash. Silence needs no count that is taken back, so the tick that counted and the retractions go.

Before: 6 starts in the new test, in place of 3. After: 3, also with the scheduler killed 0 to 2 s after each crash. test_short_silence_is_taken_back asserted that a silence counts for a while; it asserts now that it never does.

--- a/dandelionpick/batch/crash_budget.py
+++ b/dandelionpick/batch/crash_budget.py
@@ -1,21 +1,20 @@
 """Gives up tasks that crash the targets on which they run.
 
 The load replayed is a task that crashes each target that starts it, among tasks
-that only happened to run there. A crash says nothing about which of the runs
-caused it, so all of them count it, and those are started again apart from other
-work. The count is kept with the job's progress, and already when a target falls
-silent: the next scheduler could not know what ran on a target that crashed
-before it took over.
+that only happened to run there, and among targets that crash by themselves. A
+crash does not tell which of the runs caused it, so all of them count it, and
+are started again apart from other work.
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import job_ends
-from dandelionpick.batch import job_progress
 from dandelionpick.batch import model
+from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
@@ -24,54 +23,6 @@
 MAX_CRASHES = 3
 # How long a target that starts a task again after a crash gets no other work.
 OBSERVATION_S = 1.0
-# A target that has not answered for this long may have crashed.
-SUSPECTED_AFTER_S = 1.0
-# A task that runs until it is cancelled does not crash its targets if it has
-# run for this long. Without that, crashes of months would add up.
-PROVED_AFTER_S = 60.0
-
-
-def tick(state: state_lib.State, step: dispatch.Step) -> None:
-    """Counts the crashes of targets that have become silent."""
-    schedule = state.schedule
-    if schedule is None or schedule.stage is not schedule_state.Stage.READY:
-        return
-    now_s = step.moment.now_s
-    for target in schedule.targets.values():
-        if (
-            target.failed
-            and not target.crash_suspected
-            and now_s - target.failing_since_s >= SUSPECTED_AFTER_S
-            and not target.is_draining()
-        ):
-            target.crash_suspected = True
-            for run in target.runs.values():
-                _count(schedule, run)
-
-
-def clear_suspicion(
-    schedule: schedule_state.Schedule, target: schedule_state.Target
-) -> None:
-    """Takes back the crash of a target that has answered again."""
-    if not target.crash_suspected:
-        return
-    target.crash_suspected = False
-    for run in target.runs.values():
-        retract(schedule, run.task, run.attempt)
-
-
-def retract(
-    schedule: schedule_state.Schedule,
-    key: model.TaskKey,
-    attempt: ids.Attempt,
-) -> None:
-    """Takes back a crash, because its target reports on the attempt."""
-    task = schedule.task_of(key)
-    if task is None or not task.crashes:
-        return
-    job = schedule.jobs[key.job_id]
-    if job_progress.remove_crash(job, task, attempt):
-        schedule.unsaved.add(job.id)
 
 
 def record_crash(
@@ -80,38 +31,25 @@
     """Counts the crash of a run's target."""
     schedule = state.schedule
     assert schedule is not None
+    run_records.record_crash(schedule, run, step.moment.now_s)
     task = schedule.task_of(run.task)
-    job = schedule.jobs.get(run.task.job_id)
-    if task is None or job is None or task.done or job.ended:
-        return
-    spec = job.steps[run.task.occurrence, run.task.step].spec
-    ran_s = step.moment.now_s - run.ordered_s
-    if spec.until_cancelled and ran_s >= PROVED_AFTER_S:
-        job_progress.clear_crashes(job, task)
-        schedule.unsaved.add(job.id)
+    if task is None or not task.records:
         return
-    _count(schedule, run)
+    crashes = [
+        record for record in task.records if record.attempt not in task.runs
+    ]
     step.note(
         effects.Component.SCHEDULER,
-        f"a target crashed under a task, for the {task.crashes}. time of"
-        f" {MAX_CRASHES}",
+        f"a target crashed under a task, for the {len(crashes)}. time",
         warning=True,
-        job=job.id,
+        job=run.task.job_id,
         task=run.task.task_name(),
         attempt=run.attempt,
         target=run.target,
+        evidence=[record.evidence.value for record in crashes],
     )
 
 
-def _count(schedule: schedule_state.Schedule, run: schedule_state.Run) -> None:
-    task = schedule.task_of(run.task)
-    job = schedule.jobs.get(run.task.job_id)
-    if task is None or job is None or task.done or job.ended:
-        return
-    if job_progress.record_crash(job, task, run.attempt):
-        schedule.unsaved.add(job.id)
-
-
 def end_if_exhausted(
     state: state_lib.State,
     step: dispatch.Step,
@@ -129,11 +67,31 @@
     Returns:
         Whether the job was ended.
     """
-    if all(task.crashes < MAX_CRASHES for task in tasks):
-        return False
-    step.count("crashing_jobs_total")
-    job_ends.end(state, step, job, model.JobState.FAILED)
-    return True
+    schedule = state.schedule
+    assert schedule is not None
+    for task in tasks:
+        if not task.records:
+            continue
+        crashes = run_records.crashes(schedule, task)
+        if is_exhausted(crashes):
+            step.count("crashing_jobs_total")
+            step.note(
+                effects.Component.SCHEDULER,
+                "giving up a job: targets crash under one of its tasks",
+                warning=True,
+                job=job.id,
+                task=task.key.task_name(),
+                targets=[record.target for record in crashes],
+                evidence=[record.evidence.value for record in crashes],
+            )
+            job_ends.end(state, step, job, model.JobState.FAILED)
+            return True
+    return False
+
+
+def is_exhausted(crashes: Sequence[model.RunRecord]) -> bool:
+    """Returns whether a task is given up after these crashes of its targets."""
+    return len(crashes) >= MAX_CRASHES
 
 
 def observe(
--- a/dandelionpick/batch/job_progress.py
+++ b/dandelionpick/batch/job_progress.py
@@ -1,5 +1,7 @@
 """Advances a job: opens steps, and records the ends of tasks and the job."""
 
+from collections.abc import Collection
+
 from dandelionpick import ids
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
@@ -36,7 +38,7 @@
         key = model.TaskKey(job.id, occurrence, number, index)
         task = schedule_state.Task(key, index in done)
         task.failures = len(job.progress.failures.get(key.task_name(), ()))
-        task.crashes = len(job.progress.crashes.get(key.task_name(), ()))
+        task.records = job.progress.runs.get(key.task_name(), [])
         tasks.append(task)
     left = spec.tasks - len(done)
     return schedule_state.StepRun(spec, occurrence, number, tasks, left)
@@ -84,7 +86,7 @@
     task.done = True
     step.tasks_left -= 1
     job.progress.done.setdefault(task.key.step_name(), []).append(task_index)
-    job.version += 1
+    _set_records(job, task, [])
 
 
 def record_failure(
@@ -98,43 +100,51 @@
         job.version += 1
 
 
-def record_crash(
-    job: schedule_state.Job, task: schedule_state.Task, attempt: ids.Attempt
+def record_run(
+    job: schedule_state.Job,
+    task: schedule_state.Task,
+    record: model.RunRecord,
 ) -> bool:
-    """Counts a crash under an attempt, once; returns whether it is new."""
-    attempts = job.progress.crashes.setdefault(task.key.task_name(), [])
-    if attempt in attempts:
+    """Adds a run that has not ended, or replaces its record.
+
+    Returns:
+        Whether the progress has changed.
+    """
+    if record in task.records:
         return False
-    attempts.append(attempt)
-    _update_crashes(job, task, attempts)
+    others = [kept for kept in task.records if kept.attempt != record.attempt]
+    _set_records(job, task, [*others, record])
     return True
 
 
-def remove_crash(
-    job: schedule_state.Job, task: schedule_state.Task, attempt: ids.Attempt
+def remove_runs(
+    job: schedule_state.Job,
+    task: schedule_state.Task,
+    attempts: Collection[ids.Attempt],
 ) -> bool:
-    """Takes the crash under an attempt back; returns whether it was counted."""
-    attempts = job.progress.crashes.get(task.key.task_name(), [])
-    if attempt not in attempts:
+    """Removes the records of attempts.
+
+    Returns:
+        Whether the progress has changed.
+    """
+    left = [kept for kept in task.records if kept.attempt not in attempts]
+    if len(left) == len(task.records):
         return False
-    attempts.remove(attempt)
-    _update_crashes(job, task, attempts)
+    _set_records(job, task, left)
     return True
 
 
-def clear_crashes(job: schedule_state.Job, task: schedule_state.Task) -> None:
-    """Forgets all crashes under a task."""
-    _update_crashes(job, task, [])
-
-
-def _update_crashes(
+def _set_records(
     job: schedule_state.Job,
     task: schedule_state.Task,
-    attempts: list[ids.Attempt],
+    records: list[model.RunRecord],
 ) -> None:
-    if not attempts:
-        job.progress.crashes.pop(task.key.task_name(), None)
-    task.crashes = len(attempts)
+    task.records = records
+    name = task.key.task_name()
+    if records:
+        job.progress.runs[name] = records
+    else:
+        job.progress.runs.pop(name, None)
     job.version += 1
 
 
@@ -149,4 +159,5 @@
     """Records that a job has ended; callers see it once it is stored."""
     job.progress.state = state
     job.progress.ended_ms = unix_ms
+    job.progress.runs.clear()
     job.version += 1
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -9,6 +9,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
 from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import run_records
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -228,7 +229,8 @@
             schedule_state.RunState.UNRESOLVED,
         ):
             run.state = schedule_state.RunState.RUNNING
-        run.confirmed_s = min(run.confirmed_s, step.moment.now_s)
+        assert state.schedule is not None
+        run_records.record_running(state.schedule, run, step.moment.now_s)
         return
     _handle_not_started(state, step, run, target, str(reply.problem.value))
 
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -7,13 +7,13 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import kinds
-from dandelionpick.batch import crash_budget
 from dandelionpick.batch import fencing
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_endings
+from dandelionpick.batch import run_records
 from dandelionpick.batch import run_resolution
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
@@ -276,7 +276,6 @@
         target.started_ms = listed.started_ms
     if target.failed:
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
-    crash_budget.clear_suspicion(schedule, target)
     target.poll_pending = False
     target.failed = False
     target.unheard = False
@@ -305,14 +304,13 @@
         return
     run = target.runs.get((running.task, running.attempt))
     if run is None:
-        crash_budget.retract(schedule, running.task, running.attempt)
         run = _adopt(state, step, target, running)
     if run.state in (
         schedule_state.RunState.ORDERED,
         schedule_state.RunState.UNRESOLVED,
     ):
         run.state = schedule_state.RunState.RUNNING
-    run.confirmed_s = min(run.confirmed_s, now_s)
+    run_records.record_running(schedule, run, now_s)
     if running.percent > run.percent:
         run.progressed_s = now_s
     run.percent = running.percent
@@ -347,7 +345,6 @@
         schedule_state.RunState.RUNNING,
         now_s,
         job_known=task is not None,
-        confirmed_s=now_s,
         progressed_s=now_s,
         percent=running.percent,
         first_percent=running.percent,
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -10,7 +10,6 @@
 from dandelionpick import reduction
 from dandelionpick.batch import catalog_copy
 from dandelionpick.batch import configuration
-from dandelionpick.batch import crash_budget
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leaving
 from dandelionpick.batch import monitoring
@@ -41,7 +40,6 @@
     takeover.tick,
     roster.tick,
     polling.tick,
-    crash_budget.tick,
     requests.tick,
     scheduling.tick,
     saving.tick,
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -10,6 +10,7 @@
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
+from dandelionpick.batch import run_records
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -52,7 +53,6 @@
     planned = target.is_draining()
     loss = Loss.SHUT_DOWN if planned else Loss.RESTARTED
     mark_all_lost(state, step, target, loss)
-    target.crash_suspected = False
     target.started_ms = started_ms
     target.processed = 0
     target.ends.clear()
@@ -101,7 +101,7 @@
     if loss in CRASHES:
         crash_budget.record_crash(state, step, run)
     else:
-        crash_budget.retract(schedule, run.task, run.attempt)
+        run_records.forget_run(schedule, run.task, run.attempt)
 
 
 def apply_end(
@@ -118,7 +118,7 @@
     target.last_attempts[ended.task] = max(
         ended.attempt, target.last_attempts.get(ended.task, ended.attempt)
     )
-    crash_budget.retract(schedule, ended.task, ended.attempt)
+    run_records.forget_run(schedule, ended.task, ended.attempt)
     run = target.runs.get((ended.task, ended.attempt))
     if run is not None:
         runs.keep_checkpoint(schedule, run, ended.checkpoint, run.percent)
--- /dev/null
+++ b/dandelionpick/batch/run_records.py
@@ -0,0 +1,157 @@
+"""Records of the runs that have not ended, and what crashes say about them.
+
+They are stored with the job's progress as soon as a start is confirmed. Without
+them, a scheduler could not know what ran on a target that crashed just before
+it took over.
+"""
+
+from dandelionpick import ids
+from dandelionpick.batch import job_progress
+from dandelionpick.batch import model
+from dandelionpick.batch import schedule_state
+
+# A run that its target still listed this long after the start is at work. If
+# the target crashes later, another cause is more likely than the run.
+EARLY_CRASH_S = 2.0
+# A task that runs until it is cancelled does not crash its targets if it has
+# run for this long. Without that, crashes of months would add up.
+PROVED_AFTER_S = 60.0
+
+
+def record_running(
+    schedule: schedule_state.Schedule,
+    run: schedule_state.Run,
+    now_s: float,
+) -> None:
+    """Records that a target has confirmed that it runs a run."""
+    if run.confirmed_s == float("inf"):
+        run.confirmed_s = now_s
+        _record_start(schedule, run)
+    elif not run.proved and now_s - run.ordered_s >= PROVED_AFTER_S:
+        run.proved = True
+        _forget_earlier_runs(schedule, run)
+
+
+def _record_start(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> None:
+    found = _find_unfinished(schedule, run.task)
+    if found is None:
+        return
+    job, task = found
+    if any(record.attempt == run.attempt for record in task.records):
+        return
+    # These ended unnoticed, or never took place: their targets are alive.
+    ended = [
+        record.attempt
+        for record in task.records
+        if record.attempt not in task.runs and not _is_lost(schedule, record)
+    ]
+    job_progress.remove_runs(job, task, ended)
+    target = schedule.targets[run.target]
+    record = model.RunRecord(run.attempt, run.target, target.incarnation_ms())
+    job_progress.record_run(job, task, record)
+    schedule.unsaved.add(job.id)
+
+
+def _forget_earlier_runs(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> None:
+    found = _find_unfinished(schedule, run.task)
+    if found is None:
+        return
+    job, task = found
+    if not job.step_of(run.task).spec.until_cancelled:
+        return
+    earlier = [
+        record.attempt
+        for record in task.records
+        if record.attempt != run.attempt
+    ]
+    if job_progress.remove_runs(job, task, earlier):
+        schedule.unsaved.add(job.id)
+
+
+def record_crash(
+    schedule: schedule_state.Schedule,
+    run: schedule_state.Run,
+    now_s: float,
+) -> None:
+    """Records that a run was lost in a crash of its target."""
+    found = _find_unfinished(schedule, run.task)
+    if found is None:
+        return
+    job, task = found
+    ran_s = now_s - run.ordered_s
+    if job.step_of(run.task).spec.until_cancelled and ran_s >= PROVED_AFTER_S:
+        attempts = [record.attempt for record in task.records]
+        changed = job_progress.remove_runs(job, task, attempts)
+    else:
+        target = schedule.targets[run.target]
+        record = model.RunRecord(
+            run.attempt,
+            run.target,
+            target.incarnation_ms(),
+            _judge(target, run),
+        )
+        changed = job_progress.record_run(job, task, record)
+    if changed:
+        schedule.unsaved.add(job.id)
+
+
+def _judge(
+    target: schedule_state.Target, run: schedule_state.Run
+) -> model.CrashEvidence:
+    if run.confirmed_s == float("inf"):
+        return model.CrashEvidence.UNCONFIRMED
+    if target.clock_s - run.ordered_s >= EARLY_CRASH_S:
+        return model.CrashEvidence.LATE
+    return model.CrashEvidence.EARLY
+
+
+def forget_run(
+    schedule: schedule_state.Schedule,
+    key: model.TaskKey,
+    attempt: ids.Attempt,
+) -> None:
+    """Removes the record of a run that no crash has ended."""
+    found = _find_unfinished(schedule, key)
+    if found is not None:
+        job, task = found
+        if job_progress.remove_runs(job, task, (attempt,)):
+            schedule.unsaved.add(job.id)
+
+
+def _find_unfinished(
+    schedule: schedule_state.Schedule, key: model.TaskKey
+) -> tuple[schedule_state.Job, schedule_state.Task] | None:
+    """Returns a task and its job, or None if either has ended."""
+    job = schedule.jobs.get(key.job_id)
+    task = schedule.task_of(key)
+    if job is None or task is None or task.done or job.ended:
+        return None
+    return job, task
+
+
+def crashes(
+    schedule: schedule_state.Schedule, task: schedule_state.Task
+) -> list[model.RunRecord]:
+    """Returns the runs of a task that were lost in crashes of their targets."""
+    return [
+        record
+        for record in task.records
+        if record.attempt not in task.runs and _is_lost(schedule, record)
+    ]
+
+
+def _is_lost(
+    schedule: schedule_state.Schedule, record: model.RunRecord
+) -> bool:
+    """Returns whether the incarnation of the target that had a run is gone."""
+    target = schedule.targets.get(record.target)
+    if target is None:
+        return True
+    known_ms = target.incarnation_ms()
+    if not known_ms or known_ms == record.target_started_ms:
+        return target.entry is None and (target.failed or not target.listed)
+    return True
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -40,6 +40,7 @@
             taken effect so far.
         confirmed_s: when the start was confirmed; inf before. A listing that
             was sent later shows the run or its end.
+        proved: it has run for so long that it does not crash its target.
         stop_sent_s: when the last stop was sent; -inf before the first.
         stopped_s: when a stop was obeyed; inf before. If a listing that was
             sent later lacks the run, it will never run.
@@ -57,6 +58,7 @@
     job_known: bool = True
     unresolved_s: float = float("inf")
     confirmed_s: float = float("inf")
+    proved: bool = False
     stop_sent_s: float = float("-inf")
     stopped_s: float = float("inf")
     stop_pending: bool = False
@@ -77,7 +79,8 @@
         percent: how much of the work the checkpoint covers.
         avoided_targets: targets on which it failed or did not start.
         preemptions: how many runs were stopped for more urgent work.
-        crashes: how many targets crashed under it, or may have crashed.
+        records: its runs that have not ended as far as is known. Those that
+            are not in `runs` were lost with their target.
     """
 
     key: model.TaskKey
@@ -88,7 +91,7 @@
     runs: dict[ids.Attempt, Run] = dataclasses.field(default_factory=dict)
     avoided_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     preemptions: int = 0
-    crashes: int = 0
+    records: list[model.RunRecord] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,6 +149,10 @@
         """Whether the job has ended, so that no more tasks start."""
         return self.progress.state in model.ENDED_STATES
 
+    def step_of(self, key: model.TaskKey) -> StepRun:
+        """Returns the step of one of its tasks."""
+        return self.steps[key.occurrence, key.step]
+
 
 @dataclasses.dataclass(slots=True)
 class Target:
@@ -167,7 +174,6 @@
         failed: the last listing failed.
         unheard: its leases have ended since it last answered.
         failing_since_s: when the first of the failed listings was sent.
-        crash_suspected: its runs count a crash, because it has fallen silent.
         departed: it was draining when its entry was removed; once it stops
             answering, nothing runs there.
         backoff_until_s: nothing is started there before this time.
@@ -202,7 +208,6 @@
     unheard: bool = False
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
-    crash_suspected: bool = False
     departed: bool = False
     failures: int = 0
     quarantined_until_s: float = float("-inf")
@@ -220,6 +225,12 @@
         default_factory=dict
     )
 
+    def incarnation_ms(self) -> int:
+        """Returns its last known start in Unix milliseconds; 0 if unknown."""
+        if self.started_ms or self.entry is None:
+            return self.started_ms
+        return self.entry.started_ms
+
     def is_draining(self) -> bool:
         """Returns whether it ends by plan, or has done so."""
         return self.departed or (
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -69,8 +69,8 @@
 
     @property
     def is_suspected(self) -> bool:
-        """Whether targets crashed under one of the tasks."""
-        return any(task.crashes for task in self.tasks)
+        """Whether one of the tasks was lost with a target that may crash."""
+        return any(task.records for task in self.tasks)
 
 
 @dataclasses.dataclass(slots=True)
