Don't give up tasks for crashes that they can't have caused

Cause: each loss with a target counted alike. A start without a reply may never have taken place, and a task that has been at work for seconds is seldom the cause.

Ruled out: cut targets that were taken for crashed ones (none among these losses); counts that were kept over a takeover (there was none).

Change: the record of a lost run says whether the crash came within 2 s of a confirmed start (early), later (late), or after a start without a reply. A job fails with three of them of which two are early, or with five confirmed ones.

--- a/dandelionpick/batch/crash_budget.py
+++ b/dandelionpick/batch/crash_budget.py
@@ -21,6 +21,11 @@
 # A job fails when this many targets have crashed under one of its tasks. Two
 # may be a coincidence, because targets also crash by themselves.
 MAX_CRASHES = 3
+# Of these, this many must have followed a confirmed start closely.
+MIN_EARLY_CRASHES = 2
+# A job also fails when this many targets have crashed, however long they had
+# run the task.
+MAX_CONFIRMED_CRASHES = 5
 # How long a target that starts a task again after a crash gets no other work.
 OBSERVATION_S = 1.0
 
@@ -91,7 +96,12 @@
 
 def is_exhausted(crashes: Sequence[model.RunRecord]) -> bool:
     """Returns whether a task is given up after these crashes of its targets."""
-    return len(crashes) >= MAX_CRASHES
+    evidence = [record.evidence for record in crashes]
+    early = evidence.count(model.CrashEvidence.EARLY)
+    late = evidence.count(model.CrashEvidence.LATE)
+    if early + late >= MAX_CONFIRMED_CRASHES:
+        return True
+    return len(evidence) >= MAX_CRASHES and early >= MIN_EARLY_CRASHES
 
 
 def observe(
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -1,6 +1,7 @@
 """Mutants that disable the budget of tasks that crash their targets."""
 
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import model
 from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import run_records
@@ -29,6 +30,21 @@
     run_records._is_lost = lambda schedule, record: True
 
 
+def count_every_crash_alike() -> None:
+    """Gives a task up after any three crashes of its targets."""
+    crash_budget.MIN_EARLY_CRASHES = 0
+
+
+def trust_unconfirmed_starts() -> None:
+    """Takes a start without a reply for a run."""
+    run_records._judge = lambda target, run: model.CrashEvidence.EARLY
+
+
+def forgive_late_crashes() -> None:
+    """Starts a task again however often its targets crash late."""
+    crash_budget.MAX_CONFIRMED_CRASHES = 1_000
+
+
 def mix_suspected_work() -> None:
     """Starts a task that may crash its target beside other work."""
     pass_capacity.SHARED_TARGET_PENALTY = 0.0
@@ -57,6 +73,17 @@
     mutant.Mutant(
         "a target that is alive has not crashed", count_living_targets, CRASHES
     ),
+    mutant.Mutant(
+        "crashes in the middle of the work count less",
+        count_every_crash_alike,
+        CRASHES,
+    ),
+    mutant.Mutant(
+        "a start without a reply is no run", trust_unconfirmed_starts, CRASHES
+    ),
+    mutant.Mutant(
+        "late crashes have a limit too", forgive_late_crashes, CRASHES
+    ),
     mutant.Mutant(
         "suspected tasks start apart from other work",
         mix_suspected_work,
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import run_records
+from dandelionpick.batch import schedule_state
 from dandelionpick.platform import keys
 from tests import batch_builders as builders
 from tests import batch_fabric
@@ -167,6 +169,52 @@
             fabric.run_for(SILENCE_S)
         fabric.until_completed(1)
 
+    def test_task_survives_crashes_in_the_middle_of_its_work(self):
+        """Guards against a long task that fails with the third coincidence."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=12.0))
+        for _ in range(MAX_CRASHES + 1):
+            target = self.place(fabric)
+            fabric.run_for(2.0)
+            fabric.crash_target(target)
+            fabric.run_for(SILENCE_S)
+        fabric.until_completed(1)
+
+    def test_task_that_crashes_its_targets_late_is_given_up(self):
+        """Guards against a task that crashes its targets without limit."""
+        fabric = self.build(target_count=12)
+        fabric.submit(1, builders.body(work_s=60.0))
+        for _ in range(crash_budget.MAX_CONFIRMED_CRASHES):
+            target = self.place(fabric)
+            fabric.run_for(2.0)
+            fabric.crash_target(target)
+            fabric.run_for(SILENCE_S)
+        self.assertIs(fabric.state_of(1), model.JobState.FAILED)
+
+    def test_targets_that_crashed_before_the_start_do_not_count(self):
+        """Guards against a job that fails although none of its runs started."""
+        fabric = self.build(target_count=1)
+        fabric.crash_target("t0")
+        fabric.submit(1, builders.body())
+        schedule = fabric.scheduler().state.schedule
+        for number in range(MAX_CRASHES + 1):
+            target = schedule.targets[f"t{number}"]
+            fabric.run_until(lambda t=target: t.runs)
+            fabric.run_until(lambda t=target: self.left_s(fabric, t) < 1.0)
+            following = f"t{number + 1}"
+            fabric.add_target(following)
+            fabric.run_until(lambda t=target: self.left_s(fabric, t) < 0.1)
+            if number < MAX_CRASHES:
+                fabric.crash_target(following)
+        fabric.until_completed(1)
+        self.assertEqual(fabric.world.starts[TASK], 1)
+
+    def left_s(
+        self, fabric: batch_fabric.Fabric, target: schedule_state.Target
+    ) -> float:
+        """Returns how long the leases on a target last."""
+        return target.lease_ends_s - fabric.now_s
+
     def test_silent_targets_do_not_fail_a_job(self):
         """Guards against work given up because its target was only silent."""
         fabric = self.build(target_count=8)
