Start nothing on a target that holds more than its capacity

Tried in our simulation: present capacity counts on each path (also what is being stopped, and after a takeover), with one exception. A task that needs none of the exceeded resource was started on a target that had shrunk below what it runs: an amount of zero fits anywhere.

Such a target now takes no work until it is within its capacity again.

--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -180,6 +180,7 @@
         and entry.state is target_api.TargetState.READY
         and target.listed
         and not target.failed
+        and not target.is_exceeded()
         and now_s >= max(target.backoff_until_s, target.quarantined_until_s)
         and all(run.job_known for run in target.runs.values())
     )
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -238,6 +238,12 @@
             and self.entry.state is target_api.TargetState.DRAINING
         )
 
+    def is_exceeded(self) -> bool:
+        """Returns whether its capacity has shrunk below what runs occupy."""
+        return self.entry is not None and not self.used.fits_in(
+            self.entry.capacity
+        )
+
     def free(self) -> model.Resources:
         """Returns the resources that no run occupies."""
         if self.entry is None:
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -201,6 +201,12 @@
 
         self.call_later(TARGET_RESTART_S, restart)
 
+    def resize_target(self, name: str, **capacity: int) -> None:
+        """Changes the capacity of a target that stays up."""
+        target = self.world.targets[name]
+        target.capacity = {**target.capacity, **capacity}
+        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+
     def _expire_entry(self, target: platform_targets.Target) -> None:
         if not target.up:
             self.store.remove(keys.TARGETS_PREFIX + target.id)
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -1,10 +1,11 @@
-"""Mutants that disable the budget of tasks that crash their targets."""
+"""Mutants about tasks that crash their targets, and changing capacity."""
 
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import run_records
+from dandelionpick.batch import schedule_state
 from tests import mutant
 
 CRASHES = ("tests.test_batch_crash_budget",)
@@ -60,7 +61,34 @@
     run_records.PROVED_AFTER_S = float("inf")
 
 
+def keep_capacity() -> None:
+    """Uses the capacity that a target had when it was registered."""
+    capacities: dict[str, model.Resources] = {}
+
+    def free(target: schedule_state.Target) -> model.Resources:
+        assert target.entry is not None
+        capacity = capacities.setdefault(target.id, target.entry.capacity)
+        return capacity.minus(target.used)
+
+    schedule_state.Target.free = free
+
+
+def fill_exceeded_targets() -> None:
+    """Starts tasks on a target of which another resource is exceeded."""
+    schedule_state.Target.is_exceeded = lambda target: False
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "a target's present capacity counts",
+        keep_capacity,
+        ("tests.test_batch_capacity",),
+    ),
+    mutant.Mutant(
+        "nothing starts on an exceeded target",
+        fill_exceeded_targets,
+        ("tests.test_batch_capacity",),
+    ),
     mutant.Mutant(
         "a task that crashes targets is given up", count_no_crash, CRASHES
     ),
