Give up a request under which executors keep restarting

An idempotent request that makes each executor restart was tried again until its deadline: 96 starts in 50 s in the new test with executors in other failure domains, and deadline_passed instead of target_lost with local ones.

Cause: MAX_FAILURES counts failed runs and lost replies. When an executor answers as another incarnation, the run is closed as lost, which counted as neither. Beside it, a peer's own losses were not known to the instance that forwarded the request: its answer that too many executors were lost counted as one loss, and the next peer started from zero.

Ruled out: hedges (the request is not hedged); the budget of retries (it delays, it does not end).

Change: a lost run counts; a forward says how many losses there were; an answer of target_lost ends the request. After: 10 starts at most, because a forward that has timed out may still be tried by its peer.

--- a/dandelionpick/forwarding.py
+++ b/dandelionpick/forwarding.py
@@ -171,6 +171,7 @@
                 request.submission, deadline_s=remaining_s, wait=True
             ),
             hops=request.hops + 1,
+            lost_calls=request.lost_calls,
         ),
         context,
         _timeout_s(state, request, remaining_s),
@@ -237,7 +238,9 @@
     elif reply.outcome is kinds.Outcome.NOT_RUN:
         requeue_declined(state, step, context, request)
     elif (
-        reply.outcome is kinds.Outcome.UNKNOWN and request.job_class.idempotent
+        reply.outcome is kinds.Outcome.UNKNOWN
+        and request.job_class.idempotent
+        and not has_lost_targets(reply)
     ):
         handle_lost(state, step, context, request)
     else:
@@ -261,6 +264,14 @@
         handle_lost(state, step, context, request)
 
 
+def has_lost_targets(answer: caller_messages.Answer) -> bool:
+    """Returns whether a peer gave up a request that may crash its executors."""
+    return (
+        answer.problem is not None
+        and answer.problem.kind is errors.ProblemKind.TARGET_LOST
+    )
+
+
 def is_answer_to(
     request: request_state.Request, answer: caller_messages.Answer
 ) -> bool:
@@ -341,7 +352,12 @@
         step.respond(exchange_id, peer_messages.Refused(problem))
         return
     requests.submit(
-        state, step, message.request, exchange_id, max(1, message.hops)
+        state,
+        step,
+        message.request,
+        exchange_id,
+        max(1, message.hops),
+        message.lost_calls,
     )
 
 
--- a/dandelionpick/peer_messages.py
+++ b/dandelionpick/peer_messages.py
@@ -48,10 +48,12 @@
 
     Attributes:
         hops: number of forwards, this one included; at most 1.
+        lost_calls: runs and forwards whose reply the sender lost.
     """
 
     request: caller_messages.SubmitRequest
     hops: int = 1
+    lost_calls: int = 0
 
 
 class FetchPeerAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandelionpick/progress.py
+++ b/dandelionpick/progress.py
@@ -155,6 +155,8 @@
     elif request.cancelled and request.job_class.idempotent:
         finish_if_cancelled(state, step, request)
     elif request.job_class.idempotent:
+        # The executor has restarted, perhaps because of the request.
+        request.lost_calls += proved_state is runs.LOST
         sent = proved_state is not runs.NOT_RUN
         cost = 1.0 if sent else retries.NOT_SENT_COST
         retry(state, step, request, run, cost)
--- a/dandelionpick/requests.py
+++ b/dandelionpick/requests.py
@@ -45,6 +45,7 @@
     message: caller_messages.SubmitRequest,
     exchange_id: ids.ExchangeId,
     hops: int = 0,
+    lost_calls: int = 0,
 ) -> None:
     """Accepts a request, or joins the one that already has its key.
 
@@ -54,6 +55,7 @@
         message: the submission.
         exchange_id: the exchange to answer.
         hops: instances that forwarded the request.
+        lost_calls: runs and forwards whose reply these have lost.
     """
     name = (message.organisation, message.key)
     digest = executor_messages.digest_of(message.body)
@@ -67,6 +69,7 @@
         return
     request = new_request(state, step, message, digest)
     request.hops = hops
+    request.lost_calls = lost_calls
     if known is not None:
         request.runs = known.runs
         request.runs_created = known.runs_created
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from dandelionpick import executor_messages
 from dandelionpick import kinds
 from dandelionpick import peer_messages
+from dandelionpick import retries
 from dandelionpick import state as state_lib
 from tests import builders
 from tests import fabric
@@ -181,6 +183,48 @@
 
         built._arrive = arrive
 
+    def test_request_that_crashes_its_executors_is_given_up(self):
+        """Guards against a request that crashes executors until its deadline.
+
+        Forwards whose peer is still trying time out, so that several peers
+        may work on the request; each knows of the earlier losses.
+        """
+        for local in (0, 6):
+            with self.subTest(local=local):
+                built = cases.build(
+                    {"a": (1, local), **dict.fromkeys("bcde", (1, 6))}
+                )
+                crashed = self.crash_executors(built, "k")
+                exchange_id = built.send(
+                    "a-entry-1", builders.request("k", deadline_s=60.0)
+                )
+                built.run_for(70.0)
+                found = cases.outcomes(built, [exchange_id])
+                self.assertEqual(found, ["target_lost"])
+                limit = retries.MAX_FAILURES
+                self.assertLessEqual(len(crashed), sum(range(limit + 1)))
+
+    def crash_executors(self, built: fabric.Fabric, key: str) -> list[str]:
+        """Restarts each executor that is sent a request; returns their ids."""
+        original = built._arrive
+        crashed = []
+
+        def arrive(call, reply):
+            message = call.message
+            if (
+                isinstance(message, executor_messages.StartTask)
+                and message.labels.key == key
+            ):
+                crashed.append(call.destination.name)
+                cases.replace_executor(
+                    built, call.destination.name, cases.ClassTimedExecutor
+                )
+            else:
+                original(call, reply)
+
+        built._arrive = arrive
+        return crashed
+
     def test_refused_forward_stays_not_run(self):
         """Guards against `unknown` for requests that a leaving peer refused."""
         built = cases.build({"a": (1, 1), "b": (1, 1)})
