Give up a job under which workers keep restarting

Cause: only runs with a failed task count (MAX_FAILED_RUNS). A run whose worker came back as another incarnation was requeued without a trace.

Ruled out: silence.

Change: the job's record counts runs of which a worker restarted within 60 s of the part's start; the job ends as unknown with the third. Later restarts don't count, because they add up for wide jobs of hours. A worker that comes back under another id is not recognised as crashed and stays open. Format: a new field with a default.

--- a/dandelionpick/gang_parts.py
+++ b/dandelionpick/gang_parts.py
@@ -11,6 +11,9 @@
 HOLD_TIMEOUT_S = 5.0
 CONFIRM_TIMEOUT_S = 5.0
 LEASE_S = 60.0
+# A worker that restarts later than this after the start of a part is not
+# taken to have crashed under it.
+EARLY_CRASH_S = 60.0
 # A message in flight arrives at most this long after it was sent.
 MAX_MESSAGE_DELAY_S = 2.0
 
@@ -67,7 +70,10 @@
         return
     if not part.incarnation:
         part.incarnation = incarnation
-    if status is None or incarnation != part.incarnation:
+    if incarnation != part.incarnation:
+        record_restart(step, part)
+        return
+    if status is None:
         part.lost = True
         return
     part.ran = part.ran or status.ran
@@ -84,6 +90,17 @@
     part.result = status.result or part.result
 
 
+def record_restart(step: dispatch.Step, part: job_state.Part) -> None:
+    """Records that a part is lost because its worker has restarted."""
+    if not part.lost and part.state in (
+        PartState.STARTING,
+        PartState.RUNNING,
+    ):
+        started_s = step.moment.now_s - part.state_changed_s
+        part.crashed = started_s < EARLY_CRASH_S
+    part.lost = True
+
+
 def is_proved_not_run(gang: job_state.Gang) -> bool:
     """Returns whether no part of a stopped gang ever ran, or ever will.
 
--- a/dandelionpick/gang_stops.py
+++ b/dandelionpick/gang_stops.py
@@ -134,7 +134,7 @@
         return
     part = gang.parts[context.worker]
     if reply.incarnation != part.incarnation:
-        part.lost = True
+        gang_parts.record_restart(step, part)
     elif isinstance(reply, worker_messages.PartReply):
         gang_parts.apply_status(
             step, part, reply.part, reply.incarnation, context.sent_s
--- a/dandelionpick/job_outcomes.py
+++ b/dandelionpick/job_outcomes.py
@@ -20,6 +20,9 @@
 # An idempotent job is failed after this many runs with a failed task. A worker
 # on which every task fails is quarantined after fewer.
 MAX_FAILED_RUNS = 5
+# A job ends after this many runs soon after whose start a worker restarted,
+# because it may be crashing its workers.
+MAX_CRASHED_RUNS = 3
 RETRY_S = 1.0
 
 TASK_FAILED = errors.Problem(
@@ -43,6 +46,13 @@
     "Check the job's side effects to find out whether it ran.",
 )
 
+WORKERS_CRASH = errors.Problem(
+    errors.ProblemKind.TARGET_LOST,
+    f"Workers restarted under {MAX_CRASHED_RUNS} runs of the job, soon after"
+    " its tasks had started.",
+    "Check what the tasks do to their worker, and submit a new job.",
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeWritten:
@@ -209,14 +219,17 @@
         found = [part.checkpoint for part in gang.parts.values()]
         checkpoint = next(filter(None, found), record.checkpoint)
     fields: dict[str, Any] = {"run": gang.labels.run, "placement": None}
-    if record.idempotent or checkpoint:
+    crashes = record.crashes + any(part.crashed for part in gang.parts.values())
+    fields["crashes"] = crashes
+    may_rerun = record.idempotent or checkpoint
+    if may_rerun and crashes < MAX_CRASHED_RUNS:
         fields["checkpoint"] = checkpoint
         _remember_checkpoint(state, gang, checkpoint)
         _queue_outcome(state, step, gang, fields, final=False)
         return
     fields["state"] = kinds.JobState.UNKNOWN
     fields["outcome"] = kinds.Outcome.UNKNOWN
-    fields["problem"] = TARGET_LOST
+    fields["problem"] = WORKERS_CRASH if may_rerun else TARGET_LOST
     _queue_outcome(state, step, gang, fields, final=True)
 
 
--- a/dandelionpick/job_state.py
+++ b/dandelionpick/job_state.py
@@ -60,6 +60,7 @@
         revision: increases by one with each change of this record.
         run: number of the last recorded run; 0 before the first.
         failures: number of runs in which a task failed.
+        crashes: number of runs soon after whose start a worker restarted.
         cancel: whether the caller requested cancellation.
         finished_ms: Unix milliseconds; 0 before the end.
         claim_final: whether the claim in the store contains the outcome.
@@ -75,6 +76,7 @@
     outcome: kinds.Outcome = kinds.Outcome.PENDING
     run: int = 0
     failures: int = 0
+    crashes: int = 0
     placement: Placement | None = None
     checkpoint: str = ""
     cancel: bool = False
@@ -199,6 +201,8 @@
         stopped: whether the worker acknowledged the stop or reported the end.
         lost: whether the part has ended without such an acknowledgement.
         ran: whether the worker reported that the part ran.
+        crashed: whether the worker restarted soon after it had started the
+            part.
     """
 
     worker: ids.InstanceId
@@ -217,6 +221,7 @@
     stopped: bool = False
     lost: bool = False
     ran: bool = False
+    crashed: bool = False
     checkpoint: str = ""
     result: str = ""
 
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -1,5 +1,10 @@
 """Mutants about tasks that crash their targets, and changing capacity."""
 
+from dandelionpick import forwarding
+from dandelionpick import gang_parts
+from dandelionpick import job_outcomes
+from dandelionpick import requests
+from dandelionpick import retries
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import pass_capacity
@@ -61,6 +66,32 @@
     run_records.PROVED_AFTER_S = float("inf")
 
 
+def retry_after_restarts() -> None:
+    """Tries a request again however many executors restart under it."""
+    retries.MAX_FAILURES = 1_000
+
+
+def forget_losses_of_forwards() -> None:
+    """Takes each forwarded request for one that has lost nothing."""
+    submit = requests.submit
+
+    def submit_anew(state, step, message, exchange_id, hops=0, lost_calls=0):
+        submit(state, step, message, exchange_id, hops)
+
+    requests.submit = submit_anew
+    forwarding.has_lost_targets = lambda answer: False
+
+
+def rerun_crashing_jobs() -> None:
+    """Runs a job again however many workers restart under it."""
+    job_outcomes.MAX_CRASHED_RUNS = 1_000
+
+
+def count_late_restarts() -> None:
+    """Counts each restart of a worker that has a part of a job."""
+    gang_parts.EARLY_CRASH_S = float("inf")
+
+
 def keep_capacity() -> None:
     """Uses the capacity that a target had when it was registered."""
     capacities: dict[str, model.Resources] = {}
@@ -79,6 +110,26 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "a request that crashes executors is given up",
+        retry_after_restarts,
+        ("tests.test_forwarding",),
+    ),
+    mutant.Mutant(
+        "peers know what a forwarded request has lost",
+        forget_losses_of_forwards,
+        ("tests.test_forwarding",),
+    ),
+    mutant.Mutant(
+        "a job that crashes workers is given up",
+        rerun_crashing_jobs,
+        ("tests.test_gang_crashes",),
+    ),
+    mutant.Mutant(
+        "late restarts of workers don't count",
+        count_late_restarts,
+        ("tests.test_gang_crashes",),
+    ),
     mutant.Mutant(
         "a target's present capacity counts",
         keep_capacity,
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -68,7 +68,7 @@
         '"accelerators":2,"cores":1,"memory_gb":4,"run_s":1.0,"payload":"x",'
         '"attempt":1},"digest":"d","accepted_ms":1,"idempotent":true,'
         '"checkpointable":true,"revision":2,"state":"running",'
-        '"outcome":"pending","run":1,"failures":1,"placement":{"gang_id":"g",'
+        '"outcome":"pending","run":1,"failures":1,"crashes":1,"placement":{"gang_id":"g",'
         '"workers":["w"],"incarnations":["i"]},"checkpoint":"p","cancel":true,'
         '"results":["r"],"problem":{"kind":"task_failed","message":"m",'
         '"remedy":"r"},"finished_ms":3,"claim_final":true}',
@@ -133,7 +133,9 @@
 PEER = {
     peer_messages.Heartbeat: HEARTBEAT,
     peer_messages.ReadDocument: '{"revision":3}',
-    peer_messages.ForwardRequest: f'{{"request":{REQUEST},"hops":1}}',
+    peer_messages.ForwardRequest: (
+        f'{{"request":{REQUEST},"hops":1,"lost_calls":1}}'
+    ),
     peer_messages.FetchPeerAnswer: KEY,
     peer_messages.ForwardJob: f'{{"job":{JOB},"hops":1}}',
     peer_messages.FetchPeerJob: KEY,
