Take a target for gone when another one answers at its address

Cause: nothing is started elsewhere before the leases on a target that can't be listed have ended (10 s there), also when the target is known to be dead. A crashed target is back at its address within 3 to 5 s under another id and answers 421, which counted as one more failed listing. Each new scheduler waited anew for all targets that had crashed before, so that with takeovers every 2.1 s the wait of work accepted earlier never ended.

Ruled out: count of crashes (none of these tasks had reached a limit); a refused connection as the proof (a network between can reset connections while the target works).

Change: such an answer proves that the incarnation is gone. Its runs are lost at once, the roster forgets it, and a takeover doesn't wait for it.

Both new tests failed before (4.3 s and 3.0 s are too short for the leases).

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -215,6 +215,9 @@
         return
     if isinstance(reply, target_api.Rejected):
         _record_failed_listing(step, target, context, reply.problem.value)
+        if reply.problem is target_api.OrderProblem.OTHER_LIFE:
+            run_endings.handle_replacement(state, step, target)
+            target.poll_at_s = step.moment.now_s + IDLE_PERIOD_S
         return
     _apply_listing(state, step, target, context, reply)
 
@@ -279,6 +282,7 @@
     target.poll_pending = False
     target.failed = False
     target.unheard = False
+    target.replaced = False
     target.failing_since_s = float("inf")
     target.clock_ms = listed.clock_ms
     target.clock_s = now_s
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -116,7 +116,8 @@
 ) -> schedule_state.Roster:
     desired = schedule_state.Roster(state.identity.instance)
     for target in schedule.targets.values():
-        if target.entry is None and target.listed and not target.runs:
+        unregistered = target.entry is None and target.listed
+        if (unregistered or target.replaced) and not target.runs:
             continue
         desired.addresses[target.id] = target.address
         _mark_silent(target, step.moment)
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -21,12 +21,15 @@
 class Loss(enum.Enum):
     """Why a run is gone without a listed end.
 
-    EXPIRED means that the target has no entry and has not answered since its
-    leases ended, UNHEARD the same for a target with an entry, and UNLISTED that
-    the target answers and does not know the run.
+    RESTARTED means that the target answers as another incarnation under its
+    id, and REPLACED that one with another id answers at its address. EXPIRED
+    means that the target has no entry and has not answered since its leases
+    ended, UNHEARD the same for a target with an entry, and UNLISTED that the
+    target answers and does not know the run.
     """
 
     RESTARTED = "the target has restarted"
+    REPLACED = "another target has its address"
     SHUT_DOWN = "the target has shut down"
     EXPIRED = "the target is gone"
     UNHEARD = "the target did not answer before its leases ended"
@@ -34,7 +37,7 @@
 
 
 # Losses that are due to a crash of the target.
-CRASHES = (Loss.RESTARTED, Loss.EXPIRED)
+CRASHES = (Loss.RESTARTED, Loss.REPLACED, Loss.EXPIRED)
 
 
 def handle_restart(
@@ -53,6 +56,7 @@
     planned = target.is_draining()
     loss = Loss.SHUT_DOWN if planned else Loss.RESTARTED
     mark_all_lost(state, step, target, loss)
+    target.replaced = False
     target.started_ms = started_ms
     target.processed = 0
     target.ends.clear()
@@ -63,6 +67,26 @@
     target.poll_at_s = step.moment.now_s
 
 
+def handle_replacement(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Drops the runs of a target whose address another one has."""
+    schedule = state.schedule
+    assert schedule is not None
+    if not target.replaced:
+        step.note(
+            effects.Component.TARGETS,
+            f"another target answers at the address of {target.id};"
+            f" {len(target.runs)} runs are lost",
+            warning=True,
+        )
+        schedule.dirty = True
+    target.replaced = True
+    planned = target.is_draining()
+    loss = Loss.SHUT_DOWN if planned else Loss.REPLACED
+    mark_all_lost(state, step, target, loss)
+
+
 def mark_all_lost(
     state: state_lib.State,
     step: dispatch.Step,
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -149,7 +149,7 @@
 ) -> bool:
     """Returns whether the incarnation of the target that had a run is gone."""
     target = schedule.targets.get(record.target)
-    if target is None:
+    if target is None or target.replaced:
         return True
     known_ms = target.incarnation_ms()
     if not known_ms or known_ms == record.target_started_ms:
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -174,6 +174,8 @@
         failed: the last listing failed.
         unheard: its leases have ended since it last answered.
         failing_since_s: when the first of the failed listings was sent.
+        replaced: another incarnation answers at its address, so that nothing
+            runs there any more.
         departed: it was draining when its entry was removed; once it stops
             answering, nothing runs there.
         backoff_until_s: nothing is started there before this time.
@@ -208,6 +210,7 @@
     unheard: bool = False
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
+    replaced: bool = False
     departed: bool = False
     failures: int = 0
     quarantined_until_s: float = float("-inf")
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -109,7 +109,9 @@
 ) -> None:
     now_s = step.moment.now_s
     unlisted = [
-        target.id for target in schedule.targets.values() if not target.listed
+        target.id
+        for target in schedule.targets.values()
+        if not (target.listed or target.replaced)
     ]
     if unlisted and now_s - schedule.fencing_started_s < FENCING_TIMEOUT_S:
         return
@@ -134,6 +136,7 @@
             # It can't reach the store either: it has shut down or crashed, or
             # has only the leases that it had at the takeover.
             until_s = min(until_s, schedule.began_s + lease_s)
-        if not target.listed and now_s < until_s:
+        unknown = not (target.listed or target.replaced)
+        if unknown and now_s < until_s:
             return True
     return False
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -100,5 +100,5 @@
         if target.entry is not None or target.runs:
             continue
         known = target.listed or now_s >= target.unlisted_until_s
-        if known and now_s > target.lease_ends_s:
+        if target.replaced or (known and now_s > target.lease_ends_s):
             del schedule.targets[target.id]
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -81,6 +81,7 @@
             executed `late_s` later.
         renames_crashed: a target that a task has crashed comes back under
             another id.
+        replaced_targets: targets whose address another target has.
         retention_s: how long instances keep the state of ended jobs.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
@@ -107,6 +108,7 @@
         self.late_share = 0.0
         self.late_s = 5.0
         self.renames_crashed = True
+        self.replaced_targets: set[str] = set()
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
         self.log: list[str] = []
@@ -198,6 +200,7 @@
 
         def restart() -> None:
             self.add_target(name, rack=rack)
+            self.replaced_targets.add(target.id)
 
         self.call_later(TARGET_RESTART_S, restart)
 
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -90,6 +90,10 @@
 def _call_target(
     fabric: Any, name: str, message: Any, reply_later: Any
 ) -> None:
+    if name in fabric.replaced_targets:
+        mismatch = (targets.INSTANCE_MISMATCH_STATUS, b"{}")
+        reply_later(lambda: targets.decode_reply(message, mismatch))
+        return
     target = fabric.world.targets.get(name)
     if target is None or not target.up:
         return
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -66,6 +66,11 @@
     run_records.PROVED_AFTER_S = float("inf")
 
 
+def wait_for_dead_leases() -> None:
+    """Waits for the leases of a target whose address another one has."""
+    run_endings.handle_replacement = lambda state, step, target: None
+
+
 def retry_after_restarts() -> None:
     """Tries a request again however many executors restart under it."""
     retries.MAX_FAILURES = 1_000
@@ -110,6 +115,11 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "a target whose address another one has holds nothing",
+        wait_for_dead_leases,
+        CRASHES,
+    ),
     mutant.Mutant(
         "a request that crashes executors is given up",
         retry_after_restarts,
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -125,6 +125,26 @@
         self.assertLessEqual(max(others), 2)
         fabric.until_completed(*range(2, 7))
 
+    def test_lost_work_starts_when_its_target_is_replaced(self):
+        """Guards against work that waits for the leases of a dead target."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(builders.phase(1), crashes=True))
+        fabric.run_until(lambda: fabric.world.crashes.get(TASK))
+        restarted = batch_fabric.TARGET_RESTART_S + 1.0
+        fabric.run_until(lambda: fabric.world.starts[TASK] == 2, restarted)
+        fabric.run_for(LONG_S)
+        self.check_given_up(fabric)
+
+    def test_new_scheduler_does_not_wait_for_replaced_targets(self):
+        """Guards against a takeover that waits for leases of dead targets."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(builders.phase(1), crashes=True))
+        fabric.submit(2, builders.body(builders.phase(49), work_s=5.0))
+        fabric.run_until(lambda: fabric.world.crashes.get(TASK))
+        fabric.run_for(batch_fabric.TARGET_RESTART_S - 0.5)
+        fabric.kill(fabric.scheduler().name)
+        fabric.run_until(lambda: fabric.world.starts[TASK] == 2, 3.0)
+
     def test_observed_target_gets_no_other_work(self):
         """Guards against work that is sent where a suspected task starts."""
         fabric = self.build(target_count=2)
