Don't take long work for stalled before its first percent

A task of 1,000 s was started 26 times in 60 s, and one that resumed from a checkpoint 112 times in 260 s; each move also keeps its target out of use for 3 s.

Cause: percentages are whole numbers, and a run without a percent of its own was stalled after 1.5 s, however long a percent should take. After a checkpoint, the average time of a percent included those of earlier runs, so that it was near zero.

Ruled out: the quarantine of the target as the cause (it follows the move).

Change: the estimate says how long the first percent may take, the wait doubles with each move without progress, since estimates are rough, and only percents of the run itself enter the average. Both new tests failed before with the figures above; now 1 start with a right estimate, at most 4 with one of a thousandth, 2 after a crash.

--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -79,6 +79,7 @@
         percent: how much of the work the checkpoint covers.
         avoided_targets: targets on which it failed or did not start.
         preemptions: how many runs were stopped for more urgent work.
+        moves: how many runs were moved before any visible progress.
         records: its runs that have not ended as far as is known. Those that
             are not in `runs` were lost with their target.
     """
@@ -91,6 +92,7 @@
     runs: dict[ids.Attempt, Run] = dataclasses.field(default_factory=dict)
     avoided_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     preemptions: int = 0
+    moves: int = 0
     records: list[model.RunRecord] = dataclasses.field(default_factory=list)
 
 
--- a/dandelionpick/batch/target_health.py
+++ b/dandelionpick/batch/target_health.py
@@ -19,10 +19,12 @@
 # enough, because up to one run in twenty fails through its own fault.
 QUARANTINE_FAILURES = 2
 # A run without visible progress for this long may be stalled; the percentage of
-# work that takes a minute changes every 0.6 s.
+# work that takes a minute changes every 0.6 s. The wait doubles each time that
+# the task was moved before its first visible progress, because then the task
+# may be long instead of its target stalled.
 STALL_S = 1.5
 # The run must also have been without progress for this many times the average
-# time that one percent took before.
+# time that one percent took before, or should take by the estimate.
 STALL_FACTOR = 4.0
 # Percentages are whole numbers, so this means 100.
 DONE_PERCENT = 99.5
@@ -112,12 +114,24 @@
     # A gang member that has finished its share waits for the others.
     if stalled_s < STALL_S or run.percent >= DONE_PERCENT:
         return False
-    if run.percent and stalled_s < STALL_FACTOR * worked_s / run.percent:
+    if stalled_s < _patience_s(step_run, run, worked_s):
         return False
     lost_s = 0.0 if step_run.spec.checkpoints else worked_s
     return stalled_s >= lost_s
 
 
+def _patience_s(
+    step_run: schedule_state.StepRun, run: schedule_state.Run, worked_s: float
+) -> float:
+    """Returns how long the next percent may take."""
+    gained = run.percent - run.first_percent
+    if gained > 0:
+        return STALL_FACTOR * worked_s / gained
+    expected_s = step_run.spec.estimate_ms / 1_000 / 100
+    moves = step_run.tasks[run.task.index].moves
+    return max(STALL_S, STALL_FACTOR * expected_s) * 2.0**moves
+
+
 def _reschedule(
     state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
 ) -> None:
@@ -127,6 +141,7 @@
     task = schedule.task_of(run.task)
     if task is not None:
         task.avoided_targets.add(run.target)
+        task.moves += run.percent <= run.first_percent
     step.note(
         effects.Component.SCHEDULER,
         f"moving a task at {run.percent:.0f}%",
--- a/tests/test_batch_health.py
+++ b/tests/test_batch_health.py
@@ -6,6 +6,8 @@
 from tests import batch_builders as builders
 from tests import test_batch_jobs
 
+TASK = f"{builders.job_id(1)}.0.0.0"
+
 
 class FaultyTargetTest(test_batch_jobs.BatchTest):
     """Faulty targets get no work, and stalled runs are moved off them."""
@@ -54,6 +56,32 @@
         fabric.until_completed(1, limit_s=8.0)
         self.assertEqual(sum(fabric.world.starts.values()), 1)
 
+    def test_task_of_hours_is_not_stalled(self):
+        """Guards against work that is moved before its first percent.
+
+        The estimate may be right or far too low.
+        """
+        for estimate_ms, starts in ((2_000_000, 1), (1_000, 4)):
+            with self.subTest(estimate_ms=estimate_ms):
+                fabric = self.build(target_count=6)
+                phase = builders.phase(1, estimate_ms=estimate_ms)
+                fabric.submit(1, builders.body(phase, work_s=1_000.0))
+                fabric.run_for(60.0)
+                self.assertLessEqual(sum(fabric.world.starts.values()), starts)
+                ((_, run),) = fabric.world.running(TASK)
+                self.assertGreater(run.worked_s, 30.0)
+
+    def test_resumed_task_of_hours_is_not_stalled(self):
+        """Guards against work that is moved because it had been fast before."""
+        fabric = self.build(target_count=3)
+        phase = builders.phase(1, estimate_ms=1_000_000, checkpointing=True)
+        fabric.submit(1, builders.body(phase, work_s=1_000.0))
+        fabric.run_for(200.0)
+        ((target, _),) = fabric.world.running(TASK)
+        fabric.crash_target(target.id, back_s=3.0)
+        fabric.run_for(60.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 2)
+
     def test_failing_job_does_not_quarantine_targets_for_long(self):
         """Guards against a failing job that makes a whole pool unusable."""
         fabric = self.build(target_count=3)
