--- a/standins/platform_oracle.py
+++ b/standins/platform_oracle.py
@@ -44,6 +44,8 @@
         broken: violations that were found, one line each.
         starts: number of starts by task.
         crashes: number of targets that a task has crashed, by task.
+        crashes_under: number of targets that have crashed while they ran a
+            task, by task.
         excess_starts: number of its starts after it had crashed as many targets
             as a task may, by task.
         on_crash: is called with a target that a task has crashed.
@@ -63,6 +65,7 @@
         self.broken: list[str] = []
         self.starts: dict[str, int] = {}
         self.crashes: dict[str, int] = {}
+        self.crashes_under: dict[str, int] = {}
         self.excess_starts: dict[str, int] = {}
         self.on_crash: Callable[[Any], None] = lambda target: None
         self.targets_started_on: dict[str, set[str]] = {}
@@ -94,6 +97,12 @@
             cores = phase.get("cpu", 0) / 1_000 + 8 * phase.get("gpu", 0)
             self.wasted_core_s += cores * run.worked_s
 
+    def record_crashed_runs(self, target: Any) -> None:
+        """Records that a target crashes under its runs."""
+        for run in target.runs.values():
+            count = self.crashes_under.get(run.task, 0)
+            self.crashes_under[run.task] = count + 1
+
     def record_crash(self, target: Any, run: Run) -> None:
         """Records that a run has crashed its target."""
         self.crashes[run.task] = self.crashes.get(run.task, 0) + 1
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -92,6 +92,7 @@
     def crash(self) -> None:
         """Loses all runs and answers no waiting request."""
         self.up = False
+        self.world.record_crashed_runs(self)
         self.runs.clear()
         self.waiting.clear()
 
