--- a/dandelionpick/batch/model.py
+++ b/dandelionpick/batch/model.py
@@ -238,6 +238,25 @@
     ended_ms: int = 0
 
 
+class Roster(msgspec.Struct, omit_defaults=True):
+    """Stored list of the targets that may run something.
+
+    The next scheduler reads it when it takes over.
+
+    Attributes:
+        scheduler: the instance that wrote it.
+        addresses: address of each target.
+        silent_until_ms: when everything on a silent target has ended, in Unix
+            milliseconds, by target.
+    """
+
+    scheduler: str = ""
+    addresses: dict[ids.TargetId, str] = msgspec.field(default_factory=dict)
+    silent_until_ms: dict[ids.TargetId, int] = msgspec.field(
+        default_factory=dict
+    )
+
+
 class TaskKey(NamedTuple):
     """Identifies a task among the tasks of all jobs."""
 
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -17,6 +17,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
@@ -29,7 +30,7 @@
 # How much the system clocks of two instances may differ.
 MAX_CLOCK_SKEW_S = 1.0
 
-_decoder = msgspec.json.Decoder(schedule_state.Roster)
+_decoder = msgspec.json.Decoder(model.Roster)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,7 +38,7 @@
     """Context of a read of the roster, or a write if `written` is set."""
 
     epoch: ids.Epoch
-    written: schedule_state.Roster | None = None
+    written: model.Roster | None = None
 
 
 def read(state: state_lib.State, step: dispatch.Step) -> None:
@@ -113,8 +114,8 @@
     schedule: schedule_state.Schedule,
     state: state_lib.State,
     step: dispatch.Step,
-) -> schedule_state.Roster:
-    desired = schedule_state.Roster(state.identity.instance)
+) -> model.Roster:
+    desired = model.Roster(state.identity.instance)
     for target in schedule.targets.values():
         unregistered = target.entry is None and target.listed
         if (unregistered or target.replaced) and not target.runs:
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -3,8 +3,6 @@
 import dataclasses
 import enum
 
-import msgspec
-
 from dandelionpick import ids
 from dandelionpick.batch import model
 from dandelionpick.batch import start_window
@@ -300,25 +298,6 @@
         return self.task_capacity[key]
 
 
-class Roster(msgspec.Struct, omit_defaults=True):
-    """Stored list of the targets that may run something.
-
-    The next scheduler reads it when it takes over.
-
-    Attributes:
-        scheduler: the instance that wrote it.
-        addresses: address of each target.
-        silent_until_ms: when everything on a silent target has ended, in Unix
-            milliseconds, by target.
-    """
-
-    scheduler: str = ""
-    addresses: dict[ids.TargetId, str] = msgspec.field(default_factory=dict)
-    silent_until_ms: dict[ids.TargetId, int] = msgspec.field(
-        default_factory=dict
-    )
-
-
 class Stage(enum.Enum):
     """Stage of a takeover."""
 
@@ -386,7 +365,7 @@
         default_factory=dict
     )
     headroom: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
-    roster: Roster = dataclasses.field(default_factory=lambda: Roster())
+    roster: model.Roster = dataclasses.field(default_factory=model.Roster)
     roster_revision: int = 0
     roster_read: bool = False
     roster_pending: bool = False
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -29,12 +29,10 @@
 from standins import platform_targets
 from tests import batch_builders as builders
 from tests import batch_links
+from tests import batch_target_faults
 
 START_UNIX_MS = 1_700_000_000_000
 ADVANCE_PERIOD_S = 0.05
-ENTRY_TTL_S = 4.5
-# How long a target that a task has crashed takes to restart.
-TARGET_RESTART_S = 3.3
 # Length of a suspension as the runtime reports it; only that it is over the
 # threshold matters.
 SUSPENDED_S = 2.0
@@ -64,7 +62,7 @@
         self.exited = False
 
 
-class Fabric:
+class Fabric(batch_target_faults.TargetFaults):
     """Discrete-event simulation with one virtual clock.
 
     Attributes:
@@ -177,59 +175,6 @@
         """Cuts a link; messages across it are dropped without an error."""
         self.cut.add(frozenset((one, other)))
 
-    def crash_target(self, name: str, back_s: float | None = None) -> None:
-        """Crashes a target; its entry expires unless it restarts before.
-
-        Args:
-            name: name of the target.
-            back_s: seconds until it restarts; None if it does not.
-        """
-        target = self.world.targets[name]
-        target.crash()
-        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
-        if back_s is not None:
-            self.call_later(back_s, lambda: self._reboot(target))
-
-    def _restart_crashed(self, target: platform_targets.Target) -> None:
-        """Restarts a target that a task has crashed."""
-        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
-        if not self.renames_crashed:
-            self.call_later(TARGET_RESTART_S, lambda: self._reboot(target))
-            return
-        name, rack = f"{target.id}+", target.labels[-1]
-
-        def restart() -> None:
-            self.add_target(name, rack=rack)
-            self.replaced_targets.add(target.id)
-
-        self.call_later(TARGET_RESTART_S, restart)
-
-    def resize_target(self, name: str, **capacity: int) -> None:
-        """Changes the capacity of a target that stays up."""
-        target = self.world.targets[name]
-        target.capacity = {**target.capacity, **capacity}
-        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
-
-    def _expire_entry(self, target: platform_targets.Target) -> None:
-        if not target.up:
-            self.store.remove(keys.TARGETS_PREFIX + target.id)
-
-    def _reboot(self, target: platform_targets.Target) -> None:
-        target.boot(self.now_s)
-        self.store.put(keys.TARGETS_PREFIX + target.id, target.entry())
-
-    def drain_target(self, name: str, leaves_s: float) -> None:
-        """Marks a target as draining; it leaves after `leaves_s` seconds."""
-        target = self.world.targets[name]
-        target.draining = True
-        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
-
-        def leave() -> None:
-            target.crash()
-            self.store.remove(keys.TARGETS_PREFIX + name)
-
-        self.call_later(leaves_s, leave)
-
     def watch_call_id(self, instance: Instance, kind: type) -> ids.CallId:
         """Returns the id of a watch's call in progress."""
         return next(
--- /dev/null
+++ b/tests/batch_target_faults.py
@@ -0,0 +1,89 @@
+"""Faults of the simulated targets, for tests of scheduled jobs."""
+
+from collections.abc import Callable
+from typing import Any
+
+from dandelionpick.platform import keys
+from standins import platform_oracle
+from standins import platform_store
+from standins import platform_targets
+
+ENTRY_TTL_S = 4.5
+# How long a target that a task has crashed takes to restart.
+TARGET_RESTART_S = 3.3
+
+
+class TargetFaults:
+    """Crashes, drains and resizes targets.
+
+    Attributes:
+        now_s: the simulation's time.
+        store: the store, which has the targets' entries.
+        world: the targets.
+        renames_crashed: a target that a task has crashed comes back under
+            another id.
+        replaced_targets: targets whose address another target has.
+        call_later: schedules an action.
+        add_target: adds a target.
+    """
+
+    now_s: float
+    store: platform_store.PlatformStore
+    world: platform_oracle.World
+    renames_crashed: bool
+    replaced_targets: set[str]
+    call_later: Callable[..., None]
+    add_target: Callable[..., Any]
+
+    def crash_target(self, name: str, back_s: float | None = None) -> None:
+        """Crashes a target; its entry expires unless it restarts before.
+
+        Args:
+            name: name of the target.
+            back_s: seconds until it restarts; None if it does not.
+        """
+        target = self.world.targets[name]
+        target.crash()
+        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
+        if back_s is not None:
+            self.call_later(back_s, lambda: self._reboot(target))
+
+    def _restart_crashed(self, target: platform_targets.Target) -> None:
+        """Restarts a target that a task has crashed."""
+        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
+        if not self.renames_crashed:
+            self.call_later(TARGET_RESTART_S, lambda: self._reboot(target))
+            return
+        name, rack = f"{target.id}+", target.labels[-1]
+
+        def restart() -> None:
+            self.add_target(name, rack=rack)
+            self.replaced_targets.add(target.id)
+
+        self.call_later(TARGET_RESTART_S, restart)
+
+    def resize_target(self, name: str, **capacity: int) -> None:
+        """Changes the capacity of a target that stays up."""
+        target = self.world.targets[name]
+        target.capacity = {**target.capacity, **capacity}
+        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+
+    def _expire_entry(self, target: platform_targets.Target) -> None:
+        if not target.up:
+            self.store.remove(keys.TARGETS_PREFIX + target.id)
+
+    def _reboot(self, target: platform_targets.Target) -> None:
+        target.boot(self.now_s)
+        self.store.put(keys.TARGETS_PREFIX + target.id, target.entry())
+
+    def drain_target(self, name: str, leaves_s: float) -> None:
+        """Marks a target as draining; it leaves after `leaves_s` seconds."""
+        target = self.world.targets[name]
+        target.draining = True
+        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+
+        def leave() -> None:
+            target.crash()
+            self.store.remove(keys.TARGETS_PREFIX + name)
+
+        self.call_later(leaves_s, leave)
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -9,6 +9,7 @@
 from dandelionpick.platform import keys
 from tests import batch_builders as builders
 from tests import batch_fabric
+from tests import batch_target_faults
 from tests import test_batch_jobs
 
 MAX_CRASHES = 3
@@ -130,7 +131,7 @@
         fabric = self.build(target_count=6)
         fabric.submit(1, builders.body(builders.phase(1), crashes=True))
         fabric.run_until(lambda: fabric.world.crashes.get(TASK))
-        restarted = batch_fabric.TARGET_RESTART_S + 1.0
+        restarted = batch_target_faults.TARGET_RESTART_S + 1.0
         fabric.run_until(lambda: fabric.world.starts[TASK] == 2, restarted)
         fabric.run_for(LONG_S)
         self.check_given_up(fabric)
@@ -141,7 +142,7 @@
         fabric.submit(1, builders.body(builders.phase(1), crashes=True))
         fabric.submit(2, builders.body(builders.phase(49), work_s=5.0))
         fabric.run_until(lambda: fabric.world.crashes.get(TASK))
-        fabric.run_for(batch_fabric.TARGET_RESTART_S - 0.5)
+        fabric.run_for(batch_target_faults.TARGET_RESTART_S - 0.5)
         fabric.kill(fabric.scheduler().name)
         fabric.run_until(lambda: fabric.world.starts[TASK] == 2, 3.0)
 
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -16,7 +16,6 @@
 from dandelionpick import wire
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
-from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
 STORED = (
@@ -46,7 +45,7 @@
         '{"instance":"a","incarnation":"b","address":"127.0.0.1:1"}',
     ),
     (
-        schedule_state.Roster,
+        model.Roster,
         '{"scheduler":"a","addresses":{"t":"127.0.0.1:2"},'
         '"silent_until_ms":{"t":4}}',
     ),
