Bound the starts that are stored with a job

Found by reading: a job may have 20,000 tasks, and stores 65 bytes for each one that runs. From about 16,000 running tasks on, the progress of such a job would have been larger than a value of the store, so that none of its ends could be stored.

At most 1,000 tasks of a job are recorded when they start; crashes under the others are recorded when they are noticed, as before. Both new tests use a smaller bound; the first fails without it.

--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -16,6 +16,9 @@
 # A task that runs until it is cancelled does not crash its targets if it has
 # run for this long. Without that, crashes of months would add up.
 PROVED_AFTER_S = 60.0
+# Tasks of one job whose runs are recorded at their start. The progress of a job
+# is written as a whole, at about 65 bytes for each of them.
+MAX_RECORDED_TASKS = 1_000
 
 
 def record_running(
@@ -48,6 +51,8 @@
         if record.attempt not in task.runs and not _is_lost(schedule, record)
     ]
     job_progress.remove_runs(job, task, ended)
+    if not task.records and len(job.progress.runs) >= MAX_RECORDED_TASKS:
+        return
     target = schedule.targets[run.target]
     record = model.RunRecord(run.attempt, run.target, target.incarnation_ms())
     job_progress.record_run(job, task, record)
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -1,6 +1,7 @@
 """Tasks that crash the targets on which they run, and others that do not."""
 
 import unittest
+from unittest import mock
 
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
@@ -146,6 +147,25 @@
         fabric.kill(fabric.scheduler().name)
         fabric.run_until(lambda: fabric.world.starts[TASK] == 2, 3.0)
 
+    def test_progress_of_wide_jobs_stays_small(self):
+        """Guards against progress that is too large for the store."""
+        with mock.patch.object(run_records, "MAX_RECORDED_TASKS", 2):
+            fabric = self.build(target_count=6)
+            fabric.submit(1, builders.body(builders.phase(9), work_s=4.0))
+            fabric.run_for(1.0)
+            schedule = fabric.scheduler().state.schedule
+            job = schedule.jobs[builders.job_id(1)]
+            self.assertEqual(len(job.progress.runs), 2)
+            fabric.until_completed(1)
+            self.assertEqual(job.progress.runs, {})
+
+    def test_task_of_a_wide_job_that_crashes_targets_is_given_up(self):
+        """Guards against a count that needs the record of the start."""
+        with mock.patch.object(run_records, "MAX_RECORDED_TASKS", 0):
+            fabric = self.build(target_count=6)
+            self.crash_for(fabric, builders.phase(3))
+            self.check_given_up(fabric)
+
     def test_observed_target_gets_no_other_work(self):
         """Guards against work that is sent where a suspected task starts."""
         fabric = self.build(target_count=2)
