Stop the members of a gang that lost others before a takeover

Cause: the scheduler that loses a member stops the others, but a successor never had that member. It relied on the targets to end the others as broken.

Change: members at work for 5 s of whose gang others are missing are stopped, once no target can hold those. The new test fails before (not completed in 25 s).

--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -33,6 +33,9 @@
 # Longest interval between passes while something changes; urgent work has to
 # start within seconds.
 MAX_PASS_PERIOD_S = 0.2
+# Members of a gang whose others are gone are stopped after this time, if their
+# targets have not ended them by then.
+INCOMPLETE_GANG_S = 5.0
 # Interval between passes while nothing changes; a pass also checks times, such
 # as due occurrences.
 IDLE_PASS_S = 0.25
@@ -175,6 +178,7 @@
         if unlisted and job.accepted_revision <= schedule.epoch:
             continue
         for step_run in job.steps.values():
+            _stop_incomplete_gang(state, step, step_run)
             tasks = _startable_tasks(step_run)
             if crash_budget.end_if_exhausted(state, step, job, tasks):
                 break
@@ -185,6 +189,34 @@
                 )
 
 
+def _stop_incomplete_gang(
+    state: state_lib.State,
+    step: dispatch.Step,
+    step_run: schedule_state.StepRun,
+) -> None:
+    """Stops the members of a gang that has lost others before a takeover.
+
+    Members that this scheduler loses are handled when they are lost.
+    """
+    if not step_run.spec.gang or not step_run.tasks_left:
+        return
+    members = [run for task in step_run.tasks for run in task.runs.values()]
+    if not members or all(task.runs for task in step_run.tasks):
+        return
+    latest_s = max(run.ordered_s for run in members)
+    waiting = all(
+        run.state is schedule_state.RunState.RUNNING for run in members
+    )
+    if waiting and step.moment.now_s - latest_s >= INCOMPLETE_GANG_S:
+        step.note(
+            effects.Component.SCHEDULER,
+            f"stopping {len(members)} members of an incomplete gang",
+            job=members[0].task.job_id,
+            targets=sorted({run.target for run in members}),
+        )
+        orders.stop_step(state, step, step_run)
+
+
 def _startable_tasks(
     step_run: schedule_state.StepRun,
 ) -> list[schedule_state.Task]:
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -137,6 +137,21 @@
         fabric.run_for(LONG_S)
         self.check_given_up(fabric)
 
+    def test_gang_that_lost_a_member_before_a_takeover_runs_again(self):
+        """Guards against members that wait for a lost one for ever."""
+        fabric = self.build(target_count=4)
+        gang = builders.phase(6, gpu=2, gang=True)
+        fabric.submit(2, builders.body(gang, work_s=4.0))
+        fabric.run_for(1.0)
+        hosts = [
+            target for target in fabric.world.targets.values() if target.runs
+        ]
+        self.assertEqual(len(hosts), 2)
+        fabric.crash_target(hosts[0].id, back_s=3.0)
+        fabric.kill(fabric.scheduler().name)
+        fabric.run_until(fabric.scheduler)
+        fabric.until_completed(2, limit_s=25.0)
+
     def test_new_scheduler_does_not_wait_for_replaced_targets(self):
         """Guards against a takeover that waits for leases of dead targets."""
         fabric = self.build(target_count=6)
