--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -11,6 +11,8 @@
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import scheduling
+from dandelionpick.batch import target_health
 from tests import mutant
 
 CRASHES = ("tests.test_batch_crash_budget",)
@@ -71,6 +73,16 @@
     run_endings.handle_replacement = lambda state, step, target: None
 
 
+def keep_incomplete_gangs() -> None:
+    """Waits for targets to end the members of an incomplete gang."""
+    scheduling._stop_incomplete_gang = lambda state, step, step_run: None
+
+
+def move_long_work() -> None:
+    """Takes work for stalled before its first percent."""
+    target_health._patience_s = lambda step_run, run, worked_s: 0.0
+
+
 def retry_after_restarts() -> None:
     """Tries a request again however many executors restart under it."""
     retries.MAX_FAILURES = 1_000
@@ -115,6 +127,16 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "a gang that lost members before a takeover runs again",
+        keep_incomplete_gangs,
+        CRASHES,
+    ),
+    mutant.Mutant(
+        "long work is not moved before its first percent",
+        move_long_work,
+        ("tests.test_batch_health",),
+    ),
     mutant.Mutant(
         "a target whose address another one has holds nothing",
         wait_for_dead_leases,
