--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -75,6 +75,8 @@
             exchange.
         open_exchanges: the instance of an open exchange, and what breaks the
             exchange if the instance is killed; by exchange.
+        lost_start_share: share of the starts that are carried out and get no
+            reply.
         late_share: share of the orders to targets that get no reply and are
             executed `late_s` later.
         renames_crashed: a target that a task has crashed comes back under
@@ -103,6 +105,7 @@
         self.process_numbers = itertools.count(1)
         self.cut: set[frozenset[str]] = set()
         self.muted_targets: set[str] = set()
+        self.lost_start_share = 0.0
         self.late_share = 0.0
         self.late_s = 5.0
         self.renames_crashed = True
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -99,10 +99,16 @@
         return
     path, body = targets.encode_request(message)
     body = json.loads(msgspec.json.encode(body))
+    starts = isinstance(message, target_api.StartRun)
+    muted = name in fabric.muted_targets or (
+        starts
+        and fabric.lost_start_share
+        and fabric.random.random() < fabric.lost_start_share
+    )
 
     def done(reply: platform_store.Reply) -> None:
         exchange = (reply[0], msgspec.json.encode(reply[1]))
-        if name not in fabric.muted_targets:
+        if not muted:
             reply_later(lambda: targets.decode_reply(message, exchange))
 
     boot_s = target.born_s
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -14,6 +14,8 @@
 from tests import test_batch_jobs
 
 MAX_CRASHES = 3
+# How often a task may start if targets crash before they can confirm it.
+MAX_STARTS = 5
 # Long enough for ten starts, each after the leases of a crashed target.
 LONG_S = 120.0
 # Longer than the leases, and than the time until an entry expires.
@@ -95,6 +97,50 @@
                 fabric.run_for(LONG_S)
                 self.check_given_up(fabric)
 
+    def test_task_whose_starts_get_no_reply_is_given_up(self):
+        """Guards against crashes that don't count without a reply."""
+        for share in (0.5, 1.0):
+            with self.subTest(share=share):
+                fabric = self.build(target_count=6)
+                fabric.lost_start_share = share
+                self.crash_for(fabric, builders.phase(3))
+                self.assertLessEqual(fabric.world.starts[TASK], MAX_STARTS)
+                self.assertIs(fabric.state_of(1), model.JobState.FAILED)
+
+    def test_count_survives_schedulers_lost_after_starts_without_reply(self):
+        """Guards against starts that only a lost scheduler knew."""
+        fabric = self.build(target_count=6)
+        fabric.lost_start_share = 1.0
+        fabric.submit(1, builders.body(builders.phase(3), crashes=True))
+        for count in range(1, MAX_STARTS + 1):
+            fabric.run_until(
+                lambda c=count: fabric.world.crashes.get(TASK, 0) >= c
+            )
+            fabric.run_for(0.3)
+            name = fabric.scheduler().name
+            fabric.kill(name)
+            fabric.run_for(1.0)
+            fabric.start_instance(name)
+        fabric.run_for(LONG_S)
+        self.assertLessEqual(fabric.world.starts[TASK], MAX_STARTS)
+        self.assertIs(fabric.state_of(1), model.JobState.FAILED)
+
+    def test_suspected_task_waits_until_its_crashes_are_stored(self):
+        """Guards against starts by a scheduler that can't record them."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(builders.phase(3), crashes=True))
+        for count in range(1, MAX_CRASHES):
+            fabric.run_until(
+                lambda c=count: fabric.world.crashes.get(TASK, 0) >= c
+            )
+            fabric.run_for(batch_target_faults.TARGET_RESTART_S - 0.1)
+            cut_off = fabric.scheduler().name
+            fabric.part(cut_off, "store")
+            fabric.run_for(3.0)
+            fabric.cut.clear()
+        fabric.run_for(LONG_S)
+        self.check_given_up(fabric)
+
     def test_count_survives_the_loss_of_all_instances(self):
         """Guards against a count that only the instances hold."""
         fabric = self.build(target_count=6)
