Record starts whose reply is overdue

Callers saw: with schedulers replaced and replies lost, a task that crashes its targets was started 39 times in 140 s. Cause: only confirmed starts were stored with the job's progress; one without a reply was recorded when its target was known to be gone, seconds later. Ruled out: storing each start before it is sent, or at once: two writes for a start in place of one. Change: a start without a reply for 50 ms is recorded as unconfirmed, and as confirmed once it is.

--- a/dandelionpick/batch/model.py
+++ b/dandelionpick/batch/model.py
@@ -209,7 +209,8 @@
     Attributes:
         target_started_ms: start of the target's incarnation, in Unix
             milliseconds; 0 if it is not known.
-        evidence: what a crash of the target says; EARLY before it.
+        evidence: what a crash of the target says, or would say now: EARLY
+            once the start is confirmed, UNCONFIRMED before.
     """
 
     attempt: ids.Attempt
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -112,6 +112,7 @@
         task.checkpoint,
     )
     schedule.starts.record_sent()
+    schedule.unanswered_starts.append(run)
     context = StartContext(schedule.epoch, run)
     dispatch.call(
         state, step, destination(target), message, context, START_TIMEOUT_S
@@ -283,6 +284,7 @@
         task.avoided_targets.add(target.id)
     stop_other_gang_members(state, step, run)
     runs.remove(schedule, run)
+    run_records.forget_run(schedule, run.task, run.attempt)
 
 
 @dispatch.on_reply.register
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -1,8 +1,8 @@
 """Records of the runs that have not ended, and what crashes say about them.
 
-They are stored with the job's progress as soon as a start is confirmed. Without
-them, a scheduler could not know what ran on a target that crashed just before
-it took over.
+They are stored with the job's progress as soon as a start is confirmed, or when
+its reply is overdue. Without them, a scheduler could not know what ran on a
+target that crashed just before it took over.
 """
 
 from dandelionpick import ids
@@ -16,6 +16,9 @@
 # A task that runs until it is cancelled does not crash its targets if it has
 # run for this long. Without that, crashes of months would add up.
 PROVED_AFTER_S = 60.0
+# A start without a reply for this long is recorded. Most replies arrive before,
+# so that these starts are written once, as confirmed.
+REPLY_OVERDUE_S = 0.05
 # Tasks of one job whose runs are recorded at their start. The progress of a job
 # is written as a whole, at about 65 bytes for each of them.
 MAX_RECORDED_TASKS = 1_000
@@ -29,21 +32,34 @@
     """Records that a target has confirmed that it runs a run."""
     if run.confirmed_s == float("inf"):
         run.confirmed_s = now_s
-        _record_start(schedule, run)
+        _record_start(schedule, run, model.CrashEvidence.EARLY)
     elif not run.proved and now_s - run.ordered_s >= PROVED_AFTER_S:
         run.proved = True
         _forget_earlier_runs(schedule, run)
 
 
+def record_overdue(schedule: schedule_state.Schedule, now_s: float) -> None:
+    """Records the starts whose reply is overdue; their targets may run them."""
+    while schedule.unanswered_starts:
+        run = schedule.unanswered_starts[0]
+        if now_s - run.ordered_s < REPLY_OVERDUE_S:
+            return
+        schedule.unanswered_starts.popleft()
+        task = schedule.task_of(run.task)
+        current = task is not None and task.runs.get(run.attempt) is run
+        if current and run.confirmed_s == float("inf"):
+            _record_start(schedule, run, model.CrashEvidence.UNCONFIRMED)
+
+
 def _record_start(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
+    schedule: schedule_state.Schedule,
+    run: schedule_state.Run,
+    evidence: model.CrashEvidence,
 ) -> None:
     found = _find_unfinished(schedule, run.task)
     if found is None:
         return
     job, task = found
-    if any(record.attempt == run.attempt for record in task.records):
-        return
     # These ended unnoticed, or never took place: their targets are alive.
     ended = [
         record.attempt
@@ -54,9 +70,11 @@
     if not task.records and len(job.progress.runs) >= MAX_RECORDED_TASKS:
         return
     target = schedule.targets[run.target]
-    record = model.RunRecord(run.attempt, run.target, target.incarnation_ms())
-    job_progress.record_run(job, task, record)
-    schedule.unsaved.add(job.id)
+    record = model.RunRecord(
+        run.attempt, run.target, target.incarnation_ms(), evidence
+    )
+    if job_progress.record_run(job, task, record):
+        schedule.unsaved.add(job.id)
 
 
 def _forget_earlier_runs(
--- a/dandelionpick/batch/saving.py
+++ b/dandelionpick/batch/saving.py
@@ -9,6 +9,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import model
 from dandelionpick.batch import polling
+from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
@@ -38,9 +39,11 @@
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Commits changed progress, one commit at a time."""
     schedule = state.schedule
+    if schedule is None:
+        return
+    run_records.record_overdue(schedule, step.moment.now_s)
     if (
-        schedule is None
-        or schedule.saving
+        schedule.saving
         or not schedule.unsaved
         or schedule.stage is schedule_state.Stage.READING
         or step.moment.now_s < schedule.save_at_s
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -1,5 +1,6 @@
 """In-memory state of the scheduler: jobs, runs and targets."""
 
+import collections
 import dataclasses
 import enum
 
@@ -316,6 +317,8 @@
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
         starts: bounds the starts that are in flight.
+        unanswered_starts: runs whose start may not have been recorded, in the
+            order in which they were sent.
         waiting_units: how many steps it found waiting for room.
         unsaved: jobs whose progress has to be stored.
         saving: a commit of progress is in progress.
@@ -350,6 +353,9 @@
     starts: start_window.StartWindow = dataclasses.field(
         default_factory=start_window.StartWindow
     )
+    unanswered_starts: collections.deque[Run] = dataclasses.field(
+        default_factory=collections.deque
+    )
     waiting_units: int = 0
     unsaved: set[ids.JobId] = dataclasses.field(default_factory=set)
     saving: bool = False
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -25,7 +25,12 @@
 
 def record_crashes_only() -> None:
     """Records a run when it is lost, not when it starts."""
-    run_records._record_start = lambda schedule, run: None
+    run_records._record_start = lambda schedule, run, evidence: None
+
+
+def record_confirmed_starts_only() -> None:
+    """Records no start whose reply is overdue."""
+    run_records.record_overdue = lambda schedule, now_s: None
 
 
 def count_silence() -> None:
@@ -180,6 +185,11 @@
         record_crashes_only,
         CRASHES,
     ),
+    mutant.Mutant(
+        "a start without a reply is recorded before a takeover can hide it",
+        record_confirmed_starts_only,
+        CRASHES,
+    ),
     mutant.Mutant("silence is not a crash", count_silence, CRASHES),
     mutant.Mutant(
         "a target that is alive has not crashed", count_living_targets, CRASHES
