Store the start of a suspected task before it is sent

Cause: a scheduler that had been cut off from the store 0.5 s before, and didn't know yet, started the task again within its lease. Ruled out: waiting until the crash is stored. Change: a task under which a target has crashed is planned, its start is stored, and then sent, all of a gang together. While the store fails, such tasks wait.

--- a/dandelionpick/batch/job_progress.py
+++ b/dandelionpick/batch/job_progress.py
@@ -146,6 +146,7 @@
     else:
         job.progress.runs.pop(name, None)
     job.version += 1
+    task.records_version = job.version
 
 
 def is_complete(job: schedule_state.Job) -> bool:
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -75,20 +75,15 @@
     return now_s + lease_s + CLOCK_MARGIN_S
 
 
-def start(
-    state: state_lib.State,
-    step: dispatch.Step,
+def add_run(
+    schedule: schedule_state.Schedule,
     task: schedule_state.Task,
     step_run: schedule_state.StepRun,
     target_id: ids.TargetId,
     attempt: ids.Attempt,
-) -> None:
-    """Starts a task on a target, without waiting for the reply."""
-    schedule = state.schedule
-    assert schedule is not None
-    job = schedule.jobs[task.key.job_id]
-    target = schedule.targets[target_id]
-    now_s = step.moment.now_s
+    now_s: float,
+) -> schedule_state.Run:
+    """Adds a run of a task, whose start is to be sent to a target."""
     run = schedule_state.Run(
         task.key,
         attempt,
@@ -102,14 +97,26 @@
         checkpoint=task.checkpoint,
     )
     runs.add(schedule, run, task)
+    return run
+
+
+def send_start(
+    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+) -> None:
+    """Orders a target to start a run, without waiting for the reply."""
+    schedule = state.schedule
+    assert schedule is not None
+    job = schedule.jobs[run.task.job_id]
+    target = schedule.targets[run.target]
+    now_s = step.moment.now_s
     message = target_api.StartRun(
-        target_id,
+        run.target,
         schedule.epoch,
-        task.key,
-        attempt,
+        run.task,
+        run.attempt,
         job.record.spec.payload,
         lease_until_ms(state, target, now_s),
-        task.checkpoint,
+        run.checkpoint,
     )
     schedule.starts.record_sent()
     schedule.unanswered_starts.append(run)
@@ -117,6 +124,7 @@
     dispatch.call(
         state, step, destination(target), message, context, START_TIMEOUT_S
     )
+    target.poll_at_s = min(target.poll_at_s, now_s)
 
 
 def stop(
--- /dev/null
+++ b/dandelionpick/batch/planned_starts.py
@@ -0,0 +1,125 @@
+"""Sends the starts of suspected tasks once the store has a record of them.
+
+The load replayed is a task that crashes each target that starts it, while
+schedulers are lost or cut off from the store. A start that only such a
+scheduler knew would not count for its successor, and the task would start
+without limit.
+"""
+
+from collections.abc import Sequence
+
+from dandelionpick import dispatch
+from dandelionpick import effects
+from dandelionpick.batch import crash_budget
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import orders
+from dandelionpick.batch import roster
+from dandelionpick.batch import run_records
+from dandelionpick.batch import runs
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+
+# Starts that are not stored by then are given up, so that their resources are
+# not kept for them. A commit takes some milliseconds.
+STORE_TIMEOUT_S = 1.0
+
+
+def may_plan(state: state_lib.State) -> bool:
+    """Returns whether the store serves, so that starts can be stored."""
+    return state.store_health.failing_since_s == float("inf")
+
+
+def plan(
+    schedule: schedule_state.Schedule, planned: Sequence[schedule_state.Run]
+) -> None:
+    """Records the starts of a unit, to be sent once they are stored."""
+    for run in planned:
+        run.state = schedule_state.RunState.PLANNED
+        run_records.record_planned(schedule, run)
+    schedule.planned_starts.append(list(planned))
+
+
+def tick(state: state_lib.State, step: dispatch.Step) -> None:
+    """Sends the planned starts that are stored, and drops those in vain."""
+    schedule = state.schedule
+    if schedule is None or not schedule.planned_starts:
+        return
+    planned_starts, schedule.planned_starts = schedule.planned_starts, []
+    for planned in planned_starts:
+        if not all(_is_planned(schedule, run) for run in planned):
+            _drop(state, step, planned, "one of them was stopped or lost")
+        elif not _is_possible(state, step, planned):
+            _drop(state, step, planned, "not stored in time, or no target")
+        elif all(run_records.is_stored(schedule, run) for run in planned):
+            _send(state, step, planned)
+        else:
+            schedule.planned_starts.append(planned)
+
+
+def _is_planned(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> bool:
+    target = schedule.targets.get(run.target)
+    return (
+        run.state is schedule_state.RunState.PLANNED
+        and target is not None
+        and target.runs.get((run.task, run.attempt)) is run
+    )
+
+
+def _is_possible(
+    state: state_lib.State,
+    step: dispatch.Step,
+    planned: Sequence[schedule_state.Run],
+) -> bool:
+    schedule = state.schedule
+    assert schedule is not None
+    now_s = step.moment.now_s
+    if not leadership_bounds.may_start(state, now_s):
+        return False
+    if now_s - planned[0].ordered_s >= STORE_TIMEOUT_S:
+        return False
+    targets = [schedule.targets[run.target] for run in planned]
+    return all(
+        target.entry is not None
+        and not target.is_draining()
+        and not target.failed
+        and roster.may_use(schedule, target)
+        for target in targets
+    )
+
+
+def _send(
+    state: state_lib.State,
+    step: dispatch.Step,
+    planned: Sequence[schedule_state.Run],
+) -> None:
+    schedule = state.schedule
+    assert schedule is not None
+    for run in planned:
+        run.state = schedule_state.RunState.ORDERED
+        run.ordered_s = run.progressed_s = step.moment.now_s
+        orders.send_start(state, step, run)
+        crash_budget.observe(schedule, run.target, step.moment.now_s)
+
+
+def _drop(
+    state: state_lib.State,
+    step: dispatch.Step,
+    planned: Sequence[schedule_state.Run],
+    reason: str,
+) -> None:
+    """Gives up planned starts; none of them was sent."""
+    schedule = state.schedule
+    assert schedule is not None
+    step.note(
+        effects.Component.SCHEDULER,
+        f"gave up {len(planned)} planned starts: {reason}",
+        job=planned[0].task.job_id,
+        attempt=planned[0].attempt,
+        targets=sorted({run.target for run in planned}),
+    )
+    for run in planned:
+        if _is_planned(schedule, run):
+            runs.remove(schedule, run)
+            run_records.forget_run(schedule, run.task, run.attempt)
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -13,6 +13,7 @@
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leaving
 from dandelionpick.batch import monitoring
+from dandelionpick.batch import planned_starts
 from dandelionpick.batch import polling
 from dandelionpick.batch import renewal
 from dandelionpick.batch import requests
@@ -43,6 +44,7 @@
     requests.tick,
     scheduling.tick,
     saving.tick,
+    planned_starts.tick,
     retention.tick,
     leaving.tick,
 )
@@ -54,6 +56,7 @@
     roster.follow_up,
     scheduling.tick,
     saving.tick,
+    planned_starts.tick,
 )
 
 
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -122,7 +122,7 @@
     runs.keep_checkpoint(schedule, run, run.checkpoint, run.percent)
     orders.stop_other_gang_members(state, step, run)
     runs.remove(schedule, run)
-    if loss in CRASHES:
+    if loss in CRASHES and run.state is not schedule_state.RunState.PLANNED:
         crash_budget.record_crash(state, step, run)
     else:
         run_records.forget_run(schedule, run.task, run.attempt)
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -38,6 +38,24 @@
         _forget_earlier_runs(schedule, run)
 
 
+def record_planned(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> None:
+    """Records a start before it is sent."""
+    _record_start(schedule, run, model.CrashEvidence.UNCONFIRMED)
+
+
+def is_stored(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> bool:
+    """Returns whether the store has the present records of a run's task."""
+    found = _find_unfinished(schedule, run.task)
+    if found is None:
+        return False
+    job, task = found
+    return task.records_version <= job.stored_version
+
+
 def record_overdue(schedule: schedule_state.Schedule, now_s: float) -> None:
     """Records the starts whose reply is overdue; their targets may run them."""
     while schedule.unanswered_starts:
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -17,9 +17,11 @@
 class RunState(enum.Enum):
     """State of a run as far as the scheduler knows.
 
-    UNRESOLVED means that the start got no reply and may still take effect.
+    PLANNED means that the start is sent once the store has a record of it, and
+    UNRESOLVED that it got no reply and may still take effect.
     """
 
+    PLANNED = "planned"
     ORDERED = "ordered"
     UNRESOLVED = "unresolved"
     RUNNING = "running"
@@ -33,7 +35,7 @@
     Attributes:
         needs: the resources that it occupies.
         job_known: the task belongs to a job that the scheduler knows.
-        ordered_s: when the start was sent or the run was adopted.
+        ordered_s: when the start was planned or sent, or the run was adopted.
         unresolved_s: when the call that starts it failed; inf before. A listing
             that was sent later and lacks the run shows that the start has not
             taken effect so far.
@@ -81,6 +83,7 @@
         moves: how many runs were moved before any visible progress.
         records: its runs that have not ended as far as is known. Those that
             are not in `runs` were lost with their target.
+        records_version: version of the job's progress that has the records.
     """
 
     key: model.TaskKey
@@ -93,6 +96,7 @@
     preemptions: int = 0
     moves: int = 0
     records: list[model.RunRecord] = dataclasses.field(default_factory=list)
+    records_version: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -317,6 +321,8 @@
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
         starts: bounds the starts that are in flight.
+        planned_starts: starts of suspected tasks that are being stored; those
+            of each item are sent together.
         unanswered_starts: runs whose start may not have been recorded, in the
             order in which they were sent.
         waiting_units: how many steps it found waiting for room.
@@ -353,6 +359,7 @@
     starts: start_window.StartWindow = dataclasses.field(
         default_factory=start_window.StartWindow
     )
+    planned_starts: list[list[Run]] = dataclasses.field(default_factory=list)
     unanswered_starts: collections.deque[Run] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -17,6 +17,7 @@
 from dandelionpick.batch import orders
 from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import placement
+from dandelionpick.batch import planned_starts
 from dandelionpick.batch import preemption
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
@@ -184,9 +185,11 @@
                 break
             if tasks:
                 rank = guarantees.rank(schedule, job)
-                yield PlacementUnit(
+                unit = PlacementUnit(
                     job, step_run, tasks, urgency(job, step_run, rank)
                 )
+                if not unit.is_suspected or planned_starts.may_plan(state):
+                    yield unit
 
 
 def _stop_incomplete_gang(
@@ -295,15 +298,22 @@
         waited_s=round(waited_s, 2),
         targets=sorted(set(chosen)),
     )
+    started = []
     for task, target_id in zip(unit.tasks, chosen, strict=False):
         capacity.take(unit, target_id)
-        orders.start(state, step, task, unit.step_run, target_id, attempt)
-        target = schedule.targets[target_id]
-        target.poll_at_s = min(target.poll_at_s, now_s)
+        started.append(
+            orders.add_run(
+                schedule, task, unit.step_run, target_id, attempt, now_s
+            )
+        )
     if unit.is_suspected:
+        planned_starts.plan(schedule, started)
         for target_id in set(chosen):
             crash_budget.observe(schedule, target_id, now_s)
             capacity.close(target_id)
+    else:
+        for run in started:
+            orders.send_start(state, step, run)
     return True
 
 
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -53,6 +53,11 @@
     run_records._judge = lambda target, run: model.CrashEvidence.EARLY
 
 
+def send_before_starts_are_stored() -> None:
+    """Starts a suspected task although the store has no record of that."""
+    run_records.is_stored = lambda schedule, run: True
+
+
 def forgive_doubtful_crashes() -> None:
     """Starts a task again however often crashes don't prove anything."""
     crash_budget.MAX_CRASHES_OF_ANY_KIND = 1_000
@@ -190,6 +195,11 @@
         record_confirmed_starts_only,
         CRASHES,
     ),
+    mutant.Mutant(
+        "the start of a suspected task is stored before it is sent",
+        send_before_starts_are_stored,
+        CRASHES,
+    ),
     mutant.Mutant("silence is not a crash", count_silence, CRASHES),
     mutant.Mutant(
         "a target that is alive has not crashed", count_living_targets, CRASHES
--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -125,7 +125,7 @@
         self.assertLessEqual(fabric.world.starts[TASK], MAX_STARTS)
         self.assertIs(fabric.state_of(1), model.JobState.FAILED)
 
-    def test_suspected_task_waits_until_its_crashes_are_stored(self):
+    def test_suspected_task_starts_only_once_the_start_is_stored(self):
         """Guards against starts by a scheduler that can't record them."""
         fabric = self.build(target_count=6)
         fabric.submit(1, builders.body(builders.phase(3), crashes=True))
