Tests of planned starts; targets that shrink meanwhile; split two test modules

Nothing starts on a target whose capacity has shrunk between the plan and the send (test_start_is_not_sent_to_a_target_that_shrinks_meanwhile fails without the check). The tests of innocent tasks and of unlisted targets move to modules of their own, as they are.

--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -83,6 +83,7 @@
     return all(
         target.entry is not None
         and not target.is_draining()
+        and not target.is_exceeded()
         and not target.failed
         and roster.may_use(schedule, target)
         for target in targets
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -12,6 +12,7 @@
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import kinds
+from dandelionpick.batch import store_api
 from dandelionpick.batch import target_api
 from dandelionpick.platform import store
 from dandelionpick.platform import targets
@@ -84,7 +85,15 @@
         exchange = (reply[0], msgspec.json.encode(reply[1]))
         reply_later(lambda: store.decode_reply(message, exchange))
 
-    fabric.store.serve(method, target, body, fabric.now_s, done, instance.name)
+    def serve() -> None:
+        fabric.store.serve(
+            method, target, body, fabric.now_s, done, instance.name
+        )
+
+    if fabric.commit_delay_s and isinstance(message, store_api.Commit):
+        fabric.call_later(fabric.commit_delay_s, serve)
+    else:
+        serve()
 
 
 def _call_target(
@@ -142,6 +151,6 @@
 def _timeout_s(call: effects.Call) -> float:
     if isinstance(call.message, target_api.ListRuns):
         return targets.listing_timeout_s(call.message)
-    if isinstance(call.message, store.store_api.Watch):
+    if isinstance(call.message, store_api.Watch):
         return call.message.wait_s + store.WATCH_MARGIN_S
     return call.timeout_s
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -33,6 +33,7 @@
     "tests.test_batch_jobs",
     "tests.test_batch_faults",
     "tests.test_batch_succession",
+    "tests.test_batch_unlisted_targets",
     "tests.test_batch_store_faults",
 )
 ALL = (*JOBS, "tests.test_batch_fuzz")
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -15,7 +15,11 @@
 from dandelionpick.batch import target_health
 from tests import mutant
 
-CRASHES = ("tests.test_batch_crash_budget",)
+CRASHES = (
+    "tests.test_batch_crash_budget",
+    "tests.test_batch_innocent_tasks",
+    "tests.test_batch_planned_starts",
+)
 
 
 def count_no_crash() -> None:
