Look at a target before a suspected task starts there

Cause: five crashes of any kind now end a job. Four of the five were of targets that had gone before the start was sent, so that the task never ran there. Change: a suspected task is sent to a target only after that has answered a listing sent when the start was planned, at the same time as the start is stored. An unconfirmed crash then says that the target was alive just before. test_targets_that_crashed_before_the_start_do_not_count now counts six dead targets in place of four, each of which goes just before the task fits there: five crashes counted before, at most one after. It replaces a test that waited for the lease of each unconfirmed start, which is not sent any more; test_starts_that_did_not_arrive_do_not_fail_a_job takes over its other half: four unconfirmed crashes alone don't fail a job.

--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -4,6 +4,10 @@
 schedulers are lost or cut off from the store. A start that only such a
 scheduler knew would not count for its successor, and the task would start
 without limit.
+
+The other load is a task that only happens to be sent to targets that are down
+already, while many targets crash by themselves. Each target has to answer just
+before the start is sent, so that a crash without a reply counts for something.
 """
 
 from collections.abc import Sequence
@@ -13,15 +17,16 @@
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
+from dandelionpick.batch import polling
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_records
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
-# Starts that are not stored by then are given up, so that their resources are
-# not kept for them. A commit takes some milliseconds.
-STORE_TIMEOUT_S = 1.0
+# Starts that can't be sent by then are given up, so that their resources are
+# not kept for them. A commit and a listing take some milliseconds.
+PLAN_TIMEOUT_S = 1.0
 
 
 def may_plan(state: state_lib.State) -> bool:
@@ -30,13 +35,20 @@
 
 
 def plan(
-    schedule: schedule_state.Schedule, planned: Sequence[schedule_state.Run]
+    state: state_lib.State,
+    step: dispatch.Step,
+    planned: Sequence[schedule_state.Run],
 ) -> None:
-    """Records the starts of a unit, to be sent once they are stored."""
+    """Records the starts of a unit and lists the targets that are to run it."""
+    schedule = state.schedule
+    assert schedule is not None
     for run in planned:
         run.state = schedule_state.RunState.PLANNED
         run_records.record_planned(schedule, run)
     schedule.planned_starts.append(list(planned))
+    for target_id in {run.target for run in planned}:
+        # A listing in progress may wait for an end; a new one returns at once.
+        polling.poll(state, step, schedule.targets[target_id])
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -49,8 +61,8 @@
         if not all(_is_planned(schedule, run) for run in planned):
             _drop(state, step, planned, "one of them was stopped or lost")
         elif not _is_possible(state, step, planned):
-            _drop(state, step, planned, "not stored in time, or no target")
-        elif all(run_records.is_stored(schedule, run) for run in planned):
+            _drop(state, step, planned, "not possible any more, or in time")
+        elif all(_is_ready(schedule, run) for run in planned):
             _send(state, step, planned)
         else:
             schedule.planned_starts.append(planned)
@@ -67,6 +79,16 @@
     )
 
 
+def _is_ready(
+    schedule: schedule_state.Schedule, run: schedule_state.Run
+) -> bool:
+    """Returns whether a start is stored, and its target has answered."""
+    target = schedule.targets[run.target]
+    return target.clock_s >= run.ordered_s and run_records.is_stored(
+        schedule, run
+    )
+
+
 def _is_possible(
     state: state_lib.State,
     step: dispatch.Step,
@@ -77,7 +99,7 @@
     now_s = step.moment.now_s
     if not leadership_bounds.may_start(state, now_s):
         return False
-    if now_s - planned[0].ordered_s >= STORE_TIMEOUT_S:
+    if now_s - planned[0].ordered_s >= PLAN_TIMEOUT_S:
         return False
     targets = [schedule.targets[run.target] for run in planned]
     return all(
@@ -121,6 +143,9 @@
         targets=sorted({run.target for run in planned}),
     )
     for run in planned:
+        target = schedule.targets.get(run.target)
+        if target is not None and target.clock_s < run.ordered_s:
+            target.backoff_until_s = step.moment.now_s + orders.BACKOFF_S
         if _is_planned(schedule, run):
             runs.remove(schedule, run)
             run_records.forget_run(schedule, run.task, run.attempt)
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -130,7 +130,11 @@
 
 
 def _wait_s(target: schedule_state.Target) -> float:
-    if not target.runs:
+    if not target.runs or any(
+        run.state is schedule_state.RunState.PLANNED
+        and target.clock_s < run.ordered_s
+        for run in target.runs.values()
+    ):
         return 0.0
     unresolved = [
         run
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -307,7 +307,7 @@
             )
         )
     if unit.is_suspected:
-        planned_starts.plan(schedule, started)
+        planned_starts.plan(state, step, started)
         for target_id in set(chosen):
             crash_budget.observe(schedule, target_id, now_s)
             capacity.close(target_id)
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -74,6 +74,7 @@
             exchange if the instance is killed; by exchange.
         lost_start_share: share of the starts that are carried out and get no
             reply.
+        dropped_start_share: share of the starts that do not arrive.
         commit_delay_s: how long the store takes for each commit.
         late_share: share of the orders to targets that get no reply and are
             executed `late_s` later.
@@ -104,6 +105,7 @@
         self.cut: set[frozenset[str]] = set()
         self.muted_targets: set[str] = set()
         self.lost_start_share = 0.0
+        self.dropped_start_share = 0.0
         self.commit_delay_s = 0.0
         self.late_share = 0.0
         self.late_s = 5.0
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -109,6 +109,12 @@
     path, body = targets.encode_request(message)
     body = json.loads(msgspec.json.encode(body))
     starts = isinstance(message, target_api.StartRun)
+    if (
+        starts
+        and fabric.dropped_start_share
+        and fabric.random.random() < fabric.dropped_start_share
+    ):
+        return
     muted = name in fabric.muted_targets or (
         starts
         and fabric.lost_start_share
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -8,6 +8,7 @@
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import pass_capacity
+from dandelionpick.batch import planned_starts
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
@@ -62,6 +63,11 @@
     run_records.is_stored = lambda schedule, run: True
 
 
+def send_without_looking() -> None:
+    """Starts a suspected task on a target that may be down already."""
+    planned_starts._is_ready = run_records.is_stored
+
+
 def forgive_doubtful_crashes() -> None:
     """Starts a task again however often crashes don't prove anything."""
     crash_budget.MAX_CRASHES_OF_ANY_KIND = 1_000
@@ -204,6 +210,11 @@
         send_before_starts_are_stored,
         CRASHES,
     ),
+    mutant.Mutant(
+        "a target answers before it starts a suspected task",
+        send_without_looking,
+        CRASHES,
+    ),
     mutant.Mutant("silence is not a crash", count_silence, CRASHES),
     mutant.Mutant(
         "a target that is alive has not crashed", count_living_targets, CRASHES
--- a/tests/test_batch_innocent_tasks.py
+++ b/tests/test_batch_innocent_tasks.py
@@ -71,28 +71,52 @@
         self.assertIs(fabric.state_of(1), model.JobState.FAILED)
 
     def test_targets_that_crashed_before_the_start_do_not_count(self):
-        """Guards against a job that fails although none of its runs started."""
-        fabric = self.build(target_count=1)
-        fabric.crash_target("t0")
+        """Guards against a job that fails although none of its runs started.
+
+        Each target crashes just before the task fits there.
+        """
+        fabric = self.build(target_count=0)
         fabric.submit(1, builders.body())
-        schedule = fabric.scheduler().state.schedule
-        for number in range(MAX_CRASHES + 1):
-            target = schedule.targets[f"t{number}"]
-            fabric.run_until(lambda t=target: t.runs)
-            fabric.run_until(lambda t=target: self.left_s(fabric, t) < 1.0)
-            following = f"t{number + 1}"
-            fabric.add_target(following)
-            fabric.run_until(lambda t=target: self.left_s(fabric, t) < 0.1)
-            if number < MAX_CRASHES:
-                fabric.crash_target(following)
+        for number in range(crash_budget.MAX_CRASHES_OF_ANY_KIND + 1):
+            name = f"t{number}"
+            target = fabric.add_target(name)
+            fabric.resize_target(name, gpu=0)
+            fabric.run_for(1.0)
+            fabric.crash_target(name)
+            fabric.resize_target(name, gpu=8)
+            fabric.run_for(SILENCE_S)
+            self.assertFalse(target.up)
+        self.assertLessEqual(self.count(fabric), 1)
+        fabric.add_target("live")
         fabric.until_completed(1)
         self.assertEqual(fabric.world.starts[TASK], 1)
 
-    def left_s(
-        self, fabric: batch_fabric.Fabric, target: schedule_state.Target
-    ) -> float:
-        """Returns how long the leases on a target last."""
-        return target.lease_ends_s - fabric.now_s
+    def test_starts_that_did_not_arrive_do_not_fail_a_job(self):
+        """Guards against targets that crash before they could start a task."""
+        fabric = self.build(target_count=2)
+        fabric.dropped_start_share = 1.0
+        fabric.submit(1, builders.body())
+        for _ in range(crash_budget.MAX_CRASHES_OF_ANY_KIND - 1):
+            fabric.run_until(lambda: self.sent_run(fabric))
+            fabric.crash_target(self.sent_run(fabric).target, back_s=3.0)
+            fabric.run_for(4.0)
+        self.assertEqual(
+            self.count(fabric), crash_budget.MAX_CRASHES_OF_ANY_KIND - 1
+        )
+        fabric.dropped_start_share = 0.0
+        fabric.until_completed(1)
+        self.assertEqual(fabric.world.starts[TASK], 1)
+
+    def sent_run(
+        self, fabric: batch_fabric.Fabric
+    ) -> schedule_state.Run | None:
+        """Returns the run of the task whose start was sent, or None."""
+        schedule = fabric.scheduler().state.schedule
+        task = schedule.jobs[builders.job_id(1)].steps[0, 0].tasks[0]
+        for run in task.runs.values():
+            if run.state is not schedule_state.RunState.PLANNED:
+                return run
+        return None
 
     def test_silent_targets_do_not_fail_a_job(self):
         """Guards against work given up because its target was only silent."""
--- a/tests/test_batch_planned_starts.py
+++ b/tests/test_batch_planned_starts.py
@@ -112,7 +112,7 @@
         run = self.plan(fabric)
         schedule = fabric.scheduler().state.schedule
         fabric.store.outages[""] = platform_store.Outage.SILENT
-        fabric.run_for(planned_starts.STORE_TIMEOUT_S + 0.1)
+        fabric.run_for(planned_starts.PLAN_TIMEOUT_S + 0.1)
         self.assertNotIn(
             (run.task, run.attempt), schedule.targets[run.target].runs
         )
