Say why a planned start was not sent; fuzz starts that don't arrive or get no reply

The line named two causes at once. The fuzzer of tasks that crash their targets draws shares of starts that are dropped, and of starts whose replies are lost.

--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -58,10 +58,8 @@
         return
     planned_starts, schedule.planned_starts = schedule.planned_starts, []
     for planned in planned_starts:
-        if not all(_is_planned(schedule, run) for run in planned):
-            _drop(state, step, planned, "one of them was stopped or lost")
-        elif not _is_possible(state, step, planned):
-            _drop(state, step, planned, "not possible any more, or in time")
+        if problem := _find_problem(state, step, planned):
+            _drop(state, step, planned, problem)
         elif all(_is_ready(schedule, run) for run in planned):
             _send(state, step, planned)
         else:
@@ -84,31 +82,50 @@
 ) -> bool:
     """Returns whether a start is stored, and its target has answered."""
     target = schedule.targets[run.target]
-    return target.clock_s >= run.ordered_s and run_records.is_stored(
-        schedule, run
-    )
+    return _has_answered(target, run) and run_records.is_stored(schedule, run)
+
+
+def _has_answered(
+    target: schedule_state.Target, run: schedule_state.Run
+) -> bool:
+    """Returns whether a target has answered since a start was planned."""
+    return target.clock_s >= run.ordered_s
 
 
-def _is_possible(
+def _find_problem(
     state: state_lib.State,
     step: dispatch.Step,
     planned: Sequence[schedule_state.Run],
-) -> bool:
+) -> str:
+    """Returns why planned starts can't be sent any more, or ""."""
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
+    if not all(_is_planned(schedule, run) for run in planned):
+        return "one of them was stopped or lost"
     if not leadership_bounds.may_start(state, now_s):
-        return False
-    if now_s - planned[0].ordered_s >= PLAN_TIMEOUT_S:
-        return False
+        return "this instance may not start work at present"
     targets = [schedule.targets[run.target] for run in planned]
-    return all(
+    for target in targets:
+        if not _takes_work(schedule, target):
+            return f"{target.id} takes no work any more"
+    if now_s - planned[0].ordered_s < PLAN_TIMEOUT_S:
+        return ""
+    for target, run in zip(targets, planned, strict=True):
+        if not _has_answered(target, run):
+            return f"{target.id} has not answered"
+    return "the store has no record of them yet"
+
+
+def _takes_work(
+    schedule: schedule_state.Schedule, target: schedule_state.Target
+) -> bool:
+    return (
         target.entry is not None
         and not target.is_draining()
         and not target.is_exceeded()
         and not target.failed
         and roster.may_use(schedule, target)
-        for target in targets
     )
 
 
@@ -144,7 +161,7 @@
     )
     for run in planned:
         target = schedule.targets.get(run.target)
-        if target is not None and target.clock_s < run.ordered_s:
+        if target is not None and not _has_answered(target, run):
             target.backoff_until_s = step.moment.now_s + orders.BACKOFF_S
         if _is_planned(schedule, run):
             runs.remove(schedule, run)
--- a/tests/test_batch_crash_fuzz.py
+++ b/tests/test_batch_crash_fuzz.py
@@ -42,6 +42,19 @@
     def rename_crashed(self, renames):
         self.fabric.renames_crashed = renames
 
+    @stateful.rule(share=strategies.sampled_from((0.0, 0.7)))
+    def lose_start_replies(self, share):
+        self.fabric.lost_start_share = share
+
+    @stateful.rule(share=strategies.sampled_from((0.0, 0.7)))
+    def drop_starts(self, share):
+        self.fabric.dropped_start_share = share
+
+    def teardown(self):
+        self.fabric.lost_start_share = 0.0
+        self.fabric.dropped_start_share = 0.0
+        super().teardown()
+
     def check_end(self, number: int) -> None:
         """Checks that deadly jobs have failed, and others only with cause."""
         job = builders.job_id(number)
