Wait longer for a slow store before a planned start is given up

A commit may wait for the one before it; at sixty times its usual time that takes half a second, and a start that was given up after 1 s was planned again from the start. Found by reading; no play showed it.

--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -25,8 +25,9 @@
 from dandelionpick.batch import state as state_lib
 
 # Starts that can't be sent by then are given up, so that their resources are
-# not kept for them. A commit and a listing take some milliseconds.
-PLAN_TIMEOUT_S = 1.0
+# not kept for them. A commit and a listing take some milliseconds, and on a slow
+# store half a second.
+PLAN_TIMEOUT_S = 2.0
 
 
 def may_plan(state: state_lib.State) -> bool:
