--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -25,8 +25,8 @@
 from dandelionpick.batch import state as state_lib
 
 # Starts that can't be sent by then are given up, so that their resources are
-# not kept for them. A commit and a listing take some milliseconds, and on a slow
-# store half a second.
+# not kept for them. A commit and a listing take some milliseconds, and half a
+# second if the store is slow.
 PLAN_TIMEOUT_S = 2.0
 
 
