Keep planned starts within the bound on starts

After the crash of a rack, many tasks are suspected at once. Their starts were planned in one pass and sent together, beyond the bound that keeps a weak scheduler from being late with renewals. Found by reading; test_planned_starts_respect_the_bound_on_starts fails without the check.

--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -61,7 +61,9 @@
     for planned in planned_starts:
         if problem := _find_problem(state, step, planned):
             _drop(state, step, planned, problem)
-        elif all(_is_ready(schedule, run) for run in planned):
+        elif schedule.starts.has_room() and all(
+            _is_ready(schedule, run) for run in planned
+        ):
             _send(state, step, planned)
         else:
             schedule.planned_starts.append(planned)
@@ -110,12 +112,21 @@
     for target in targets:
         if not _takes_work(schedule, target):
             return f"{target.id} takes no work any more"
-    if now_s - planned[0].ordered_s < PLAN_TIMEOUT_S:
-        return ""
-    for target, run in zip(targets, planned, strict=True):
-        if not _has_answered(target, run):
-            return f"{target.id} has not answered"
-    return "the store has no record of them yet"
+    if now_s - planned[0].ordered_s >= PLAN_TIMEOUT_S:
+        return _describe_delay(schedule, planned)
+    return ""
+
+
+def _describe_delay(
+    schedule: schedule_state.Schedule, planned: Sequence[schedule_state.Run]
+) -> str:
+    """Returns what planned starts are still waiting for."""
+    for run in planned:
+        if not _has_answered(schedule.targets[run.target], run):
+            return f"{run.target} has not answered"
+        if not run_records.is_stored(schedule, run):
+            return "the store has no record of them yet"
+    return "too many other starts are in progress"
 
 
 def _takes_work(
--- a/tests/test_batch_planned_starts.py
+++ b/tests/test_batch_planned_starts.py
@@ -1,5 +1,6 @@
 """Starts that wait until the store has a record of them."""
 
+import math
 import unittest
 
 from dandelionpick.batch import model
@@ -105,6 +106,20 @@
         task = schedule.task_of(run.task)
         self.assertEqual(len(run_records.crashes(schedule, task)), 1)
 
+    def test_planned_starts_respect_the_bound_on_starts(self):
+        """Guards against a burst of starts after a rack has crashed."""
+        fabric = self.build(target_count=4)
+        self.crash_once(fabric, builders.body(builders.phase(1), crashes=True))
+        run = self.plan(fabric)
+        window = fabric.scheduler().state.schedule.starts
+        others = math.ceil(window.limit)
+        window.in_flight += others
+        fabric.run_for(1.0)
+        self.assertIs(self.planned_run(fabric), run)
+        self.assertEqual(fabric.world.starts[TASK], 1)
+        window.in_flight -= others
+        fabric.run_until(lambda: fabric.world.starts[TASK] == 2, 0.2)
+
     def test_start_that_is_not_stored_in_time_frees_its_target(self):
         """Guards against resources that are kept for a start in vain."""
         fabric = self.build(target_count=3)
