--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -173,6 +173,17 @@
     roster._build_roster = lambda schedule, state, step: schedule.roster
 
 
+def trust_own_roster() -> None:
+    """Waits for no leases if this instance wrote the roster."""
+    set_deadlines = roster._set_unlisted_deadlines
+
+    def set_unless_own(schedule, state, step):
+        if schedule.roster.scheduler != state.identity.instance:
+            set_deadlines(schedule, state, step)
+
+    roster._set_unlisted_deadlines = set_unless_own
+
+
 def blame_nothing() -> None:
     """Sends work to targets on which every run fails."""
     target_health.record_ending = lambda target, ending, step: None
@@ -331,6 +342,11 @@
     mutant.Mutant(
         "the store records which targets may hold runs", extend_silent, ALL
     ),
+    mutant.Mutant(
+        "a scheduler waits for the leases of its own last epoch",
+        trust_own_roster,
+        ("tests.test_batch_unlisted_targets",),
+    ),
     *crash_mutants.MUTANTS,
     *overload_mutants.MUTANTS,
 )
