--- a/tests/test_batch_crash_budget.py
+++ b/tests/test_batch_crash_budget.py
@@ -1,8 +1,10 @@
 """Tasks that crash the targets on which they run, and others that do not."""
 
+import itertools
 import unittest
 from unittest import mock
 
+from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import run_records
 from tests import batch_builders as builders
@@ -256,5 +258,49 @@
         self.assertNotIn(observed, places)
 
 
+class LimitTest(unittest.TestCase):
+    """What the crashes of a task's targets add up to."""
+
+    def is_exhausted(self, evidence: str) -> bool:
+        kinds = {kind.value[0]: kind for kind in model.CrashEvidence}
+        return crash_budget.is_exhausted(
+            [
+                model.RunRecord(number, "t", 0, kinds[letter])
+                for number, letter in enumerate(evidence)
+            ]
+        )
+
+    def test_limits(self):
+        """Guards against limits that depend on the order of the crashes.
+
+        The letters stand for early, late and unconfirmed.
+        """
+        cases = {
+            "eeu": True,
+            "eel": True,
+            "eul": False,
+            "uuu": False,
+            "uuue": True,
+            "uuuu": True,
+            "elll": False,
+            "llll": False,
+            "lllll": True,
+        }
+        for evidence, expected in cases.items():
+            for order in set(itertools.permutations(evidence)):
+                with self.subTest("".join(order)):
+                    self.assertIs(self.is_exhausted("".join(order)), expected)
+
+    def test_two_crashes_may_be_a_coincidence(self):
+        """Guards against a job that fails with the second crash."""
+        for pair in itertools.product("elu", repeat=2):
+            self.assertFalse(self.is_exhausted("".join(pair)))
+
+    def test_five_crashes_are_too_many(self):
+        """Guards against a task without a limit, whatever is known of it."""
+        for crashes in itertools.product("elu", repeat=MAX_STARTS):
+            self.assertTrue(self.is_exhausted("".join(crashes)))
+
+
 if __name__ == "__main__":
     unittest.main()
