--- a/tests/test_batch_innocent_tasks.py
+++ b/tests/test_batch_innocent_tasks.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from dandelionpick.batch import crash_budget
 from dandelionpick.batch import model
 from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
@@ -12,6 +11,8 @@
 from tests import test_batch_jobs
 
 MAX_CRASHES = 3
+MAX_CRASHES_AFTER_STARTS = 4
+MAX_CRASHES_OF_ANY_KIND = 5
 # Longer than the leases, and than the time until an entry expires.
 SILENCE_S = 12.0
 # Between two crashes that have nothing to do with the task.
@@ -63,7 +64,7 @@
         """Guards against a task that crashes its targets without limit."""
         fabric = self.build(target_count=12)
         fabric.submit(1, builders.body(work_s=60.0))
-        for _ in range(crash_budget.MAX_CRASHES_OF_ANY_KIND):
+        for _ in range(MAX_CRASHES_OF_ANY_KIND):
             target = self.place(fabric)
             fabric.run_for(2.0)
             fabric.crash_target(target)
@@ -77,7 +78,7 @@
         """
         fabric = self.build(target_count=0)
         fabric.submit(1, builders.body())
-        for number in range(crash_budget.MAX_CRASHES_OF_ANY_KIND + 1):
+        for number in range(MAX_CRASHES_OF_ANY_KIND + 1):
             name = f"t{number}"
             target = fabric.add_target(name)
             fabric.resize_target(name, gpu=0)
@@ -96,13 +97,11 @@
         fabric = self.build(target_count=2)
         fabric.dropped_start_share = 1.0
         fabric.submit(1, builders.body())
-        for _ in range(crash_budget.MAX_CRASHES_AFTER_STARTS - 1):
+        for _ in range(MAX_CRASHES_AFTER_STARTS - 1):
             fabric.run_until(lambda: self.sent_run(fabric))
             fabric.crash_target(self.sent_run(fabric).target, back_s=3.0)
             fabric.run_for(4.0)
-        self.assertEqual(
-            self.count(fabric), crash_budget.MAX_CRASHES_AFTER_STARTS - 1
-        )
+        self.assertEqual(self.count(fabric), MAX_CRASHES_AFTER_STARTS - 1)
         fabric.dropped_start_share = 0.0
         fabric.until_completed(1)
         self.assertEqual(fabric.world.starts[TASK], 1)
