--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -108,17 +108,11 @@
         return
     path, body = targets.encode_request(message)
     body = json.loads(msgspec.json.encode(body))
-    starts = isinstance(message, target_api.StartRun)
-    if (
-        starts
-        and fabric.dropped_start_share
-        and fabric.random.random() < fabric.dropped_start_share
-    ):
+    is_start = isinstance(message, target_api.StartRun)
+    if is_start and _happens(fabric, fabric.dropped_start_share):
         return
     muted = name in fabric.muted_targets or (
-        starts
-        and fabric.lost_start_share
-        and fabric.random.random() < fabric.lost_start_share
+        is_start and _happens(fabric, fabric.lost_start_share)
     )
 
     def done(reply: platform_store.Reply) -> None:
@@ -138,6 +132,11 @@
     target.serve(path, body, fabric.now_s, done)
 
 
+def _happens(fabric: Any, share: float) -> bool:
+    """Draws whether a fault happens; a share of 0 leaves the draws alone."""
+    return share > 0.0 and fabric.random.random() < share
+
+
 def _call_peer(
     fabric: Any, name: str, message: Any, reply_later: Any, finish: Any
 ) -> None:
