--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -396,14 +396,16 @@
 
 
 def main(case: Case, folder: pathlib.Path) -> int:
-    """Runs a script; returns 1 if a rule was broken, 0 if not, 2 on trouble.
+    """Runs a script; returns 1 if a rule was broken, 0 if not, 2 if it can't.
+
+    The command's argument is the script's TROUBLE; 0 means no disruption.
 
     Args:
         case: plays the case; its second argument tells whether to bring about
             the disruption.
         folder: the folder of the case, which gets the record.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:] != ["0"]
 
     async def play() -> int:
         deployment = Deployment(folder / "record.txt")
