Need evidence that there is no successor before acting without the store

Cause: the cut-off scheduler took leases for ended that it had not extended itself, although its successor had; and the successor waited for one lease only for targets without an entry, although the old scheduler extended theirs for 20 s.

Ruled out: the fences. No target is reached by both sides, so that none refuses.

Change: a scheduler acts only while its key is confirmed by a watch, or all targets obey it, in the last 3 s; takes a lease for ended only if its key was confirmed afterwards; and a successor waits for these 3 s and a lease. The intake watch of the scheduler returns every 0.5 s instead of 1 s, so that the evidence is fresh when a cut begins.

The tests of the batch path pass, seven mutants about leases and takeovers and the two new ones are caught.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -58,7 +58,7 @@
         limits=state_lib.Limits(),
     )
     state.election.role = state_lib.Role.LEADING
-    state.election.renewed_s = float("inf")
+    state.election.acquired_s = float("inf")
     schedule = schedule_state.Schedule(ids.Epoch(1), 0.0)
     schedule.stage = schedule_state.Stage.READY
     state.schedule = schedule
--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -354,6 +354,7 @@
     election.record = state_lib.SchedulerRecord(
         state.identity.instance, state.incarnation, state.identity.peer_address
     )
+    election.acquired_s = renewed_s
     election.renewed_s = renewed_s
     election.elected_s = step.moment.now_s
     election.lag_share = 0.0
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -32,6 +32,8 @@
 # Interval between listings of a target that runs nothing, so that its clock is
 # known and a dead target is found before work is sent to it.
 IDLE_PERIOD_S = 3.0
+# The same while the store does not confirm that there is no successor.
+UNCONFIRMED_IDLE_PERIOD_S = 1.2
 # Listings of targets that run nothing that may be in progress at the same time.
 # Others wait, so that a scheduler with hundreds of targets does not keep its
 # event loop busy with them.
@@ -56,16 +58,27 @@
     """Sends the listings that are due, and resolves uncertain runs."""
     schedule = state.schedule
     now_s = step.moment.now_s
-    if schedule is None or not leadership_bounds.may_send_orders(state, now_s):
+    if schedule is None or not leadership_bounds.may_list(state, now_s):
         return
     if schedule.stage is schedule_state.Stage.READING:
         return
-    for target in list(schedule.targets.values()):
-        run_resolution.resolve(state, step, target)
+    leadership_bounds.record_obedience(schedule)
+    if leadership_bounds.may_send_orders(state, now_s):
+        for target in list(schedule.targets.values()):
+            run_resolution.resolve(state, step, target)
+    if not leadership_bounds.is_key_confirmed(state, now_s):
+        _list_idle_targets_sooner(schedule)
     for target in due_targets(schedule, now_s):
         poll(state, step, target)
 
 
+def _list_idle_targets_sooner(schedule: schedule_state.Schedule) -> None:
+    for target in schedule.targets.values():
+        if target.listed and not target.failed and not target.runs:
+            due_s = target.obeyed_s + UNCONFIRMED_IDLE_PERIOD_S
+            target.poll_at_s = min(target.poll_at_s, due_s)
+
+
 def due_targets(
     schedule: schedule_state.Schedule, now_s: float
 ) -> list[schedule_state.Target]:
@@ -97,16 +110,21 @@
 def poll(
     state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
 ) -> None:
-    """Lists a target's runs, unless this instance may not send orders."""
+    """Lists a target's runs, and extends their leases if that is allowed."""
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    if not leadership_bounds.may_send_orders(state, now_s):
+    if not leadership_bounds.may_list(state, now_s):
         return
     target.poll_pending = True
     target.poll_serial += 1
     reachable = target.listed and not target.failed
-    extend = reachable and target.runs and roster.may_use(schedule, target)
+    extend = (
+        reachable
+        and target.runs
+        and roster.may_use(schedule, target)
+        and leadership_bounds.may_send_orders(state, now_s)
+    )
     lease_until_ms = (
         orders.lease_until_ms(state, target, now_s) if extend else None
     )
@@ -237,6 +255,7 @@
     assert schedule is not None
     now_s = step.moment.now_s
     _record_answer(state, step, target, listed)
+    target.obeyed_s = max(target.obeyed_s, context.sent_s)
     for ended in sorted(listed.ended, key=lambda ended: ended.number):
         if ended.number > target.processed:
             target.processed = ended.number
@@ -293,6 +312,8 @@
     if not target.listed:
         target.listed = True
         schedule.dirty = True
+        if target.unlisted_until_s > float("-inf"):
+            schedule.fenced_s = min(schedule.fenced_s, now_s)
         # An earlier scheduler may have extended the lease just before this.
         target.lease_ends_s = max(
             target.lease_ends_s, orders.longest_lease_end_s(state, now_s)
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -121,13 +121,18 @@
         if (unregistered or target.replaced) and not target.runs:
             continue
         desired.addresses[target.id] = target.address
-        _mark_silent(target, step.moment)
+        _mark_silent(state, schedule, target, step.moment)
         if target.silent_until_ms:
             desired.silent_until_ms[target.id] = target.silent_until_ms
     return desired
 
 
-def _mark_silent(target: schedule_state.Target, moment: events.Moment) -> None:
+def _mark_silent(
+    state: state_lib.State,
+    schedule: schedule_state.Schedule,
+    target: schedule_state.Target,
+    moment: events.Moment,
+) -> None:
     """Sets when everything on a silent target must have ended."""
     now_s = moment.now_s
     if target.listed and not target.failed:
@@ -136,7 +141,7 @@
     if target.silent_until_ms:
         return
     if not target.listed:
-        ends_s = target.unlisted_until_s
+        ends_s = leadership_bounds.unlisted_until_s(state, schedule, target)
     elif now_s - target.failing_since_s > SILENT_AFTER_S:
         ends_s = target.lease_ends_s
     else:
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -9,6 +9,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import schedule_state
@@ -40,7 +41,9 @@
             state, step, target, run_endings.Loss.SHUT_DOWN
         )
         return
-    if target.failed and now_s > target.lease_ends_s and target.runs:
+    # A successor may have extended the leases, unless there was none.
+    lapsed = leadership_bounds.key_confirmed_s(state) > target.lease_ends_s
+    if target.failed and lapsed and target.runs:
         _drop_lost_runs(state, step, target)
     for run in list(target.runs.values()):
         unresolved = run.state is schedule_state.RunState.UNRESOLVED
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -176,6 +176,8 @@
         poll_serial: number of the latest listing; replies to others are
             ignored.
         poll_at_s: the next listing is not sent before this time.
+        obeyed_s: when the last listing that it answered was sent; it had not
+            obeyed a later scheduler by then.
         failed: the last listing failed.
         unheard: its leases have ended since it last answered.
         failing_since_s: when the first of the failed listings was sent.
@@ -211,6 +213,7 @@
     poll_pending: bool = False
     poll_serial: int = 0
     poll_at_s: float = float("-inf")
+    obeyed_s: float = float("-inf")
     failed: bool = False
     unheard: bool = False
     failing_since_s: float = float("inf")
@@ -318,6 +321,9 @@
     Attributes:
         began_s: when the takeover began.
         fencing_started_s: when the fencing stage began.
+        fenced_s: when a target of an earlier scheduler was first listed; inf
+            before.
+        obeyed_by_all_s: no target had obeyed a later scheduler by then.
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
         starts: bounds the starts that are in flight.
@@ -350,6 +356,8 @@
     began_s: float
     stage: Stage = Stage.READING
     fencing_started_s: float = 0.0
+    fenced_s: float = float("inf")
+    obeyed_by_all_s: float = float("-inf")
     jobs: dict[ids.JobId, Job] = dataclasses.field(default_factory=dict)
     targets: dict[ids.TargetId, Target] = dataclasses.field(
         default_factory=dict
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -119,6 +119,7 @@
             create the key.
         campaign_at_s: when to start a campaign; None if none is planned.
         lease: lease of the key that this instance wrote; 0 if there is none.
+        acquired_s: when the key was surely this instance's own at first.
         renewed_s: when the last successful renewal was sent.
         renew_at_s: when to send the next renewal.
         renewal_pending: whether a renewal is in progress.
@@ -143,6 +144,7 @@
     replaces_revision: int = 0
     campaign_at_s: float | None = None
     lease: ids.LeaseId = ids.LeaseId(0)
+    acquired_s: float = float("-inf")
     renewed_s: float = float("-inf")
     renew_at_s: float = 0.0
     renewal_pending: bool = False
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -20,13 +20,11 @@
 from dandelionpick.batch import watching
 
 TARGETS_WATCH_S = 2.0
-INTAKE_WATCH_S = 1.0
+# Each reply also confirms that the scheduler's key is unchanged.
+INTAKE_WATCH_S = 0.5
 # Targets that have not been listed by then are treated as unreachable;
 # reachable ones answer within 30 ms.
 FENCING_TIMEOUT_S = 0.4
-# How long after a takeover a missing entry may still reappear: entries that
-# expired while the store was unavailable are back within 2 s.
-ENTRY_RECOVERY_S = 2.5
 
 
 def begin(
@@ -129,14 +127,8 @@
     state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
 ) -> bool:
     """Returns whether earlier tasks may run on targets not listed yet."""
-    lease_s = state.limits.run_lease_s * leadership_bounds.CLOCK_DRIFT_FACTOR
-    for target in schedule.targets.values():
-        until_s = target.unlisted_until_s
-        if target.entry is None and now_s > schedule.began_s + ENTRY_RECOVERY_S:
-            # It can't reach the store either: it has shut down or crashed, or
-            # has only the leases that it had at the takeover.
-            until_s = min(until_s, schedule.began_s + lease_s)
-        unknown = not (target.listed or target.replaced)
-        if unknown and now_s < until_s:
-            return True
-    return False
+    return any(
+        not (target.listed or target.replaced)
+        and now_s < leadership_bounds.unlisted_until_s(state, schedule, target)
+        for target in schedule.targets.values()
+    )
--- a/dandelionpick/batch/watches.py
+++ b/dandelionpick/batch/watches.py
@@ -18,6 +18,7 @@
         listed: whether all pages of the listing were read.
         last_listed_key: last key of the pages read so far.
         listing_revision: the store's revision at the first page.
+        listing_sent_s: when the call for the first page was sent.
         listed_keys: keys of the pages read so far.
         revisions: last applied revision of each key.
         revision: all changes up to this revision were applied.
@@ -32,6 +33,7 @@
     listed: bool = False
     last_listed_key: str = ""
     listing_revision: int = 0
+    listing_sent_s: float = float("-inf")
     listed_keys: set[str] = dataclasses.field(default_factory=set)
     revisions: dict[str, int] = dataclasses.field(default_factory=dict)
     revision: int = 0
--- a/dandelionpick/batch/watching.py
+++ b/dandelionpick/batch/watching.py
@@ -202,6 +202,7 @@
 ) -> None:
     if not watch.last_listed_key:
         watch.listing_revision = reply.revision
+        watch.listing_sent_s = context.sent_s
     for item in reply.items:
         watch.listed_keys.add(item.key)
         apply_if_newer(state, step, watch, item)
@@ -215,7 +216,7 @@
     watch.listed_keys = set()
     watch.last_listed_key = ""
     watch.revision = watch.listing_revision
-    watch.confirmed_s = max(watch.confirmed_s, context.sent_s)
+    watch.confirmed_s = max(watch.confirmed_s, watch.listing_sent_s)
     apply_listed(watch, state, step)
     if not watch.pending and watch.wait_s > 0:
         _send_call(state, step, watch)
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -81,6 +81,7 @@
         renames_crashed: a target that a task has crashed comes back under
             another id.
         replaced_targets: targets whose address another target has.
+        unheard_targets: targets that can't reach the store.
         retention_s: how long instances keep the state of ended jobs.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
@@ -111,6 +112,7 @@
         self.late_s = 5.0
         self.renames_crashed = True
         self.replaced_targets: set[str] = set()
+        self.unheard_targets: set[str] = set()
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
         self.log: list[str] = []
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -36,6 +36,7 @@
     "tests.test_batch_unlisted_targets",
     "tests.test_batch_store_faults",
 )
+PARTITION = ("tests.test_batch_partition",)
 ALL = (*JOBS, "tests.test_batch_fuzz")
 
 
@@ -215,12 +216,23 @@
 def extend_for_ever() -> None:
     """Extends leases however long the scheduler can't renew its own lease."""
     leadership_bounds.LEADERSHIP_WITHOUT_STORE_S = 1e6
+    leadership_bounds.UNCONFIRMED_LEADERSHIP_S = 1e6
     takeover.has_unlisted_targets = lambda state, schedule, now_s: (
         now_s < schedule.began_s + 31.0
         and any(not target.listed for target in schedule.targets.values())
     )
 
 
+def assume_no_successor() -> None:
+    """Takes leases that it has not extended for ended, whoever else has."""
+    leadership_bounds.key_confirmed_s = lambda state: float("inf")
+
+
+def continue_without_evidence() -> None:
+    """Sends orders although some targets may obey a successor."""
+    leadership_bounds.may_send_orders = leadership_bounds.may_list
+
+
 def monitor_nobody() -> None:
     """Waits for the lease of a failed scheduler to expire."""
     monitoring._call_scheduler = lambda state, step, is_retry=False: None
@@ -286,6 +298,16 @@
         extend_for_ever,
         JOBS,
     ),
+    mutant.Mutant(
+        "leases that a successor may have extended are not taken for ended",
+        assume_no_successor,
+        PARTITION,
+    ),
+    mutant.Mutant(
+        "a scheduler without evidence that it has no successor sends no orders",
+        continue_without_evidence,
+        PARTITION,
+    ),
     mutant.Mutant(
         "changes of the scheduler and of jobs are seen in commit order",
         learn_jobs_out_of_order,
--- a/tests/batch_target_faults.py
+++ b/tests/batch_target_faults.py
@@ -23,6 +23,7 @@
         renames_crashed: a target that a task has crashed comes back under
             another id.
         replaced_targets: targets whose address another target has.
+        unheard_targets: targets that can't reach the store.
         call_later: schedules an action.
         add_target: adds a target.
     """
@@ -32,6 +33,7 @@
     world: platform_oracle.World
     renames_crashed: bool
     replaced_targets: set[str]
+    unheard_targets: set[str]
     call_later: Callable[..., None]
     add_target: Callable[..., Any]
 
@@ -68,8 +70,21 @@
         target.capacity = {**target.capacity, **capacity}
         self.store.put(keys.TARGETS_PREFIX + name, target.entry())
 
+    def cut_from_store(self, name: str) -> None:
+        """Cuts the link of a target to the store; its entry expires."""
+        self.unheard_targets.add(name)
+        target = self.world.targets[name]
+        self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
+
+    def rejoin_store(self, name: str) -> None:
+        """Restores the link of a target to the store."""
+        self.unheard_targets.discard(name)
+        target = self.world.targets[name]
+        if target.up:
+            self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+
     def _expire_entry(self, target: platform_targets.Target) -> None:
-        if not target.up:
+        if not target.up or target.id in self.unheard_targets:
             self.store.remove(keys.TARGETS_PREFIX + target.id)
 
     def _reboot(self, target: platform_targets.Target) -> None:
--- a/tests/crest_builders.py
+++ b/tests/crest_builders.py
@@ -64,7 +64,7 @@
     """Builds a scheduler that has listed all its targets, which are idle."""
     state = batch_builders.state("e0")
     state.election.role = state_lib.Role.LEADING
-    state.election.renewed_s = float("inf")
+    state.election.acquired_s = float("inf")
     schedule = schedule_state.Schedule(ids.Epoch(1), 0.0)
     schedule.stage = schedule_state.Stage.READY
     state.schedule = schedule
