Don't take an expired entry of a draining target for its exit

Cause: an entry goes when its target has left, or after three heartbeats of silence. Each removal after a report of draining counted as an exit once a listing failed, also that of a target that was cut off and had 5 s left of its leases.

Ruled out: leases computed too short; the log shows the removal, not a lease.

Change: an exit shows in three ways that have to agree: the target drained, its entry went when it stopped answering, and its machine closed connections. Otherwise its work waits for its leases, and counts as lost by a planned shutdown.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -187,7 +187,11 @@
             (),
         )
         context = polling.ListContext(
-            schedule.epoch, target.id, target.poll_serial, clock["now_s"]
+            schedule.epoch,
+            target.id,
+            target.poll_serial,
+            clock["now_s"],
+            polling.WAIT_S,
         )
         polling._apply_listing(state, step(), target, context, listed)
 
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -42,6 +42,9 @@
 # waits for.
 MAX_FIRST_LISTINGS = 64
 RETRY_S = 0.25
+# The shortest time after which a listing, or the connection for it, times out,
+# in addition to the requested wait.
+MIN_TIMEOUT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +55,7 @@
     target: ids.TargetId
     serial: int
     sent_s: float
+    wait_s: float
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -136,7 +140,9 @@
         lease_until_ms,
         _wait_s(target) if reachable else 0.0,
     )
-    context = ListContext(schedule.epoch, target.id, target.poll_serial, now_s)
+    context = ListContext(
+        schedule.epoch, target.id, target.poll_serial, now_s, message.wait_s
+    )
     dispatch.call(
         state,
         step,
@@ -189,6 +195,11 @@
     target = _target_of(context, state)
     if target is None:
         return
+    timeout_s = MIN_TIMEOUT_S
+    if failure is kinds.CallFailure.LOST:
+        timeout_s += context.wait_s
+    # A call that fails before its timeout was broken off or refused.
+    target.closed |= step.moment.now_s - context.sent_s < timeout_s
     _record_failed_listing(step, target, context, failure.value)
 
 
@@ -256,6 +267,8 @@
     now_s = step.moment.now_s
     _record_answer(state, step, target, listed)
     target.obeyed_s = max(target.obeyed_s, context.sent_s)
+    # A target that has left would not have answered.
+    target.expired |= context.sent_s > target.unregistered_s
     for ended in sorted(listed.ended, key=lambda ended: ended.number):
         if ended.number > target.processed:
             target.processed = ended.number
@@ -304,6 +317,7 @@
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
     target.failed = False
+    target.closed = False
     target.unheard = False
     target.replaced = False
     target.failing_since_s = float("inf")
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -27,12 +27,11 @@
 ) -> None:
     """Stops unresolved starts, repeats stops, and drops lost runs.
 
-    The runs of a target are lost if it fails to answer after it drained. If it
-    fails to answer after its lease ended, those are lost that can't have ended
-    before.
+    The runs of a target are lost if it has left. If it fails to answer after
+    its lease ended, those are lost that can't have ended before.
     """
     now_s = step.moment.now_s
-    if target.failed and target.departed and target.runs:
+    if target.has_left() and target.runs:
         step.note(
             effects.Component.TARGETS,
             f"{target.id} has shut down; {len(target.runs)} runs are lost",
@@ -78,9 +77,12 @@
             silent_s=round(step.moment.now_s - target.failing_since_s, 1),
         )
     target.unheard = True
-    loss = (
-        run_endings.Loss.UNHEARD if target.entry else run_endings.Loss.EXPIRED
-    )
+    if target.departed:
+        loss = run_endings.Loss.SHUT_DOWN
+    elif target.entry is None:
+        loss = run_endings.Loss.EXPIRED
+    else:
+        loss = run_endings.Loss.UNHEARD
     for run in lost:
         run_endings.mark_lost(state, step, run, loss)
 
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -183,8 +183,12 @@
         failing_since_s: when the first of the failed listings was sent.
         replaced: another incarnation answers at its address, so that nothing
             runs there any more.
-        departed: it was draining when its entry was removed; once it stops
-            answering, nothing runs there.
+        departed: it was draining when its entry was removed. It has left, or
+            is silent.
+        unregistered_s: when its entry was removed.
+        expired: its entry may have been removed because it was silent.
+        closed: its machine has closed a connection, or refused one, since it
+            last answered.
         backoff_until_s: nothing is started there before this time.
         failures: failed runs since the last one that was done.
         quarantined_until_s: nothing is started there before this time, because
@@ -220,6 +224,9 @@
     backoff_until_s: float = float("-inf")
     replaced: bool = False
     departed: bool = False
+    unregistered_s: float = float("inf")
+    expired: bool = False
+    closed: bool = False
     failures: int = 0
     quarantined_until_s: float = float("-inf")
     unlisted_until_s: float = float("-inf")
@@ -249,6 +256,18 @@
             and self.entry.state is target_api.TargetState.DRAINING
         )
 
+    def has_left(self) -> bool:
+        """Returns whether it has exited after it drained.
+
+        An exit shows in three ways: the entry of a target that drains is gone,
+        it went when the target stopped answering, and connections were closed
+        by the target's machine. A target that is cut off stops answering well
+        before its entry expires, and its connections hang.
+        """
+        return (
+            self.departed and self.failed and self.closed and not self.expired
+        )
+
     def is_exceeded(self) -> bool:
         """Returns whether its capacity has shrunk below what runs occupy."""
         return self.entry is not None and not self.used.fits_in(
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -13,6 +13,12 @@
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
 
+# An exiting target removes its entry as it stops answering. The listing that
+# fails then was sent up to a second before, and the store may be slow to tell
+# of the removal. An entry that expires goes later: two heartbeats after the
+# target has fallen silent at the earliest.
+MAX_EXIT_S = 2.0
+
 
 def add_unregistered(
     schedule: schedule_state.Schedule, target_id: ids.TargetId, address: str
@@ -60,7 +66,8 @@
         run_endings.handle_restart(state, step, target, entry.started_ms)
     before = target.entry
     target.entry = entry
-    target.departed = False
+    target.departed = target.expired = False
+    target.unregistered_s = float("inf")
     schedule.dirty = True
     if before is None or before.state is not entry.state:
         step.note(
@@ -83,13 +90,18 @@
 def _remove_entry(
     schedule: schedule_state.Schedule, step: dispatch.Step, key: str
 ) -> None:
+    now_s = step.moment.now_s
     target = schedule.targets.get(ids.TargetId(key.rpartition("/")[2]))
     if target is not None and target.entry is not None:
         step.note(
             effects.Component.TARGETS, f"{target.id} is no longer registered"
         )
         target.departed = target.entry.state is target_api.TargetState.DRAINING
+        target.expired = (
+            target.failed and now_s - target.failing_since_s > MAX_EXIT_S
+        )
         target.entry = None
+        target.unregistered_s = now_s
 
 
 def drop_unregistered_targets(
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -82,6 +82,8 @@
             another id.
         replaced_targets: targets whose address another target has.
         unheard_targets: targets that can't reach the store.
+        refusing_targets: targets that have exited and whose machine is up, so
+            that it refuses connections.
         retention_s: how long instances keep the state of ended jobs.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
@@ -113,6 +115,7 @@
         self.renames_crashed = True
         self.replaced_targets: set[str] = set()
         self.unheard_targets: set[str] = set()
+        self.refusing_targets: set[str] = set()
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
         self.log: list[str] = []
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -70,7 +70,7 @@
     if call.destination.service is kinds.Service.STORE:
         _call_store(fabric, instance, call.message, reply_later)
     elif call.destination.service is kinds.Service.WORKER:
-        _call_target(fabric, peer, call.message, reply_later)
+        _call_target(fabric, peer, call.message, reply_later, finish)
     else:
         _call_peer(fabric, peer, call.message, reply_later, finish)
 
@@ -97,8 +97,11 @@
 
 
 def _call_target(
-    fabric: Any, name: str, message: Any, reply_later: Any
+    fabric: Any, name: str, message: Any, reply_later: Any, finish: Any
 ) -> None:
+    if name in fabric.refusing_targets:
+        finish(Failure(kinds.CallFailure.NOT_SENT))
+        return
     if name in fabric.replaced_targets:
         mismatch = (targets.INSTANCE_MISMATCH_STATUS, b"{}")
         reply_later(lambda: targets.decode_reply(message, mismatch))
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -19,6 +19,7 @@
 from dandelionpick.batch import run_resolution
 from dandelionpick.batch import runs
 from dandelionpick.batch import saving
+from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_health
 from dandelionpick.batch import submission
@@ -157,6 +158,13 @@
     pass_capacity.is_usable = is_usable
 
 
+def take_expiry_for_exit() -> None:
+    """Takes a draining target without an entry that is silent for gone."""
+    schedule_state.Target.has_left = lambda target: (
+        target.departed and target.failed
+    )
+
+
 def overcommit() -> None:
     """Frees the capacity of runs that are still being stopped."""
     stop = orders.stop
@@ -360,6 +368,11 @@
     mutant.Mutant("a job is written once", overwrite_jobs, ALL),
     mutant.Mutant("only the scheduler stores progress", save_as_anybody, ALL),
     mutant.Mutant("draining targets get no work", use_draining, JOBS),
+    mutant.Mutant(
+        "an entry that expired is not taken for an exit",
+        take_expiry_for_exit,
+        ("tests.test_batch_draining",),
+    ),
     mutant.Mutant("a stopping run keeps its capacity", overcommit, ALL),
     mutant.Mutant(
         "the store records which targets may hold runs", extend_silent, ALL
--- a/tests/batch_target_faults.py
+++ b/tests/batch_target_faults.py
@@ -24,6 +24,8 @@
             another id.
         replaced_targets: targets whose address another target has.
         unheard_targets: targets that can't reach the store.
+        refusing_targets: targets whose machine is up, so that it refuses
+            connections after they have exited.
         call_later: schedules an action.
         add_target: adds a target.
     """
@@ -34,6 +36,7 @@
     renames_crashed: bool
     replaced_targets: set[str]
     unheard_targets: set[str]
+    refusing_targets: set[str]
     call_later: Callable[..., None]
     add_target: Callable[..., Any]
 
@@ -91,8 +94,16 @@
         target.boot(self.now_s)
         self.store.put(keys.TARGETS_PREFIX + target.id, target.entry())
 
-    def drain_target(self, name: str, leaves_s: float) -> None:
-        """Marks a target as draining; it leaves after `leaves_s` seconds."""
+    def drain_target(
+        self, name: str, leaves_s: float, refuses: bool = True
+    ) -> None:
+        """Marks a target as draining; it leaves after `leaves_s` seconds.
+
+        Args:
+            name: name of the target.
+            leaves_s: seconds until it leaves.
+            refuses: whether its machine refuses connections from then on.
+        """
         target = self.world.targets[name]
         target.draining = True
         self.store.put(keys.TARGETS_PREFIX + name, target.entry())
@@ -100,5 +111,7 @@
         def leave() -> None:
             target.crash()
             self.store.remove(keys.TARGETS_PREFIX + name)
+            if refuses:
+                self.refusing_targets.add(name)
 
         self.call_later(leaves_s, leave)
