Don't take runs for gone whose end a full list may lack

Cause: a target lists at most 500 ends at a time. A run that was neither running nor among them counted as gone. A new scheduler, moreover, took a target for read that had shown it the first 500 ends only.

Ruled out: ends lost with a failed commit; the tasks are those of the ends beyond the 500, and start before the store is back.

Change: the adapter tells whether a listing may lack ends; nothing is concluded from what such a listing lacks, and a new scheduler waits for the rest.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -277,9 +277,11 @@
     for running in listed.running:
         listed_keys.add((running.task, running.attempt))
         _apply_running(state, step, target, running)
-    run_resolution.mark_missing_lost(
-        state, step, target, context.sent_s, listed_keys
-    )
+    target.has_more_ends = listed.has_more_ends
+    if not listed.has_more_ends:
+        run_resolution.mark_missing_lost(
+            state, step, target, context.sent_s, listed_keys
+        )
     run_resolution.stop_missing_unresolved(state, step, target, context.sent_s)
     target_health.reschedule_stalled_runs(state, step, target)
     _drop_stored_ends(schedule, target)
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -62,6 +62,7 @@
     target.ends.clear()
     target.last_attempts.clear()
     target.listed = False
+    target.has_more_ends = False
     target.poll_serial += 1
     target.poll_pending = False
     target.poll_at_s = step.moment.now_s
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -172,6 +172,8 @@
             is extended.
         listed: it was listed under this epoch, so orders of earlier epochs are
             void.
+        has_more_ends: the last listing did not show all ends, so that a run
+            that it lacks may have ended.
         poll_pending: a listing is in progress.
         poll_serial: number of the latest listing; replies to others are
             ignored.
@@ -214,6 +216,7 @@
     clock_s: float = 0.0
     lease_ends_s: float = float("-inf")
     listed: bool = False
+    has_more_ends: bool = False
     poll_pending: bool = False
     poll_serial: int = 0
     poll_at_s: float = float("-inf")
@@ -249,6 +252,17 @@
             return self.started_ms
         return self.entry.started_ms
 
+    def may_hide_ends(self) -> bool:
+        """Returns whether it holds ends that no listing has shown so far.
+
+        They are lost once it has neither an entry nor an answer.
+        """
+        return (
+            self.has_more_ends
+            and not self.replaced
+            and (self.entry is not None or not self.failed)
+        )
+
     def is_draining(self) -> bool:
         """Returns whether it ends by plan, or has done so."""
         return self.departed or (
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -126,9 +126,10 @@
 def has_unlisted_targets(
     state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
 ) -> bool:
-    """Returns whether earlier tasks may run on targets not listed yet."""
+    """Returns whether earlier tasks may be on targets not listed as a whole."""
     return any(
-        not (target.listed or target.replaced)
+        target.may_hide_ends()
+        or not (target.listed or target.replaced)
         and now_s < leadership_bounds.unlisted_until_s(state, schedule, target)
         for target in schedule.targets.values()
     )
--- a/dandelionpick/batch/target_api.py
+++ b/dandelionpick/batch/target_api.py
@@ -120,12 +120,16 @@
     Attributes:
         clock_ms: the target's clock when it replied.
         started_ms: Unix milliseconds of the target's start.
+        ended: the first of the ends.
+        has_more_ends: there may be more; a run that is not listed may have
+            ended.
     """
 
     clock_ms: int
     started_ms: int
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
+    has_more_ends: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandelionpick/batch/unheard_runs.py
+++ b/dandelionpick/batch/unheard_runs.py
@@ -127,7 +127,11 @@
         if member is None:
             return True
         target = schedule.targets.get(member.target)
-        if target is not None and not target.failed:
+        if (
+            target is not None
+            and not target.failed
+            and not target.has_more_ends
+        ):
             return True
     return False
 
@@ -136,6 +140,8 @@
     target: schedule_state.Target, run: schedule_state.Run
 ) -> bool:
     """Returns whether a run may have ended as done before its lease ended."""
+    if target.has_more_ends:
+        return True
     remaining_s = preemption_gain.remaining_s(run, run.progressed_s)
     if remaining_s == float("inf"):
         return True
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -19,6 +19,8 @@
 # Added to the requested wait of a listing to get the timeout of the call; it
 # covers ten round trips between regions.
 LISTING_MARGIN_S = 0.3
+# A target lists at most this many ends at a time.
+MAX_LISTED_ENDS = 500
 # Returned by a target that is not the instance named in x-expect-instance.
 INSTANCE_MISMATCH_STATUS = 421
 ORDER_PROBLEM_BY_REASON = {
@@ -235,6 +237,7 @@
         started_ms=wire.born,
         running=tuple(map(_decode_running, wire.running)),
         ended=tuple(map(_decode_ended, wire.finished)),
+        has_more_ends=len(wire.finished) >= MAX_LISTED_ENDS,
     )
 
 
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -26,6 +26,7 @@
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_health
 from dandelionpick.batch import watches
+from dandelionpick.platform import targets
 from tests import crash_mutants
 from tests import mutant
 from tests import overload_mutants
@@ -165,6 +166,11 @@
     )
 
 
+def believe_full_lists() -> None:
+    """Takes runs whose end is beyond a full list of ends for lost."""
+    targets.MAX_LISTED_ENDS = 1_000_000
+
+
 def overcommit() -> None:
     """Frees the capacity of runs that are still being stopped."""
     stop = orders.stop
@@ -373,6 +379,11 @@
         take_expiry_for_exit,
         ("tests.test_batch_draining",),
     ),
+    mutant.Mutant(
+        "a full list of ends does not show that a run is gone",
+        believe_full_lists,
+        ("tests.test_batch_many_ends",),
+    ),
     mutant.Mutant("a stopping run keeps its capacity", overcommit, ALL),
     mutant.Mutant(
         "the store records which targets may hold runs", extend_silent, ALL
