--- a/tests/test_batch_catalog_copy.py
+++ b/tests/test_batch_catalog_copy.py
@@ -24,6 +24,9 @@
 ASSIGNED_S = catalog_sources.MIN_TENURE_S + 2.5
 # Bound on a change of the configuration at the small deployments.
 APPLY_S = 2.5
+# A read of the store by an instance of another region that is busy.
+STORE_READ_S = 0.3
+STORE = "store"
 
 
 class CatalogCopyTest(test_batch_jobs.BatchTest):
@@ -100,6 +103,72 @@
                 reply.problem.kind, errors.ProblemKind.UNAUTHENTICATED
             )
 
+    def all_copying(self, fabric, number: int) -> list[batch_fabric.Instance]:
+        """Waits until all readers copy, and a little longer."""
+        expected = INSTANCES - 1 - catalog_sources.SOURCES_PER_REGION
+        fabric.run_until(lambda: len(self.copying(fabric)) == expected, 20.0)
+        fabric.run_for(1.0 + 0.07 * number)
+        return self.copying(fabric)
+
+    def lateness_s(self, fabric, readers, version: int) -> float:
+        """Changes the configuration; returns when the readers have it."""
+        self.change(fabric, version)
+        changed_s = fabric.now_s
+        while any(
+            reader.state.catalog.current.version < version for reader in readers
+        ):
+            self.assertLess(fabric.now_s, changed_s + 10.0)
+            fabric.run_for(0.01)
+        return fabric.now_s - changed_s
+
+    def test_change_while_a_source_is_cut_from_the_store(self):
+        """Guards against readers that wait too long for their source.
+
+        The change and the cut come at various moments of the calls between
+        readers, source and store.
+        """
+        fabric = self.build_far()
+        version = 1
+        for before_s in (0.03, 0.4):
+            for number in range(12):
+                readers = self.all_copying(fabric, number)
+                source = readers[0].state.catalog.source.partition(":")[0]
+                fabric.part(source, STORE)
+                fabric.run_for(before_s)
+                version += 1
+                late_s = self.lateness_s(fabric, readers, version)
+                self.assertLess(late_s, APPLY_S - STORE_READ_S)
+                fabric.cut.clear()
+
+    def test_change_while_the_store_refuses_a_source(self):
+        """Guards against the same if the store answers with an error."""
+        fabric = self.build_far()
+        version = 1
+        for before_s in (0.6, 1.0):
+            for number in range(12):
+                readers = self.all_copying(fabric, number)
+                source = readers[0].state.catalog.source.partition(":")[0]
+                fabric.store.outages[source] = platform_store.Outage.BUSY
+                fabric.run_for(before_s)
+                version += 1
+                late_s = self.lateness_s(fabric, readers, version)
+                self.assertLess(late_s, APPLY_S - STORE_READ_S)
+                fabric.store.outages.clear()
+
+    def test_change_while_a_source_does_not_answer(self):
+        """Guards against readers that wait too long for a silent source."""
+        fabric = self.build_far()
+        version = 1
+        for number in range(12):
+            readers = self.all_copying(fabric, number)
+            source = readers[0].state.catalog.source.partition(":")[0]
+            for name in fabric.instances:
+                fabric.part(source, name)
+            version += 1
+            late_s = self.lateness_s(fabric, readers, version)
+            self.assertLess(late_s, APPLY_S - STORE_READ_S)
+            fabric.cut.clear()
+
     def test_readers_stay_ready(self):
         """Guards against instances that leave the balancer while reading."""
         fabric = self.build_far()
