Don't take one closed connection of a draining target for its exit

Ruled out: another incarnation at the address, listings that lack a run; the logs say 'has shut down' before each violation.

Change: later listings have to go unanswered too, one of them sent 0.5 s after the entry went, and any answer after that shows that the target serves on. Two files are split, moves only.

--- a/dandelionpick/batch/locality.py
+++ b/dandelionpick/batch/locality.py
@@ -8,6 +8,7 @@
 """
 
 from dandelionpick import ids
+from dandelionpick.batch import capacity_views
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
@@ -55,7 +56,7 @@
 
 def view_of(
     schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
-) -> schedule_state.PoolView:
+) -> capacity_views.PoolView:
     """Returns what a pool can hold and since when it is idle; cached."""
     view = schedule.pool_views.get(pool)
     if view is None or now_s >= view.expires_s:
@@ -68,7 +69,7 @@
 
 def _build_view(
     schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
-) -> schedule_state.PoolView:
+) -> capacity_views.PoolView:
     entries_by_rack: dict[ids.Rack, list[target_api.TargetEntry]] = {}
     total = used = model.Resources()
     for target in schedule.targets.values():
@@ -91,6 +92,6 @@
             strict=True,
         )
     )
-    return schedule_state.PoolView(
+    return capacity_views.PoolView(
         now_s + VIEW_TTL_S, entries_by_rack, now_s if is_idle else float("inf")
     )
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -9,6 +9,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
 from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import listing_order
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
@@ -29,19 +30,9 @@
 # Interval between listings while ends can't be stored. Such ends are not
 # acknowledged, so each listing returns them at once instead of waiting.
 UNSAVED_PERIOD_S = 0.25
-# Interval between listings of a target that runs nothing, so that its clock is
-# known and a dead target is found before work is sent to it.
-IDLE_PERIOD_S = 3.0
-# The same while the store does not confirm that there is no successor.
-UNCONFIRMED_IDLE_PERIOD_S = 1.2
-# Listings of targets that run nothing that may be in progress at the same time.
-# Others wait, so that a scheduler with hundreds of targets does not keep its
-# event loop busy with them.
-MAX_IDLE_LISTINGS = 16
-# The same for targets that a new scheduler lists for the first time, which it
-# waits for.
-MAX_FIRST_LISTINGS = 64
 RETRY_S = 0.25
+# A reply may arrive this long after the target that sent it has left.
+LAST_REPLY_S = 0.1
 # The shortest time after which a listing, or the connection for it, times out,
 # in addition to the requested wait.
 MIN_TIMEOUT_S = 0.25
@@ -71,46 +62,11 @@
         for target in list(schedule.targets.values()):
             run_resolution.resolve(state, step, target)
     if not leadership_bounds.is_key_confirmed(state, now_s):
-        _list_idle_targets_sooner(schedule)
-    for target in due_targets(schedule, now_s):
+        listing_order.list_idle_targets_sooner(schedule)
+    for target in listing_order.due_targets(schedule, now_s):
         poll(state, step, target)
 
 
-def _list_idle_targets_sooner(schedule: schedule_state.Schedule) -> None:
-    for target in schedule.targets.values():
-        if target.listed and not target.failed and not target.runs:
-            due_s = target.obeyed_s + UNCONFIRMED_IDLE_PERIOD_S
-            target.poll_at_s = min(target.poll_at_s, due_s)
-
-
-def due_targets(
-    schedule: schedule_state.Schedule, now_s: float
-) -> list[schedule_state.Target]:
-    """Returns the targets to list now: those whose runs need a lease first.
-
-    Of the others, which run nothing, at most a few are listed at a time.
-    """
-    busy, first, idle = [], [], []
-    listing_first = listing_idle = 0
-    for target in schedule.targets.values():
-        if target.poll_pending:
-            listing_first += not target.listed
-            listing_idle += target.listed and not target.runs
-        elif now_s < target.poll_at_s:
-            continue
-        elif target.runs:
-            busy.append(target)
-        elif target.listed:
-            idle.append(target)
-        else:
-            first.append(target)
-    busy.sort(key=lambda target: target.lease_ends_s)
-    idle.sort(key=lambda target: target.poll_at_s)
-    first_room = max(0, MAX_FIRST_LISTINGS - listing_first)
-    idle_room = max(0, MAX_IDLE_LISTINGS - listing_idle)
-    return busy + first[:first_room] + idle[:idle_room]
-
-
 def poll(
     state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
 ) -> None:
@@ -199,7 +155,9 @@
     if failure is kinds.CallFailure.LOST:
         timeout_s += context.wait_s
     # A call that fails before its timeout was broken off or refused.
-    target.closed |= step.moment.now_s - context.sent_s < timeout_s
+    now_s = step.moment.now_s
+    if now_s - context.sent_s < timeout_s:
+        target.closed_s = min(target.closed_s, now_s)
     _record_failed_listing(step, target, context, failure.value)
 
 
@@ -222,6 +180,7 @@
     reason: str,
 ) -> None:
     target.poll_pending = False
+    target.unanswered_s = context.sent_s
     target.poll_at_s = step.moment.now_s + RETRY_S * target.listed
     if not target.failed:
         target.failed = True
@@ -250,7 +209,7 @@
         _record_failed_listing(step, target, context, reply.problem.value)
         if reply.problem is target_api.OrderProblem.OTHER_LIFE:
             run_endings.handle_replacement(state, step, target)
-            target.poll_at_s = step.moment.now_s + IDLE_PERIOD_S
+            target.poll_at_s = step.moment.now_s + listing_order.IDLE_PERIOD_S
         return
     _apply_listing(state, step, target, context, reply)
 
@@ -268,7 +227,7 @@
     _record_answer(state, step, target, listed)
     target.obeyed_s = max(target.obeyed_s, context.sent_s)
     # A target that has left would not have answered.
-    target.expired |= context.sent_s > target.unregistered_s
+    target.expired |= now_s > target.unregistered_s + LAST_REPLY_S
     for ended in sorted(listed.ended, key=lambda ended: ended.number):
         if ended.number > target.processed:
             target.processed = ended.number
@@ -295,7 +254,7 @@
         if not target.poll_pending:
             poll(state, step, target)
     else:
-        target.poll_at_s = now_s + IDLE_PERIOD_S
+        target.poll_at_s = now_s + listing_order.IDLE_PERIOD_S
 
 
 def _record_answer(
@@ -319,7 +278,7 @@
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
     target.failed = False
-    target.closed = False
+    target.closed_s = float("inf")
     target.unheard = False
     target.replaced = False
     target.failing_since_s = float("inf")
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -17,6 +17,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import capacity_views
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import model
@@ -129,7 +130,7 @@
     ):
         return False
     counts = collections.Counter(plan.targets)
-    schedule.reservations[unit.key] = schedule_state.Reservation(
+    schedule.reservations[unit.key] = capacity_views.Reservation(
         {target: unit.needs.times(counts[target]) for target in counts},
         now_s + state.limits.stop_s + LISTED_MARGIN_S,
     )
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -5,6 +5,7 @@
 import enum
 
 from dandelionpick import ids
+from dandelionpick.batch import capacity_views
 from dandelionpick.batch import model
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
@@ -13,6 +14,9 @@
 # numbers rise from one scheduler to the next without a write to the store.
 ATTEMPT_BITS = 16
 
+# A target that serves on without its entry answers a listing within this time.
+EXIT_CHECK_S = 0.5
+
 
 class RunState(enum.Enum):
     """State of a run as far as the scheduler knows.
@@ -172,8 +176,7 @@
             is extended.
         listed: it was listed under this epoch, so orders of earlier epochs are
             void.
-        has_more_ends: the last listing did not show all ends, so that a run
-            that it lacks may have ended.
+        has_more_ends: the last listing may not have shown all ends.
         poll_pending: a listing is in progress.
         poll_serial: number of the latest listing; replies to others are
             ignored.
@@ -185,12 +188,12 @@
         failing_since_s: when the first of the failed listings was sent.
         replaced: another incarnation answers at its address, so that nothing
             runs there any more.
-        departed: it was draining when its entry was removed. It has left, or
-            is silent.
+        departed: it was draining when its entry was removed.
         unregistered_s: when its entry was removed.
         expired: its entry may have been removed because it was silent.
-        closed: its machine has closed a connection, or refused one, since it
-            last answered.
+        closed_s: when its machine first closed a connection, or refused one,
+            since it last answered; inf if it did not.
+        unanswered_s: when the last listing that failed was sent.
         backoff_until_s: nothing is started there before this time.
         failures: failed runs since the last one that was done.
         quarantined_until_s: nothing is started there before this time, because
@@ -229,7 +232,8 @@
     departed: bool = False
     unregistered_s: float = float("inf")
     expired: bool = False
-    closed: bool = False
+    closed_s: float = float("inf")
+    unanswered_s: float = float("-inf")
     failures: int = 0
     quarantined_until_s: float = float("-inf")
     unlisted_until_s: float = float("-inf")
@@ -253,10 +257,7 @@
         return self.entry.started_ms
 
     def may_hide_ends(self) -> bool:
-        """Returns whether it holds ends that no listing has shown so far.
-
-        They are lost once it has neither an entry nor an answer.
-        """
+        """Returns whether it holds ends that no listing has shown so far."""
         return (
             self.has_more_ends
             and not self.replaced
@@ -273,13 +274,17 @@
     def has_left(self) -> bool:
         """Returns whether it has exited after it drained.
 
-        An exit shows in three ways: the entry of a target that drains is gone,
-        it went when the target stopped answering, and connections were closed
-        by the target's machine. A target that is cut off stops answering well
-        before its entry expires, and its connections hang.
+        The entry of a draining target went as it stopped answering, its machine
+        closed connections, and later listings got no answer either. A target
+        that is cut off stops answering well before its entry expires, and its
+        connections hang; one that serves on without its entry answers again.
         """
         return (
-            self.departed and self.failed and self.closed and not self.expired
+            self.departed
+            and self.failed
+            and not self.expired
+            and self.unanswered_s > self.closed_s
+            and self.unanswered_s > self.unregistered_s + EXIT_CHECK_S
         )
 
     def is_exceeded(self) -> bool:
@@ -295,50 +300,6 @@
         return self.entry.capacity.minus(self.used)
 
 
-@dataclasses.dataclass(slots=True)
-class Reservation:
-    """Resources that are being freed for a step.
-
-    Attributes:
-        resources: what is reserved, by target.
-    """
-
-    resources: dict[ids.TargetId, model.Resources]
-    expires_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class PoolView:
-    """Cached view of what the targets of a pool can hold.
-
-    Attributes:
-        expires_s: when it has to be rebuilt.
-        entries_by_rack: targets that take work, by rack.
-        idle_since_s: since when the pool has been idle; inf if it isn't.
-        task_capacity: how many tasks of a shape a rack can hold; filled on
-            demand.
-    """
-
-    expires_s: float
-    entries_by_rack: dict[ids.Rack, list[target_api.TargetEntry]]
-    idle_since_s: float
-    task_capacity: dict[tuple[ids.Rack, model.Resources, str], int] = (
-        dataclasses.field(default_factory=dict)
-    )
-
-    def max_tasks_in(self, spec: model.StepSpec, rack: ids.Rack) -> int:
-        """Returns how many tasks of a step an empty rack can hold."""
-        key = rack, spec.needs, spec.required_label
-        if key not in self.task_capacity:
-            self.task_capacity[key] = sum(
-                spec.needs.count_fitting_in(entry.capacity)
-                for entry in self.entries_by_rack.get(rack, ())
-                if not spec.required_label
-                or spec.required_label in entry.labels
-            )
-        return self.task_capacity[key]
-
-
 class Stage(enum.Enum):
     """Stage of a takeover."""
 
@@ -408,14 +369,14 @@
     unsaved: set[ids.JobId] = dataclasses.field(default_factory=set)
     saving: bool = False
     save_at_s: float = float("-inf")
-    reservations: dict[tuple[ids.JobId, int, int], Reservation] = (
-        dataclasses.field(default_factory=dict)
-    )
+    reservations: dict[
+        tuple[ids.JobId, int, int], capacity_views.Reservation
+    ] = dataclasses.field(default_factory=dict)
     observed_until_s: dict[ids.TargetId, float] = dataclasses.field(
         default_factory=dict
     )
     over_guarantee: frozenset[ids.JobId] = frozenset()
-    pool_views: dict[ids.PoolName, PoolView] = dataclasses.field(
+    pool_views: dict[ids.PoolName, capacity_views.PoolView] = dataclasses.field(
         default_factory=dict
     )
     headroom: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -16,6 +16,7 @@
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import ids
+from dandelionpick import kinds
 from dandelionpick import runtime
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
@@ -184,6 +185,11 @@
         """Cuts a link; messages across it are dropped without an error."""
         self.cut.add(frozenset((one, other)))
 
+    def fail_call(self, instance: Instance, call_id: ids.CallId) -> None:
+        """Closes the connection of a call in progress."""
+        failed = events.Failed(self.moment(), call_id, kinds.CallFailure.LOST)
+        self.deliver(instance, failed)
+
     def watch_call_id(self, instance: Instance, kind: type) -> ids.CallId:
         """Returns the id of a watch's call in progress."""
         return next(
