Refuse entries of targets with odd addresses or numbers, or nested deeply

Callers would see: tasks run twice after another writer has left an odd entry over the key of a target at work; an internal error for a deeply nested job.

Cause: the adapter checked the types of an entry, not its numbers or port, and did not catch the error of the decoder for nested values. An odd address or start was taken for a restart of the target.

Ruled out: processes that end, or a watch that stays behind; the guarded reducer goes on, and the next call reads the entries after the odd one.

Change: bounds on numbers, a pattern and a bound for addresses, nested values are invalid. A refused entry leaves what runs there alone.

--- a/dandelionpick/batch/peer_api.py
+++ b/dandelionpick/batch/peer_api.py
@@ -59,7 +59,7 @@
         return Failure(kinds.CallFailure.LOST)
     try:
         return Success(_reply_decoder.decode(body))
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return Failure(kinds.CallFailure.LOST)
 
 
--- a/dandelionpick/platform/configuration.py
+++ b/dandelionpick/platform/configuration.py
@@ -67,7 +67,7 @@
     """Returns the catalog, or a message that says why the value is invalid."""
     try:
         document = _decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Failure(str(error))
     return Success(
         catalog.Catalog(
--- a/dandelionpick/platform/jobs.py
+++ b/dandelionpick/platform/jobs.py
@@ -67,7 +67,7 @@
     """Returns the job, or a message that says why the body is invalid."""
     try:
         job = _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Failure(str(error))
     problem = _find_problem(job)
     if problem:
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -1,6 +1,8 @@
 """Decodes the targets' entries in the store and sends orders to targets."""
 
 import functools
+import re
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -32,12 +34,20 @@
 }
 
 
+# Far above anything that a target has or says of itself.
+Amount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Duration = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+MAX_PORT = 65_535
+_ADDRESS = re.compile(r"([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+
+
 class Capacity(msgspec.Struct):
     """Capacity of a target; cpu is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class Entry(msgspec.Struct):
@@ -56,8 +66,8 @@
     state: target_api.TargetState
     capacity: Capacity
     labels: list[str] = []
-    born: int = 0
-    remaining_ms: float = 0
+    born: Milliseconds = 0
+    remaining_ms: Duration = 0
 
 
 class Listing(msgspec.Struct):
@@ -93,10 +103,10 @@
     """Returns a target's entry, or a message that says why it is invalid."""
     try:
         wire = _entry_decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Failure(str(error))
-    _, colon, port = wire.address.rpartition(":")
-    if not colon or not port.isdigit():
+    matched = _ADDRESS.fullmatch(wire.address)
+    if matched is None or not 0 < int(matched[2]) <= MAX_PORT:
         return Failure(
             f'"{wire.address}" is not an address of the form host:port'
         )
@@ -216,7 +226,12 @@
                 reason, target_api.OrderProblem.INVALID
             )
             return Success(target_api.Rejected(problem))
-    except (msgspec.DecodeError, ValueError, TypeError) as error:
+    except (
+        msgspec.DecodeError,
+        ValueError,
+        TypeError,
+        RecursionError,
+    ) as error:
         logging.warning("targets: cannot decode a reply: %s", error)
         return Failure(kinds.CallFailure.LOST)
     if status == INSTANCE_MISMATCH_STATUS:
