--- a/dandelionpick/batch/peer_api.py
+++ b/dandelionpick/batch/peer_api.py
@@ -69,7 +69,7 @@
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
             message = _message_decoder.decode(await request.body())
-    except (TimeoutError, msgspec.DecodeError) as error:
+    except (TimeoutError, msgspec.DecodeError, RecursionError) as error:
         return responses.PlainTextResponse(f"{error}\n", status_code=400)
     name = type(getattr(message, "request", message)).__name__
     traceparent = request.headers.get("traceparent", "")
