Keep the waits that a large configuration needs

Readers leave a source that the store fails, at once and as soon as the source knows; a source that reads is waited for, as before.

--- a/dandelionpick/batch/catalog_copy.py
+++ b/dandelionpick/batch/catalog_copy.py
@@ -2,8 +2,7 @@
 
 The scheduler says from which one (`catalog_sources.py`). The reading instance
 keeps a long-poll call open there in place of its watch at the store. It returns
-to the store as soon as a call fails, the source can't reach the store, or the
-copy was not confirmed for too long.
+to the store as soon as a call fails, or the store fails the source.
 """
 
 import dataclasses
@@ -22,17 +21,12 @@
 # How long a call stays open. The source's watch and this wait together stay
 # well below the 3.5 s for which keys are accepted without confirmation.
 WAIT_S = 0.8
-# The same for the first call, as the last confirmation by the store may be old.
-FIRST_WAIT_S = 0.3
 TIMEOUT_MARGIN_S = 0.6
 # A source that other instances read has its own copy confirmed this often.
 SOURCE_WATCH_S = 0.5
-# If nothing fails, a copy is confirmed every 1.4 s, the time of a watch of the
-# source and of a call to it. A change has to be in force after 2.5 s.
-MAX_AGE_S = 2.0
-# A source is first called when the store has just confirmed the own copy, after
-# a watch of 1.2 s, so that the copy is young enough until the source replies.
-MAX_START_AGE_S = 1.4
+# A source that was not confirmed for this long is left although the store
+# serves it. Its readers would slow it down if it is reading a large version.
+MAX_READING_AGE_S = 8.0
 # The store is watched for at least this long after a source has failed.
 STORE_PERIOD_S = 2.0
 
@@ -56,18 +50,11 @@
     follow_up(state, step)
     catalog = state.catalog
     watch = state.watches.get(watches.CatalogWatch)
-    if watch is None:
-        return
-    age_s = step.moment.now_s - watch.confirmed_s
-    if catalog.copying:
-        if age_s > MAX_AGE_S:
-            reason = f"its copy was not confirmed for {age_s:.1f} s"
-            _return_to_store(state, step, watch, reason)
-        return
     if (
-        not watch.listed
+        watch is None
+        or not watch.listed
+        or catalog.copying
         or not catalog.source
-        or age_s > MAX_START_AGE_S
         or step.moment.now_s < catalog.store_until_s
     ):
         return
@@ -77,23 +64,20 @@
         effects.Component.CONFIGURATION,
         f"reading new versions from {catalog.source}",
     )
-    _send_call(state, step, watch, FIRST_WAIT_S)
+    _send_call(state, step, watch)
 
 
 def _send_call(
-    state: state_lib.State,
-    step: dispatch.Step,
-    watch: watches.Watch,
-    wait_s: float = WAIT_S,
+    state: state_lib.State, step: dispatch.Step, watch: watches.Watch
 ) -> None:
     source = state.catalog.source
     dispatch.call(
         state,
         step,
         effects.Destination(kinds.Service.PEER, source, source),
-        messages.ReadCatalog(state.catalog.revision, wait_s),
+        messages.ReadCatalog(state.catalog.revision, WAIT_S),
         CopyContext(watch.generation, step.moment.now_s),
-        wait_s + TIMEOUT_MARGIN_S,
+        WAIT_S + TIMEOUT_MARGIN_S,
     )
 
 
@@ -107,10 +91,7 @@
     if state.catalog.copying or not state.catalog.value:
         step.respond(exchange_id, messages.NoCatalog())
         return
-    watch = state.watches[watches.CatalogWatch]
-    if watch.wait_s != SOURCE_WATCH_S and watch.listed:
-        watch.wait_s = SOURCE_WATCH_S
-        watching.restart_call(state, step, watch)
+    state.watches[watches.CatalogWatch].wait_s = SOURCE_WATCH_S
     now_s = step.moment.now_s
     state.catalog.readers[exchange_id] = state_lib.CatalogReader(
         message.after_revision, now_s, now_s + min(message.wait_s, WAIT_S)
@@ -121,8 +102,8 @@
 def follow_up(state: state_lib.State, step: dispatch.Step) -> None:
     """Answers the readers that have waited, or lack the current version.
 
-    All are answered once the store fails this instance: the change that they
-    wait for might not arrive here.
+    All are answered once the store fails this instance: a change may not arrive
+    here in time.
     """
     catalog = state.catalog
     now_s = step.moment.now_s
@@ -164,6 +145,13 @@
     if not isinstance(reply, messages.CatalogCopy):
         _return_to_store(state, step, watch, "it does not watch the store")
         return
+    if reply.age_s > MAX_READING_AGE_S:
+        reason = f"its copy was not confirmed for {reply.age_s:.1f} s"
+        _return_to_store(state, step, watch, reason)
+        return
+    if not state.catalog.source:
+        _return_to_store(state, step, watch, "the scheduler says so")
+        return
     if reply.value:
         item = store_api.Item(
             state.formats.catalog_key, reply.value, reply.revision
@@ -176,8 +164,6 @@
     watch.confirmed_s = max(watch.confirmed_s, confirmed_s)
     if reply.store_fails:
         _return_to_store(state, step, watch, "the store fails it")
-    elif not state.catalog.source:
-        _return_to_store(state, step, watch, "the scheduler says so")
     else:
         _send_call(state, step, watch)
 
@@ -208,4 +194,5 @@
     )
     catalog.copying = False
     catalog.store_until_s = step.moment.now_s + STORE_PERIOD_S
-    watching.restart_call(state, step, watch)
+    watch.pending = False
+    watching.tick(state, step)
--- a/dandelionpick/batch/leadership_bounds.py
+++ b/dandelionpick/batch/leadership_bounds.py
@@ -104,8 +104,12 @@
     """Returns until when an earlier scheduler's runs may be on a target.
 
     An earlier scheduler has no evidence left once its successor has listed one
-    of its targets. It may not know those that have come since.
+    of its targets. It may not know those that have come since. A target that
+    reaches the store is waited for longer: it may hold ends of work that was
+    done before its leases ended.
     """
+    if target.entry is not None:
+        return target.unlisted_until_s
     lease_s = state.limits.run_lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
     return min(
         target.unlisted_until_s,
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -23,7 +23,6 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
-from dandelionpick.batch import unheard_runs
 
 # Changes that arrive together, such as the ends of a gang's tasks, are
 # handled by one pass.
@@ -169,7 +168,6 @@
     assert schedule is not None
     moment = step.moment
     unlisted = takeover.has_unlisted_targets(state, schedule, moment.now_s)
-    unread = unheard_runs.unread_targets(schedule, moment.now_s)
     for job in schedule.jobs.values():
         if job.ended:
             continue
@@ -182,7 +180,7 @@
             continue
         for step_run in job.steps.values():
             _stop_incomplete_gang(state, step, step_run)
-            tasks = _startable_tasks(schedule, step_run, unread)
+            tasks = _startable_tasks(step_run)
             if crash_budget.end_if_exhausted(state, step, job, tasks):
                 break
             if tasks:
@@ -223,21 +221,11 @@
 
 
 def _startable_tasks(
-    schedule: schedule_state.Schedule,
     step_run: schedule_state.StepRun,
-    unread: frozenset[ids.TargetId],
 ) -> list[schedule_state.Task]:
     if not step_run.open or not step_run.tasks_left:
         return []
     tasks = [task for task in step_run.tasks if not task.done and not task.runs]
-    if unread:
-        tasks = [
-            task
-            for task in tasks
-            if not unheard_runs.may_be_done_unread(
-                schedule, step_run, task, unread
-            )
-        ]
     if step_run.spec.gang and len(tasks) < len(step_run.tasks):
         return []
     return tasks
--- a/dandelionpick/batch/watching.py
+++ b/dandelionpick/batch/watching.py
@@ -94,17 +94,6 @@
     _send_call(state, step, watch)
 
 
-def restart_call(
-    state: state_lib.State, step: dispatch.Step, watch: watches.Watch
-) -> None:
-    """Watches on from the last known change with a new call.
-
-    The first reply comes at once, so that it confirms the applied items.
-    """
-    watch.generation += 1
-    _send_call(state, step, watch, wait_s=0.0)
-
-
 def confirmed_s(state: state_lib.State, kind: type) -> float:
     """Returns the time at which the applied items of a watch were complete."""
     watch = state.watches.get(kind)
@@ -118,22 +107,17 @@
 
 
 def _send_call(
-    state: state_lib.State,
-    step: dispatch.Step,
-    watch: watches.Watch,
-    wait_s: float | None = None,
+    state: state_lib.State, step: dispatch.Step, watch: watches.Watch
 ) -> None:
     watch.pending = True
-    if wait_s is None:
-        wait_s = watch.wait_s
     context = WatchContext(type(watch), watch.generation, step.moment.now_s)
     message: Any
     if watch.listed:
-        message = store_api.Watch(watch.prefix, watch.revision, wait_s)
+        message = store_api.Watch(watch.prefix, watch.revision, watch.wait_s)
     else:
         message = store_api.List(watch.prefix, watch.last_listed_key)
     # The platform adapter derives the timeout of a Watch from its wait_s.
-    timeout_s = wait_s + 1.0 if watch.listed else 1.0
+    timeout_s = watch.wait_s + 1.0 if watch.listed else 1.0
     state_lib.call_store(state, step, message, context, timeout_s)
 
 
