--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -39,7 +39,9 @@
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Duration = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 MAX_PORT = 65_535
-_ADDRESS = re.compile(r"([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+_ADDRESS = re.compile(
+    r"([^\s/\\?#@:\[\]]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})", re.ASCII
+)
 
 
 class Capacity(msgspec.Struct):
