--- a/review/small_platform/executor.py
+++ b/review/small_platform/executor.py
@@ -14,8 +14,10 @@
 from review.small_platform import store as store_lib
 
 HEARTBEAT_S = 1.5
+ENTRY_TTL_S = 3 * HEARTBEAT_S
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
+DRAIN_MS = 2_500
 TICK_S = 0.01
 CAPACITY = {"cpu": 64_000, "mem_mb": 128_000, "gpu": 8}
 
@@ -37,6 +39,8 @@
     Attributes:
         up: whether its process runs.
         store_cut: whether it is cut off from the store.
+        draining: whether it has reported that it drains.
+        reported_s: when it last wrote its entry.
     """
 
     def __init__(
@@ -49,6 +53,9 @@
         self.server = http_server.Server(self._handle)
         self.sequence = 0
         self.up = False
+        self.store_cut = False
+        self.draining = False
+        self.reported_s = time.monotonic()
         self.next_report_s = 0.0
         self.ended = asyncio.Condition()
         self._boot()
@@ -110,24 +117,43 @@
                 self.next_report_s = max(
                     now_s, self.next_report_s + HEARTBEAT_S
                 )
-                if self.up:
+                if self.up and not self.store_cut:
                     await self._report()
+            await self._expire_entry(now_s)
+
+    async def _expire_entry(self, now_s: float) -> None:
+        """Lets the store remove the entry after three heartbeats of silence."""
+        key = f"servers/{self.id}"
+        silent = now_s - self.reported_s > ENTRY_TTL_S
+        if silent and self.store.value_of(key):
+            self.record(f"{self.id}: its entry expires")
+            await self.store.remove(key)
+
+    async def drain(self) -> None:
+        """Reports that it drains; it goes on serving what it has."""
+        self.draining = True
+        self.record(f"{self.id}: reports that it drains")
+        self.next_report_s = time.monotonic() + HEARTBEAT_S
+        await self._report()
 
     async def _report(self) -> None:
         self.sequence += 1
+        self.reported_s = time.monotonic()
         entry = {
             "service": "pool",
             "address": self.server.address,
             "zone": "a",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
             "sequence": self.sequence,
             "capacity": CAPACITY,
             "labels": ["kind", "r1"],
             "born": self.born_ms,
         }
+        if self.draining:
+            entry["remaining_ms"] = DRAIN_MS
         known = self.store.value_of(f"servers/{self.id}")
         if known and json.loads(known)["born"] != self.born_ms:
             self.record(f"{self.id}: reports its new start to the store")
--- a/review/small_platform/http_server.py
+++ b/review/small_platform/http_server.py
@@ -19,12 +19,14 @@
         address: host and port.
         cut: whether the address is behind a partition: what arrives is dropped
             and nothing is answered.
+        resets: whether connections to the address are reset.
     """
 
     def __init__(self, handler: Handler):
         self.handler = handler
         self.address = ""
         self.cut = False
+        self.resets = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -44,9 +46,18 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def reset_all(self) -> None:
+        """Resets all connections, and each new one until `resets` is unset."""
+        self.resets = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.resets:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
