--- a/review/small_platform/world.py
+++ b/review/small_platform/world.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -227,6 +228,7 @@
             await executor.server.stop()
         await self.store.server.stop()
         self.lines.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def decode_value(text: str) -> Any:
