--- a/review/10/case.py
+++ b/review/10/case.py
@@ -59,4 +59,5 @@
 
 if __name__ == "__main__":
     folder = pathlib.Path(__file__).resolve().parent
-    sys.exit(world_lib.run_case(folder, EXECUTORS, INSTANCES, play))
+    trouble = sys.argv[1:] != ["0"]
+    sys.exit(world_lib.run_case(folder, EXECUTORS, INSTANCES, play, trouble))
--- a/review/small_platform/world.py
+++ b/review/small_platform/world.py
@@ -326,9 +326,9 @@
     executors: int,
     instances: int,
     play: Callable[[World, bool], Awaitable[None]],
+    with_trouble: bool,
 ) -> int:
     """Plays a case; returns 1 if the rule was broken, 0 if it held, else 2."""
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
         world = World(case_folder, executors)
