Don't drop work of a restarted target's new incarnation

Cause: runs belonged to a target, not to one of its incarnations. The entry, or a listing that was sent before the start, ended all runs of the target.

Evidence: the log names the loss ("the target has restarted") before any listing. Ruled out: a listing that lacks the run.

Change: incarnations.py owns the question to which incarnation something belongs. A confirmed start or stop belongs to the one that the clock in its reply shows, a run is lost only with the incarnation that has confirmed it, an entry makes the scheduler list the target, and decides only if it can't be listed. Stored records name the incarnation that has the run. Entries of an earlier incarnation place no work. The roster no longer records a restarted target as one on which everything has ended.

Why it works: a later incarnation's clock can't stand higher than the time since the last listing was sent, so that no reply of it is taken for the known one's; everything else waits for a listing or the end of the leases.

--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -8,6 +8,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import run_records
 from dandelionpick.batch import runs
@@ -35,6 +36,7 @@
 
     epoch: ids.Epoch
     run: schedule_state.Run
+    sighting: incarnations.Sighting
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,7 @@
 
     epoch: ids.Epoch
     run: schedule_state.Run
+    sighting: incarnations.Sighting
 
 
 def destination(target: schedule_state.Target) -> effects.Destination:
@@ -91,6 +94,7 @@
         runs.occupied_resources(step_run.spec),
         schedule_state.RunState.ORDERED,
         now_s,
+        sent_to_ms=incarnations.known_start_ms(schedule.targets[target_id]),
         progressed_s=now_s,
         percent=task.percent,
         first_percent=task.percent,
@@ -120,7 +124,9 @@
     )
     schedule.starts.record_sent()
     schedule.unanswered_starts.append(run)
-    context = StartContext(schedule.epoch, run)
+    context = StartContext(
+        schedule.epoch, run, incarnations.sight(target, now_s)
+    )
     dispatch.call(
         state, step, destination(target), message, context, START_TIMEOUT_S
     )
@@ -145,7 +151,8 @@
     message = target_api.StopRun(
         run.target, schedule.epoch, run.task, run.attempt
     )
-    context = StopContext(schedule.epoch, run)
+    sighting = incarnations.sight(target, step.moment.now_s)
+    context = StopContext(schedule.epoch, run, sighting)
     dispatch.call(
         state, step, destination(target), message, context, STOP_TIMEOUT_S
     )
@@ -238,12 +245,40 @@
             schedule_state.RunState.UNRESOLVED,
         ):
             run.state = schedule_state.RunState.RUNNING
-        assert state.schedule is not None
-        run_records.record_running(state.schedule, run, step.moment.now_s)
+        _record_started(state, step, context, target, reply)
         return
     _handle_not_started(state, step, run, target, str(reply.problem.value))
 
 
+def _record_started(
+    state: state_lib.State,
+    step: dispatch.Step,
+    context: StartContext,
+    target: schedule_state.Target,
+    reply: target_api.Obeyed,
+) -> None:
+    """Records that a target has confirmed a start."""
+    assert state.schedule is not None
+    now_s = step.moment.now_s
+    origin = incarnations.origin_of_reply(
+        context.sighting, reply.clock_ms, now_s
+    )
+    known = origin is incarnations.Origin.KNOWN
+    run_records.record_running(
+        state.schedule,
+        context.run,
+        now_s,
+        context.sighting.started_ms if known else 0,
+    )
+    if origin is incarnations.Origin.LATER:
+        step.note(
+            effects.Component.TARGETS,
+            f"{target.id} has restarted, by its clock; listing it",
+        )
+        target.poll_pending = False
+        target.poll_at_s = now_s
+
+
 @dispatch.on_failure.register
 def _(
     context: StartContext,
@@ -311,8 +346,17 @@
     if target is None:
         return
     if isinstance(reply, target_api.Obeyed):
-        run.stopped_s = min(run.stopped_s, step.moment.now_s)
-        target.poll_at_s = step.moment.now_s
+        now_s = step.moment.now_s
+        origin = incarnations.origin_of_reply(
+            context.sighting, reply.clock_ms, now_s
+        )
+        # A stop that another incarnation has carried out is repeated.
+        if (
+            origin is incarnations.Origin.KNOWN
+            and context.sighting.started_ms == target.started_ms
+        ):
+            run.stopped_s = min(run.stopped_s, now_s)
+        target.poll_at_s = now_s
     else:
         step.count("orders_total", "stop", reply.problem.value)
 
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -11,6 +11,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import model
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
@@ -179,6 +180,7 @@
         and entry.pool == pool
         and entry.state is target_api.TargetState.READY
         and target.listed
+        and incarnations.is_described(target)
         and not target.failed
         and not target.is_exceeded()
         and now_s >= max(target.backoff_until_s, target.quarantined_until_s)
--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -15,6 +15,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import polling
@@ -133,7 +134,8 @@
     schedule: schedule_state.Schedule, target: schedule_state.Target
 ) -> bool:
     return (
-        target.entry is not None
+        incarnations.is_described(target)
+        and target.listed
         and not target.is_draining()
         and not target.is_exceeded()
         and not target.failed
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -8,6 +8,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import listing_order
 from dandelionpick.batch import model
@@ -224,7 +225,7 @@
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    _record_answer(state, step, target, listed)
+    _record_answer(state, step, target, context, listed)
     target.obeyed_s = max(target.obeyed_s, context.sent_s)
     # A target that has left would not have answered.
     target.expired |= now_s > target.unregistered_s + LAST_REPLY_S
@@ -261,16 +262,13 @@
     state: state_lib.State,
     step: dispatch.Step,
     target: schedule_state.Target,
+    context: ListContext,
     listed: target_api.RunsListed,
 ) -> None:
     schedule = state.schedule
     assert schedule is not None
     now_s = step.moment.now_s
-    if (
-        target.started_ms
-        and listed.started_ms
-        and listed.started_ms != target.started_ms
-    ):
+    if incarnations.is_other(target, listed.started_ms):
         run_endings.handle_restart(state, step, target, listed.started_ms)
     elif not target.started_ms:
         target.started_ms = listed.started_ms
@@ -282,8 +280,10 @@
     target.unheard = False
     target.replaced = False
     target.failing_since_s = float("inf")
+    target.announced_s = float("inf")
     target.clock_ms = listed.clock_ms
     target.clock_s = now_s
+    target.listing_sent_s = context.sent_s
     if not target.listed:
         target.listed = True
         schedule.dirty = True
@@ -314,7 +314,7 @@
         schedule_state.RunState.UNRESOLVED,
     ):
         run.state = schedule_state.RunState.RUNNING
-    run_records.record_running(schedule, run, now_s)
+    run_records.record_running(schedule, run, now_s, target.started_ms)
     if running.percent > run.percent:
         run.progressed_s = now_s
     run.percent = running.percent
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -141,7 +141,11 @@
     if target.silent_until_ms:
         return
     if not target.listed:
-        ends_s = leadership_bounds.unlisted_until_s(state, schedule, target)
+        # A target that has restarted may have got work before it is listed.
+        ends_s = max(
+            target.lease_ends_s,
+            leadership_bounds.unlisted_until_s(state, schedule, target),
+        )
     elif now_s - target.failing_since_s > SILENT_AFTER_S:
         ends_s = target.lease_ends_s
     else:
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -6,6 +6,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import job_ends
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import model
@@ -46,18 +47,39 @@
     target: schedule_state.Target,
     started_ms: int,
 ) -> None:
-    """Resets a target that has restarted; its earlier runs are lost."""
+    """Resets a target that has restarted.
+
+    The runs that an earlier incarnation has confirmed are lost. What it has not
+    confirmed is looked up, as the new one may run it.
+    """
+    now_s = step.moment.now_s
+    lost = [
+        run
+        for run in target.runs.values()
+        if incarnations.has_ended_with(run, started_ms)
+    ]
     if target.runs:
         step.note(
             effects.Component.TARGETS,
-            f"{target.id} has restarted; {len(target.runs)} runs are lost",
+            f"{target.id} has restarted; {len(lost)} runs are lost,"
+            f" {len(target.runs) - len(lost)} may be at work there",
             warning=True,
         )
     planned = target.is_draining()
     loss = Loss.SHUT_DOWN if planned else Loss.RESTARTED
-    mark_all_lost(state, step, target, loss)
-    target.replaced = False
+    for run in lost:
+        mark_lost(state, step, run, loss)
+    for run in target.runs.values():
+        run.stopped_s = float("inf")
+        run.stop_sent_s = float("-inf")
+    if target.runs:
+        # The end of a lease was set on the clock of the earlier incarnation.
+        target.lease_ends_s = max(
+            target.lease_ends_s, orders.longest_lease_end_s(state, now_s)
+        )
+    target.replaced = target.departed = False
     target.started_ms = started_ms
+    target.announced_s = float("inf")
     target.processed = 0
     target.ends.clear()
     target.last_attempts.clear()
@@ -65,7 +87,7 @@
     target.has_more_ends = False
     target.poll_serial += 1
     target.poll_pending = False
-    target.poll_at_s = step.moment.now_s
+    target.poll_at_s = now_s
 
 
 def handle_replacement(
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -6,6 +6,7 @@
 """
 
 from dandelionpick import ids
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
@@ -28,10 +29,23 @@
     schedule: schedule_state.Schedule,
     run: schedule_state.Run,
     now_s: float,
+    started_ms: int,
 ) -> None:
-    """Records that a target has confirmed that it runs a run."""
-    if run.confirmed_s == float("inf"):
+    """Records that a target has confirmed that it runs a run.
+
+    Args:
+        schedule: the schedule.
+        run: the run.
+        now_s: monotonic seconds.
+        started_ms: start of the incarnation that has confirmed it; 0 if it is
+            not known which one that is.
+    """
+    recorded_ms = incarnations.start_ms_of(run)
+    run.confirmed_by_ms = started_ms or run.confirmed_by_ms
+    is_first = run.confirmed_s == float("inf")
+    if is_first:
         run.confirmed_s = now_s
+    if is_first or incarnations.start_ms_of(run) != recorded_ms:
         _record_start(schedule, run, model.CrashEvidence.EARLY)
     elif not run.proved and now_s - run.ordered_s >= PROVED_AFTER_S:
         run.proved = True
@@ -87,9 +101,8 @@
     job_progress.remove_runs(job, task, ended)
     if not task.records and len(job.progress.runs) >= MAX_RECORDED_TASKS:
         return
-    target = schedule.targets[run.target]
     record = model.RunRecord(
-        run.attempt, run.target, target.incarnation_ms(), evidence
+        run.attempt, run.target, incarnations.start_ms_of(run), evidence
     )
     if job_progress.record_run(job, task, record):
         schedule.unsaved.add(job.id)
@@ -132,7 +145,7 @@
         record = model.RunRecord(
             run.attempt,
             run.target,
-            target.incarnation_ms(),
+            incarnations.start_ms_of(run),
             _judge(target, run),
         )
         changed = job_progress.record_run(job, task, record)
@@ -192,7 +205,6 @@
     target = schedule.targets.get(record.target)
     if target is None or target.replaced:
         return True
-    known_ms = target.incarnation_ms()
-    if not known_ms or known_ms == record.target_started_ms:
+    if incarnations.may_still_run(target, record.target_started_ms):
         return target.entry is None and (target.failed or not target.listed)
     return True
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -9,6 +9,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_endings
@@ -31,6 +32,9 @@
     its lease ended, those are lost that can't have ended before.
     """
     now_s = step.moment.now_s
+    if _has_restarted_unlisted(target):
+        assert target.entry is not None
+        run_endings.handle_restart(state, step, target, target.entry.started_ms)
     if target.has_left() and target.runs:
         step.note(
             effects.Component.TARGETS,
@@ -55,6 +59,16 @@
             orders.stop(state, step, run)
 
 
+def _has_restarted_unlisted(target: schedule_state.Target) -> bool:
+    """Returns whether a target that can't be listed reports its restart."""
+    return (
+        target.failed
+        and target.entry is not None
+        and incarnations.is_later(target, target.entry.started_ms)
+        and target.unanswered_s >= target.announced_s
+    )
+
+
 def _drop_lost_runs(
     state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
 ) -> None:
@@ -107,7 +121,13 @@
         if key in listed_keys:
             continue
         if min(run.confirmed_s, run.stopped_s) < sent_s:
-            run_endings.mark_lost(state, step, run, run_endings.Loss.UNLISTED)
+            restarted = incarnations.precedes_restart(target, run)
+            loss = (
+                run_endings.Loss.RESTARTED
+                if restarted
+                else run_endings.Loss.UNLISTED
+            )
+            run_endings.mark_lost(state, step, run, loss)
 
 
 def stop_missing_unresolved(
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -40,6 +40,10 @@
         needs: the resources that it occupies.
         job_known: the task belongs to a job that the scheduler knows.
         ordered_s: when the start was planned or sent, or the run was adopted.
+        sent_to_ms: start of the target's incarnation that was known when the
+            run was added, in Unix milliseconds; 0 if none was.
+        confirmed_by_ms: the same of the incarnation that has the run; 0 if no
+            reply has told which one it is.
         unresolved_s: when the call that starts it failed; inf before. A listing
             that was sent later and lacks the run shows that the start has not
             taken effect so far.
@@ -60,6 +64,8 @@
     needs: model.Resources
     state: RunState
     ordered_s: float
+    sent_to_ms: int = 0
+    confirmed_by_ms: int = 0
     job_known: bool = True
     unresolved_s: float = float("inf")
     confirmed_s: float = float("inf")
@@ -169,9 +175,12 @@
 
     Attributes:
         entry: its registration in the store; None if it is gone.
-        started_ms: Unix milliseconds of the start of its current incarnation,
-            to which the runs belong; 0 before the first listing.
-        clock_ms: the target's clock at `clock_s`.
+        started_ms: Unix milliseconds of the start of the incarnation that was
+            listed last; 0 before the first listing.
+        announced_s: when its entry told of a later incarnation that has not
+            been listed yet; inf if it did not.
+        clock_ms: the target's clock at `clock_s`, when it was last listed.
+        listing_sent_s: when that listing was sent.
         lease_ends_s: everything that runs there ends by then, unless the lease
             is extended.
         listed: it was listed under this epoch, so orders of earlier epochs are
@@ -215,8 +224,10 @@
     address: str
     entry: target_api.TargetEntry | None
     started_ms: int = 0
+    announced_s: float = float("inf")
     clock_ms: int = 0
     clock_s: float = 0.0
+    listing_sent_s: float = 0.0
     lease_ends_s: float = float("-inf")
     listed: bool = False
     has_more_ends: bool = False
@@ -250,12 +261,6 @@
         default_factory=dict
     )
 
-    def incarnation_ms(self) -> int:
-        """Returns its last known start in Unix milliseconds; 0 if unknown."""
-        if self.started_ms or self.entry is None:
-            return self.started_ms
-        return self.entry.started_ms
-
     def may_hide_ends(self) -> bool:
         """Returns whether it holds ends that no listing has shown so far."""
         return (
--- a/dandelionpick/batch/target_api.py
+++ b/dandelionpick/batch/target_api.py
@@ -134,7 +134,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Obeyed:
-    """The order took effect now or earlier."""
+    """The order took effect now or earlier.
+
+    Attributes:
+        clock_ms: the target's clock when it replied; None if unknown.
+    """
+
+    clock_ms: int | None = None
 
 
 class OrderProblem(enum.Enum):
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -5,7 +5,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
-from dandelionpick.batch import run_endings
+from dandelionpick.batch import incarnations
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
@@ -54,19 +54,14 @@
     if target is None:
         target = schedule_state.Target(entry.id, entry.address, entry)
         schedule.targets[entry.id] = target
-    elif entry.address != target.address:
-        # The same id at another address is another incarnation of the target.
+    is_announced = incarnations.is_later(target, entry.started_ms)
+    if is_announced or entry.address != target.address:
+        _list_again(target, step.moment.now_s)
         target.address = entry.address
-        run_endings.handle_restart(state, step, target, entry.started_ms)
-    elif (
-        entry.started_ms
-        and target.started_ms
-        and entry.started_ms > target.started_ms
-    ):
-        run_endings.handle_restart(state, step, target, entry.started_ms)
     before = target.entry
+    target.departed = is_announced and target.is_draining()
     target.entry = entry
-    target.departed = target.expired = False
+    target.expired = False
     target.unregistered_s = float("inf")
     schedule.dirty = True
     if before is None or before.state is not entry.state:
@@ -76,6 +71,19 @@
         )
 
 
+def _list_again(target: schedule_state.Target, now_s: float) -> None:
+    """Lists a target that may have restarted.
+
+    The listing decides: the incarnation that the entry tells of may have got
+    work before, and the entry may be older than another one.
+    """
+    target.announced_s = min(target.announced_s, now_s)
+    target.listed = False
+    target.poll_serial += 1
+    target.poll_pending = False
+    target.poll_at_s = now_s
+
+
 @watching.apply_removal.register
 def _(
     watch: watches.TargetsWatch,
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -88,6 +88,12 @@
     born: int = 0
 
 
+class Acceptance(msgspec.Struct):
+    """A target's clock as it carried out an order."""
+
+    clock_ms: Milliseconds
+
+
 class Rejection(msgspec.Struct):
     """Why a target refused an order."""
 
@@ -96,6 +102,7 @@
 
 _entry_decoder = msgspec.json.Decoder(Entry)
 _listing_decoder = msgspec.json.Decoder(Listing)
+_acceptance_decoder = msgspec.json.Decoder(Acceptance)
 _rejection_decoder = msgspec.json.Decoder(Rejection)
 
 Outcome = Result[Any, kinds.CallFailure]
@@ -221,7 +228,7 @@
         if status == 200:
             if isinstance(message, target_api.ListRuns):
                 return Success(_decode_listing(body))
-            return Success(target_api.Obeyed())
+            return Success(_decode_obeyed(body))
         if status == 409:
             reason = _rejection_decoder.decode(body).reason
             problem = ORDER_PROBLEM_BY_REASON.get(
@@ -247,6 +254,15 @@
     return Success(target_api.Rejected(problem))
 
 
+def _decode_obeyed(body: bytes) -> target_api.Obeyed:
+    # The status alone tells that the order was carried out.
+    try:
+        return target_api.Obeyed(_acceptance_decoder.decode(body).clock_ms)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        logging.warning("targets: a reply lacks the clock: %s", error)
+        return target_api.Obeyed()
+
+
 def _decode_listing(body: bytes) -> target_api.RunsListed:
     wire = _listing_decoder.decode(body)
     return target_api.RunsListed(
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -30,6 +30,7 @@
 from tests import crash_mutants
 from tests import mutant
 from tests import overload_mutants
+from tests import restart_mutants
 
 JOBS = (
     "tests.test_batch_jobs",
@@ -395,4 +396,5 @@
     ),
     *crash_mutants.MUTANTS,
     *overload_mutants.MUTANTS,
+    *restart_mutants.MUTANTS,
 )
--- a/tests/batch_target_faults.py
+++ b/tests/batch_target_faults.py
@@ -40,18 +40,26 @@
     call_later: Callable[..., None]
     add_target: Callable[..., Any]
 
-    def crash_target(self, name: str, back_s: float | None = None) -> None:
+    def crash_target(
+        self,
+        name: str,
+        back_s: float | None = None,
+        reports_after_s: float = 0.0,
+    ) -> None:
         """Crashes a target; its entry expires unless it restarts before.
 
         Args:
             name: name of the target.
             back_s: seconds until it restarts; None if it does not.
+            reports_after_s: seconds from its restart until it writes its entry.
         """
         target = self.world.targets[name]
         target.crash()
         self.call_later(ENTRY_TTL_S, lambda: self._expire_entry(target))
-        if back_s is not None:
-            self.call_later(back_s, lambda: self._reboot(target))
+        if back_s is None:
+            return
+        self.call_later(back_s, lambda: target.boot(self.now_s))
+        self.call_later(back_s + reports_after_s, lambda: self._report(target))
 
     def _restart_crashed(self, target: platform_targets.Target) -> None:
         """Restarts a target that a task has crashed."""
@@ -82,9 +90,7 @@
     def rejoin_store(self, name: str) -> None:
         """Restores the link of a target to the store."""
         self.unheard_targets.discard(name)
-        target = self.world.targets[name]
-        if target.up:
-            self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+        self._report(self.world.targets[name])
 
     def _expire_entry(self, target: platform_targets.Target) -> None:
         if not target.up or target.id in self.unheard_targets:
@@ -92,7 +98,11 @@
 
     def _reboot(self, target: platform_targets.Target) -> None:
         target.boot(self.now_s)
-        self.store.put(keys.TARGETS_PREFIX + target.id, target.entry())
+        self._report(target)
+
+    def _report(self, target: platform_targets.Target) -> None:
+        if target.up and target.id not in self.unheard_targets:
+            self.store.put(keys.TARGETS_PREFIX + target.id, target.entry())
 
     def drain_target(
         self, name: str, leaves_s: float, refuses: bool = True
