Settle writes of the roster that got no reply

The next scheduler that can't list the target believes the record.

Cause: after a write without a reply the roster was read back. Its conditions held until another write moved the revision, and none came if the roster was as wanted.

Ruled out: a wrong end of the leases in the successor.

Change: such a roster stays unsettled. The next write names the same revision even if nothing else has changed. Until a write is settled, and while one is in progress, a target is used only if each roster that the store may come to hold names it, and not as silent. An extended lease drops the end that was to be recorded.

Why it works: whichever roster a successor reads, the target is in it and not marked as silent whenever its leases were extended.

--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -69,6 +69,8 @@
     )
     ends_s += CLOCK_MARGIN_S
     target.lease_ends_s = max(target.lease_ends_s, ends_s)
+    # A record of an earlier end must not be stored any more.
+    target.silent_until_ms = 0
     return int(clock_ms + lease_s * 1_000)
 
 
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -4,6 +4,10 @@
 find. If a target can't be listed, such tasks wait until its leases must have
 ended. To keep that wait short, the roster also records which targets have
 fallen silent: their leases are not extended until the record is gone.
+
+A write without a reply may take effect until another write has moved the
+revision that both name. Until then, a target is used only if each roster that
+the store may come to hold allows it, and the next write has the same condition.
 """
 
 import dataclasses
@@ -35,10 +39,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterContext:
-    """Context of a read of the roster, or a write if `written` is set."""
+    """Context of a read of the roster, or a write if `written` is set.
+
+    Attributes:
+        is_repeated: an earlier write of the same roster is not settled.
+    """
 
     epoch: ids.Epoch
     written: model.Roster | None = None
+    is_repeated: bool = False
 
 
 def read(state: state_lib.State, step: dispatch.Step) -> None:
@@ -72,9 +81,12 @@
     if watch is None or not watch.listed:
         return
     desired = _build_roster(schedule, state, step)
-    if desired == schedule.roster:
+    if desired == schedule.roster and not schedule.unsettled_rosters:
         return
     schedule.roster_pending = True
+    is_repeated = desired in schedule.unsettled_rosters
+    if not is_repeated:
+        schedule.unsettled_rosters.append(desired)
     commit = store_api.Commit(
         (
             store_api.Condition(state_lib.SCHEDULER_KEY, schedule.epoch),
@@ -82,7 +94,7 @@
         ),
         (store_api.Write(state_lib.ROSTER_KEY, msgspec.json.encode(desired)),),
     )
-    context = RosterContext(schedule.epoch, desired)
+    context = RosterContext(schedule.epoch, desired, is_repeated)
     state_lib.call_store(state, step, commit, context)
 
 
@@ -103,10 +115,15 @@
 def may_use(
     schedule: schedule_state.Schedule, target: schedule_state.Target
 ) -> bool:
-    """Returns whether the stored roster has the target, and not as silent."""
-    return (
-        target.id in schedule.roster.addresses
-        and target.id not in schedule.roster.silent_until_ms
+    """Returns whether a successor would list a target, and wait for it.
+
+    The stored roster has the target, and not as silent, whichever of the
+    unsettled writes take effect.
+    """
+    return all(
+        target.id in possible.addresses
+        and target.id not in possible.silent_until_ms
+        for possible in (schedule.roster, *schedule.unsettled_rosters)
     )
 
 
@@ -170,11 +187,14 @@
     elif isinstance(reply, store_api.Committed) and context.written:
         schedule.roster = context.written
         schedule.roster_revision = reply.revision
+        schedule.unsettled_rosters.clear()
         schedule.dirty = True
     else:
         # A conflict may be due to an earlier write whose reply was lost, so the
         # roster is read again.
         schedule.roster_read = not isinstance(reply, store_api.Conflict)
+        if isinstance(reply, store_api.Refused):
+            _forget_write(schedule, context)
         schedule.roster_at_s = step.moment.now_s + RETRY_S
 
 
@@ -188,8 +208,19 @@
     schedule = state.schedule
     if schedule is not None and schedule.epoch == context.epoch:
         schedule.roster_pending = False
-        schedule.roster_read = False
         schedule.roster_at_s = step.moment.now_s + RETRY_S
+        if failure is kinds.CallFailure.NOT_SENT:
+            _forget_write(schedule, context)
+
+
+def _forget_write(
+    schedule: schedule_state.Schedule, context: RosterContext
+) -> None:
+    """Settles a write that the store has not carried out and never will."""
+    if context.is_repeated:
+        return
+    if context.written in schedule.unsettled_rosters:
+        schedule.unsettled_rosters.remove(context.written)
 
 
 def _apply_item(
@@ -199,6 +230,8 @@
     item: store_api.Item,
 ) -> None:
     schedule.roster_read = True
+    if item.revision != schedule.roster_revision:
+        schedule.unsettled_rosters.clear()
     schedule.roster_revision = item.revision
     if not item.revision:
         return
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -344,6 +344,8 @@
         headroom: accelerators that are kept free for urgent work, by pool,
             as of the last pass.
         roster: what the store holds about targets that may run something.
+        unsettled_rosters: what it may hold instead, or may come to hold: writes
+            on condition of `roster_revision` whose outcome is not known.
         roster_at_s: the roster is neither read nor written before this time.
         sweep_at_s: when ended jobs are next removed.
         early_cancels: jobs whose cancellation was read before the job itself.
@@ -386,6 +388,9 @@
     )
     headroom: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
     roster: model.Roster = dataclasses.field(default_factory=model.Roster)
+    unsettled_rosters: list[model.Roster] = dataclasses.field(
+        default_factory=list
+    )
     roster_revision: int = 0
     roster_read: bool = False
     roster_pending: bool = False
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -72,6 +72,7 @@
         outages: callers that are not served; "" stands for all callers.
         lapse: whether leases expire during an outage for all callers.
         lost_share: share of the transactions whose reply is lost.
+        lost_key: if set, only replies to writes of this key are lost.
         late_s: delay after which transactions with a lost reply take
             effect.
         calls: number of calls by path.
@@ -88,6 +89,7 @@
         self.outages: dict[str, Outage] = {}
         self.lapse = True
         self.lost_share = 0.0
+        self.lost_key = ""
         self.late_s = 0.0
         self.delayed_writes: list[tuple[float, dict[str, Any]]] = []
         self.calls: dict[str, int] = {}
@@ -170,6 +172,9 @@
     def _loses_reply(self, body: dict[str, Any]) -> bool:
         if self.random.random() >= self.lost_share:
             return False
+        written = {write["key"] for write in body.get("writes", ())}
+        if self.lost_key and self.lost_key not in written:
+            return False
         if self.late_s:
             self.delayed_writes.append((self.now_s + self.late_s, body))
         else:
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -1,10 +1,12 @@
-"""Mutants that disable the safety mechanisms around restarted targets."""
+"""Mutants of the mechanisms around restarted targets and late writes."""
 
 from dandelionpick.batch import incarnations
+from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
 from tests import mutant
 
 RESTARTS = ("tests.test_batch_restarts",)
+LATE_WRITES = ("tests.test_batch_late_writes",)
 
 
 def lose_all_runs() -> None:
@@ -36,7 +38,28 @@
     schedule_state.Target.__setattr__ = set_attribute
 
 
+def settle_lost_writes() -> None:
+    """Takes a write of the roster without a reply for one that failed."""
+
+    def forget_write(schedule, context):
+        schedule.unsettled_rosters.clear()
+
+    may_use = roster.may_use
+
+    def may_use_stored(schedule, target):
+        schedule.unsettled_rosters.clear()
+        return may_use(schedule, target)
+
+    roster._forget_write = forget_write
+    roster.may_use = may_use_stored
+
+
 MUTANTS = (
+    mutant.Mutant(
+        "a roster whose write has no reply is not forgotten",
+        settle_lost_writes,
+        LATE_WRITES,
+    ),
     mutant.Mutant(
         "a restart ends only what an earlier incarnation has confirmed",
         lose_all_runs,
