Read the roster again after a refused read

Callers would see: work that runs twice after a takeover in which the store refuses one read (TWICE).

Cause: each reply but a conflict marked the roster as read, also the refusal of the read itself, so that the new scheduler knew of no target that it had to wait for.

Change: a reply that isn't the roster never marks it as read.

Before: test_refused_read_of_the_roster_is_repeated failed (runs twice). After: it passes.

--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -192,7 +192,7 @@
     else:
         # A conflict may be due to an earlier write whose reply was lost, so the
         # roster is read again.
-        schedule.roster_read = not isinstance(reply, store_api.Conflict)
+        schedule.roster_read &= not isinstance(reply, store_api.Conflict)
         if isinstance(reply, store_api.Refused):
             _forget_write(schedule, context)
         schedule.roster_at_s = step.moment.now_s + RETRY_S
--- a/tests/test_batch_late_writes.py
+++ b/tests/test_batch_late_writes.py
@@ -82,6 +82,25 @@
                 fabric.run_for(10.0)
                 self.lose_scheduler(fabric, CUT_S)
 
+    def test_refused_read_of_the_roster_is_repeated(self):
+        """Guards against a takeover without the roster of the last epoch."""
+        fabric = self.build()
+        body = builders.body(builders.phase(TASKS), work_s=40.0)
+        fabric.submit(1, body, 2)
+        fabric.run_for(1.0)
+        serve = fabric.store.serve
+
+        def refuse_roster(method, target, body, now_s, done, caller=""):
+            if method == "GET" and target.startswith("/kv-key"):
+                fabric.store.serve = serve
+                done((503, {}))
+            else:
+                serve(method, target, body, now_s, done, caller)
+
+        fabric.store.serve = refuse_roster
+        self.lose_scheduler(fabric, CUT_S)
+        self.assertIs(fabric.store.serve.__func__, serve.__func__)
+
 
 if __name__ == "__main__":
     unittest.main()
