Don't let a late removal delete a job accepted since

Callers would see: an accepted job that is lost, if its id is used again after the retention time (LOST).

Cause: the removal of ended jobs named only the epoch. Without a reply it is repeated, and the first one could still delete a job that was accepted under the id after the second one. If the first one had taken effect at once, the ended job stayed in memory, and the new one was taken for it and never run.

Change: the removal names the revision of each job; a conflict shows that it has taken effect before; a job with a later revision replaces an ended one.

Before: both tests of RemovalTest failed. After: they pass.

--- a/dandelionpick/batch/job_intake.py
+++ b/dandelionpick/batch/job_intake.py
@@ -78,10 +78,21 @@
             schedule.early_cancels.add(job_id)
         else:
             job_ends.cancel(state, step, job)
-    elif job_id not in schedule.jobs:
+    elif _is_new(schedule, job_id, item.revision):
         _add_job(schedule, state, step, job_id, item)
 
 
+def _is_new(
+    schedule: schedule_state.Schedule, job_id: ids.JobId, revision: int
+) -> bool:
+    """Returns whether a job is not known, or replaces one that was removed.
+
+    The removal of an ended job may have had no reply.
+    """
+    job = schedule.jobs.get(job_id)
+    return job is None or (job.ended and revision > job.accepted_revision)
+
+
 def _add_job(
     schedule: schedule_state.Schedule,
     state: state_lib.State,
--- a/dandelionpick/batch/retention.py
+++ b/dandelionpick/batch/retention.py
@@ -16,8 +16,8 @@
 # Added to the retention that callers were promised; covers clock differences
 # and late retries of a submission.
 MARGIN_S = 30.0
-# Each job needs three removals; the scheduler's key needs a condition.
-JOBS_PER_COMMIT = (store_api.MAX_COMMIT_ENTRIES - 1) // 3
+# Each job needs three removals and a condition, as does the scheduler's key.
+JOBS_PER_COMMIT = (store_api.MAX_COMMIT_ENTRIES - 1) // 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
     """Context of a commit that removes ended jobs."""
 
     epoch: ids.Epoch
-    jobs: tuple[ids.JobId, ...]
+    jobs: tuple[schedule_state.Job, ...]
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -42,7 +42,7 @@
     target_registry.drop_unregistered_targets(schedule, now_s)
     kept_ms = (state.limits.retention_s + MARGIN_S) * 1_000
     jobs = [
-        job.id
+        job
         for job in schedule.jobs.values()
         if job.ended
         and job.stored_version >= job.version
@@ -52,8 +52,8 @@
     if not jobs:
         return
     removals = [
-        prefix + job_id
-        for job_id in jobs
+        prefix + job.id
+        for job in jobs
         for prefix in (
             state_lib.JOBS_PREFIX,
             state_lib.CANCELS_PREFIX,
@@ -61,13 +61,25 @@
         )
     ]
     commit = store_api.Commit(
-        (store_api.Condition(state_lib.SCHEDULER_KEY, schedule.epoch),),
+        (
+            store_api.Condition(state_lib.SCHEDULER_KEY, schedule.epoch),
+            # A job may be accepted under the id after its removal; a repeated
+            # removal must not take effect then.
+            *(
+                store_api.Condition(_key_of(job), job.accepted_revision)
+                for job in jobs
+            ),
+        ),
         removals=tuple(removals),
     )
     context = RemoveContext(schedule.epoch, tuple(jobs))
     state_lib.call_store(state, step, commit, context)
 
 
+def _key_of(job: schedule_state.Job) -> str:
+    return state_lib.JOBS_PREFIX + job.id
+
+
 @dispatch.on_reply.register
 def _(
     context: RemoveContext,
@@ -78,11 +90,22 @@
     schedule = state.schedule
     if schedule is None or schedule.epoch != context.epoch:
         return
+    removed: list[schedule_state.Job] = []
     if isinstance(reply, store_api.Committed):
-        for job_id in context.jobs:
-            schedule.jobs.pop(job_id, None)
-            schedule.unsaved.discard(job_id)
-    else:
+        removed += context.jobs
+    elif isinstance(reply, store_api.Conflict):
+        # An earlier removal without a reply has taken effect.
+        revisions = {item.key: item.revision for item in reply.items}
+        removed += [
+            job
+            for job in context.jobs
+            if revisions[_key_of(job)] != job.accepted_revision
+        ]
+    for job in removed:
+        if schedule.jobs.get(job.id) is job:
+            del schedule.jobs[job.id]
+            schedule.unsaved.discard(job.id)
+    if not removed:
         step.note(
             effects.Component.SCHEDULER,
             f"{len(context.jobs)} ended jobs could not be removed yet",
--- a/tests/test_batch_late_writes.py
+++ b/tests/test_batch_late_writes.py
@@ -102,5 +102,43 @@
         self.assertIs(fabric.store.serve.__func__, serve.__func__)
 
 
+class RemovalTest(test_batch_jobs.BatchTest):
+    """The removal of an ended job gets no reply and takes effect late."""
+
+    def test_late_removal_spares_a_job_that_was_accepted_since(self):
+        """Guards against an accepted job that is removed under its id."""
+        fabric = self.build(retention_s=1.0)
+        fabric.submit(1, builders.body())
+        fabric.until_completed(1)
+        fabric.run_for(20.0)
+        fabric.store.late_s = 30.0
+        fabric.store.lost_share = 1.0
+        fabric.run_until(lambda: fabric.store.delayed_writes, 30.0)
+        fabric.store.lost_share = 0.0
+        key = state_lib.JOBS_PREFIX + builders.job_id(1)
+        fabric.run_until(lambda: key not in fabric.store.items, 20.0)
+        # The oracle does not know that ids may be used again after a while.
+        fabric.world.done.clear()
+        fabric.submit(1, builders.body(work_s=60.0))
+        fabric.run_for(35.0)
+        self.assertIn(key, fabric.store.items)
+        fabric.until_completed(1, limit_s=40.0)
+
+    def test_job_is_run_that_was_accepted_after_an_unnoticed_removal(self):
+        """Guards against an accepted job that counts as the removed one."""
+        fabric = self.build(retention_s=1.0)
+        fabric.submit(1, builders.body())
+        fabric.until_completed(1)
+        fabric.run_for(20.0)
+        fabric.store.lost_share = 1.0
+        key = state_lib.JOBS_PREFIX + builders.job_id(1)
+        fabric.run_until(lambda: key not in fabric.store.items, 30.0)
+        fabric.store.lost_share = 0.0
+        fabric.world.done.clear()
+        fabric.submit(1, builders.body())
+        fabric.until_completed(1, limit_s=5.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
