Acknowledge ends only right after the target has answered

Cause: numbers of ends start anew with each incarnation of a target, and each listing repeated the last number, however long ago the target had answered.

Evidence: the answer that shows the restart has no end.

Change: a number is sent only until an answer shows that it has arrived, and only within 50 ms of the last answer. Otherwise a listing without it comes first.

Why it works: the incarnation that lists an end is the one that answers just before its acknowledgement is sent.

--- a/dandelionpick/batch/incarnations.py
+++ b/dandelionpick/batch/incarnations.py
@@ -14,6 +14,8 @@
 
 # Covers the rounding of clocks to milliseconds.
 CLOCK_MARGIN_S = 0.005
+# A target does not restart, get work and end it within this time.
+MIN_RESTART_S = 0.05
 
 
 class Origin(enum.Enum):
@@ -103,6 +105,19 @@
     return entry is not None and not (0 < entry.started_ms < target.started_ms)
 
 
+def may_acknowledge(target: schedule_state.Target, now_s: float) -> bool:
+    """Returns whether ends may be acknowledged to a target now.
+
+    A later incarnation numbers its ends anew. It would forget those of its own
+    up to the number, unseen.
+    """
+    return (
+        target.listed
+        and not target.failed
+        and now_s - target.clock_s < MIN_RESTART_S
+    )
+
+
 def known_start_ms(target: schedule_state.Target) -> int:
     """Returns a target's last known start in Unix milliseconds, or 0."""
     if target.started_ms or target.entry is None:
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -41,13 +41,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListContext:
-    """Context of a call that lists a target."""
+    """Context of a call that lists a target; see ListRuns."""
 
     epoch: ids.Epoch
     target: ids.TargetId
     serial: int
     sent_s: float
     wait_s: float
+    acknowledged: int = 0
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -92,13 +93,17 @@
     message = target_api.ListRuns(
         target.id,
         schedule.epoch,
-        # A target that has restarted numbers its ends from the start again.
-        _drop_stored_ends(schedule, target) if reachable else 0,
+        _acknowledged(schedule, target, now_s),
         lease_until_ms,
         _wait_s(target) if reachable else 0.0,
     )
     context = ListContext(
-        schedule.epoch, target.id, target.poll_serial, now_s, message.wait_s
+        schedule.epoch,
+        target.id,
+        target.poll_serial,
+        now_s,
+        message.wait_s,
+        message.acknowledged,
     )
     dispatch.call(
         state,
@@ -128,6 +133,20 @@
     return UNRESOLVED_WAIT_S if stopped else 0.0
 
 
+def _acknowledged(
+    schedule: schedule_state.Schedule,
+    target: schedule_state.Target,
+    now_s: float,
+) -> int:
+    """Returns up to which number a target may forget its ends; 0 for none."""
+    stored = _drop_stored_ends(schedule, target)
+    if stored > target.acknowledged and incarnations.may_acknowledge(
+        target, now_s
+    ):
+        return stored
+    return 0
+
+
 def _drop_stored_ends(
     schedule: schedule_state.Schedule, target: schedule_state.Target
 ) -> int:
@@ -244,13 +263,13 @@
         )
     run_resolution.stop_missing_unresolved(state, step, target, context.sent_s)
     target_health.reschedule_stalled_runs(state, step, target)
-    _drop_stored_ends(schedule, target)
+    has_stored_ends = _drop_stored_ends(schedule, target) > target.acknowledged
     if schedule.stage is schedule_state.Stage.FENCING:
         # The next targets are listed without waiting for a tick.
         tick(state, step)
-    if target.ends:
+    if target.ends and not has_stored_ends:
         target.poll_at_s = now_s + UNSAVED_PERIOD_S
-    elif target.runs:
+    elif target.runs or has_stored_ends:
         target.poll_at_s = now_s
         if not target.poll_pending:
             poll(state, step, target)
@@ -270,8 +289,10 @@
     now_s = step.moment.now_s
     if incarnations.is_other(target, listed.started_ms):
         run_endings.handle_restart(state, step, target, listed.started_ms)
-    elif not target.started_ms:
-        target.started_ms = listed.started_ms
+        _note_unseen_ends(step, target, context)
+    else:
+        target.started_ms = target.started_ms or listed.started_ms
+        target.acknowledged = max(target.acknowledged, context.acknowledged)
     if target.failed:
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
@@ -295,6 +316,18 @@
         )
 
 
+def _note_unseen_ends(
+    step: dispatch.Step, target: schedule_state.Target, context: ListContext
+) -> None:
+    if context.acknowledged:
+        step.note(
+            effects.Component.TARGETS,
+            f"{target.id} restarted before it got an acknowledgement; its ends"
+            f" up to {context.acknowledged} were not seen",
+            warning=True,
+        )
+
+
 def _apply_running(
     state: state_lib.State,
     step: dispatch.Step,
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -80,7 +80,7 @@
     target.replaced = target.departed = False
     target.started_ms = started_ms
     target.announced_s = float("inf")
-    target.processed = 0
+    target.processed = target.acknowledged = 0
     target.ends.clear()
     target.last_attempts.clear()
     target.listed = False
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -217,6 +217,7 @@
         ends: ends that are not acknowledged: number, job and the version of
             its progress that has to be stored first.
         processed: number of the last end that was processed.
+        acknowledged: number of the last end that it is known to have forgotten.
         last_attempts: highest attempt that ended there, by task.
     """
 
@@ -257,6 +258,7 @@
         default_factory=list
     )
     processed: int = 0
+    acknowledged: int = 0
     last_attempts: dict[model.TaskKey, ids.Attempt] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -38,6 +38,11 @@
     schedule_state.Target.__setattr__ = set_attribute
 
 
+def acknowledge_at_any_time() -> None:
+    """Acknowledges ends however long ago the target has answered."""
+    incarnations.may_acknowledge = lambda target, now_s: target.listed
+
+
 def settle_lost_writes() -> None:
     """Takes a write of the roster without a reply for one that failed."""
 
@@ -55,6 +60,11 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "ends are acknowledged right after the target has answered",
+        acknowledge_at_any_time,
+        RESTARTS,
+    ),
     mutant.Mutant(
         "a roster whose write has no reply is not forgotten",
         settle_lost_writes,
--- a/tests/test_batch_restarts.py
+++ b/tests/test_batch_restarts.py
@@ -135,6 +135,51 @@
         fabric.run_for(3.0)
         self.assertEqual(self.starts(fabric), 0)
 
+    def test_ends_of_a_new_incarnation_are_not_acknowledged_unseen(self):
+        """Guards against the number of an end of the earlier incarnation."""
+        for work_s in (0.01, 0.05, 0.3):
+            with self.subTest(work_s=work_s):
+                fabric = self.build_idle(target_count=1)
+                step = builders.phase(TASKS)
+                fabric.submit(1, builders.body(step, work_s=0.3))
+                fabric.until_completed(1)
+                fabric.run_for(4.0)
+                self.restart_all(fabric, REPORTS_AFTER_S)
+                fabric.submit(2, builders.body(step, work_s=work_s))
+                fabric.until_completed(2, limit_s=6.0)
+                self.assertEqual(self.starts(fabric), 2 * TASKS)
+
+    def test_ends_are_acknowledged_right_after_an_answer(self):
+        """Guards against a restart between a listing and its acknowledgement.
+
+        The ends wait for the store; a restart takes longer than the margin.
+        """
+        fabric = self.build_idle(target_count=1)
+        target = fabric.world.targets["t0"]
+        serve = target.serve
+        answered_s = [0.0]
+        ages_s = []
+
+        def record(path, body, now_s, done):
+            if body.get("acked_through"):
+                ages_s.append(now_s - answered_s[-1])
+
+            def reply(exchange):
+                answered_s.append(fabric.now_s)
+                done(exchange)
+
+            serve(path, body, now_s, reply)
+
+        target.serve = record
+        for number, delay_s in enumerate((0.0, 0.1, 0.17, 0.5)):
+            fabric.commit_delay_s = delay_s
+            fabric.submit(number, builders.body(builders.phase(TASKS)))
+            fabric.until_completed(number, limit_s=10.0)
+            fabric.run_for(2.0)
+        self.assertTrue(ages_s)
+        self.assertLess(max(ages_s), 0.1)
+        self.assertEqual(target.unacknowledged_ends, [])
+
     def test_two_restarts_between_two_reports(self):
         """Guards against a report of a life that has ended since."""
         fabric = self.build_idle()
