Take an entry for a sign of an exit only if it can't have expired

Cause: three signs of an exit had to agree, and a cut brings about each of them.

Evidence: the log says "has shut down", which doesn't look at leases. Ruled out: leases that are computed too short.

Change: exits.py owns the question what proves an exit. The store removes an entry after three heartbeats of silence, so one that goes within 2.5 of them after the last report was removed by its target. The watch's calls bound the time of the report from below. The interval comes with the settings (DANDELIONPICK_HEARTBEAT_MS); without it, nothing is concluded. An entry that another writer has overwritten is no removal.

Why it works: no cut makes the store remove an entry early.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -32,8 +32,6 @@
 # acknowledged, so each listing returns them at once instead of waiting.
 UNSAVED_PERIOD_S = 0.25
 RETRY_S = 0.25
-# A reply may arrive this long after the target that sent it has left.
-LAST_REPLY_S = 0.1
 # The shortest time after which a listing, or the connection for it, times out,
 # in addition to the requested wait.
 MIN_TIMEOUT_S = 0.25
@@ -177,7 +175,8 @@
     # A call that fails before its timeout was broken off or refused.
     now_s = step.moment.now_s
     if now_s - context.sent_s < timeout_s:
-        target.closed_s = min(target.closed_s, now_s)
+        signs = target.exit_signs
+        signs.closed_s = min(signs.closed_s, now_s)
     _record_failed_listing(step, target, context, failure.value)
 
 
@@ -200,7 +199,7 @@
     reason: str,
 ) -> None:
     target.poll_pending = False
-    target.unanswered_s = context.sent_s
+    target.exit_signs.unanswered_s = context.sent_s
     target.poll_at_s = step.moment.now_s + RETRY_S * target.listed
     if not target.failed:
         target.failed = True
@@ -246,8 +245,6 @@
     now_s = step.moment.now_s
     _record_answer(state, step, target, context, listed)
     target.obeyed_s = max(target.obeyed_s, context.sent_s)
-    # A target that has left would not have answered.
-    target.expired |= now_s > target.unregistered_s + LAST_REPLY_S
     for ended in sorted(listed.ended, key=lambda ended: ended.number):
         if ended.number > target.processed:
             target.processed = ended.number
@@ -297,7 +294,7 @@
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
     target.failed = False
-    target.closed_s = float("inf")
+    target.exit_signs.record_answer(now_s)
     target.unheard = False
     target.replaced = False
     target.failing_since_s = float("inf")
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -35,7 +35,10 @@
     if _has_restarted_unlisted(target):
         assert target.entry is not None
         run_endings.handle_restart(state, step, target, target.entry.started_ms)
-    if target.has_left() and target.runs:
+    has_exited = target.failed and target.exit_signs.show_exit(
+        state.limits.heartbeat_s
+    )
+    if has_exited and target.runs:
         step.note(
             effects.Component.TARGETS,
             f"{target.id} has shut down; {len(target.runs)} runs are lost",
@@ -65,7 +68,7 @@
         target.failed
         and target.entry is not None
         and incarnations.is_later(target, target.entry.started_ms)
-        and target.unanswered_s >= target.announced_s
+        and target.exit_signs.unanswered_s >= target.announced_s
     )
 
 
@@ -91,7 +94,7 @@
             silent_s=round(step.moment.now_s - target.failing_since_s, 1),
         )
     target.unheard = True
-    if target.departed:
+    if target.exit_signs.departed:
         loss = run_endings.Loss.SHUT_DOWN
     elif target.entry is None:
         loss = run_endings.Loss.EXPIRED
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -6,6 +6,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
+from dandelionpick.batch import exits
 from dandelionpick.batch import model
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
@@ -14,9 +15,6 @@
 # numbers rise from one scheduler to the next without a write to the store.
 ATTEMPT_BITS = 16
 
-# A target that serves on without its entry answers a listing within this time.
-EXIT_CHECK_S = 0.5
-
 
 class RunState(enum.Enum):
     """State of a run as far as the scheduler knows.
@@ -197,12 +195,7 @@
         failing_since_s: when the first of the failed listings was sent.
         replaced: another incarnation answers at its address, so that nothing
             runs there any more.
-        departed: it was draining when its entry was removed.
-        unregistered_s: when its entry was removed.
-        expired: its entry may have been removed because it was silent.
-        closed_s: when its machine first closed a connection, or refused one,
-            since it last answered; inf if it did not.
-        unanswered_s: when the last listing that failed was sent.
+        exit_signs: what is known about its exit.
         backoff_until_s: nothing is started there before this time.
         failures: failed runs since the last one that was done.
         quarantined_until_s: nothing is started there before this time, because
@@ -241,11 +234,9 @@
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
     replaced: bool = False
-    departed: bool = False
-    unregistered_s: float = float("inf")
-    expired: bool = False
-    closed_s: float = float("inf")
-    unanswered_s: float = float("-inf")
+    exit_signs: exits.ExitSigns = dataclasses.field(
+        default_factory=exits.ExitSigns
+    )
     failures: int = 0
     quarantined_until_s: float = float("-inf")
     unlisted_until_s: float = float("-inf")
@@ -273,27 +264,11 @@
 
     def is_draining(self) -> bool:
         """Returns whether it ends by plan, or has done so."""
-        return self.departed or (
+        return self.exit_signs.departed or (
             self.entry is not None
             and self.entry.state is target_api.TargetState.DRAINING
         )
 
-    def has_left(self) -> bool:
-        """Returns whether it has exited after it drained.
-
-        The entry of a draining target went as it stopped answering, its machine
-        closed connections, and later listings got no answer either. A target
-        that is cut off stops answering well before its entry expires, and its
-        connections hang; one that serves on without its entry answers again.
-        """
-        return (
-            self.departed
-            and self.failed
-            and not self.expired
-            and self.unanswered_s > self.closed_s
-            and self.unanswered_s > self.unregistered_s + EXIT_CHECK_S
-        )
-
     def is_exceeded(self) -> bool:
         """Returns whether its capacity has shrunk below what runs occupy."""
         return self.entry is not None and not self.used.fits_in(
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -1,5 +1,6 @@
 """Settings of an instance that schedules batch jobs, read from an INI file."""
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
@@ -9,6 +10,9 @@
 from dandelionpick import settings_file
 from dandelionpick.batch import state as state_lib
 
+# The interval is not among the bounds that every platform fills in.
+HEARTBEAT_ENV_VAR = "DANDELIONPICK_HEARTBEAT_MS"
+
 Milliseconds = Annotated[
     float,
     msgspec.Meta(ge=0, description="give milliseconds, 0 or more"),
@@ -50,7 +54,12 @@
 
 
 class BoundsSection(msgspec.Struct, frozen=True):
-    """Time limits that the platform guarantees or requires; see Limits."""
+    """Time limits that the platform guarantees or requires; see Limits.
+
+    Attributes:
+        heartbeat_ms: interval of the targets' reports to the store. If it is 0,
+            work of a target that has drained waits until its leases end.
+    """
 
     revoke_ms: Milliseconds
     run_lease_ms: Milliseconds
@@ -59,6 +68,7 @@
     early_ms: Milliseconds
     retention_s: settings_file.Seconds
     drain_s: settings_file.Seconds
+    heartbeat_ms: Milliseconds = 0.0
 
 
 class CapacitySection(msgspec.Struct, frozen=True):
@@ -87,13 +97,24 @@
     log: settings_file.LogSection = settings_file.LogSection()
 
 
-def load(path: str) -> Result[Settings, list[settings_file.SettingsError]]:
+def load(
+    path: str, env: Mapping[str, str] | None = None
+) -> Result[Settings, list[settings_file.SettingsError]]:
     """Reads and checks a settings file.
 
+    Args:
+        path: path of the file.
+        env: environment variables; HEARTBEAT_ENV_VAR replaces
+            `[bounds] heartbeat_ms`.
+
     Returns:
         The settings, or all errors that were found.
     """
-    return settings_file.read(path, Settings)
+    heartbeat_ms = (env or {}).get(HEARTBEAT_ENV_VAR, "")
+    replaced = {("bounds", "heartbeat_ms"): heartbeat_ms}
+    return settings_file.read(
+        path, Settings, {key: text for key, text in replaced.items() if text}
+    )
 
 
 def identity_of(settings: Settings, peer_address: str) -> state_lib.Identity:
@@ -120,4 +141,5 @@
         restore_s=bounds.restore_ms / 1_000,
         stop_s=bounds.stop_ms / 1_000,
         early_s=bounds.early_ms / 1_000,
+        heartbeat_s=bounds.heartbeat_ms / 1_000,
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -76,6 +76,8 @@
         restore_s: how long a run takes to resume from a checkpoint.
         stop_s: how long a stop takes at most.
         early_s: how much too early an occurrence may start.
+        heartbeat_s: interval of the targets' reports to the store; 0 if
+            unknown.
     """
 
     revoke_s: float = 5.0
@@ -85,6 +87,7 @@
     restore_s: float = 0.6
     stop_s: float = 0.4
     early_s: float = 0.25
+    heartbeat_s: float = 1.5
 
 
 class Role(enum.Enum):
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -19,7 +19,10 @@
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
 
-TARGETS_WATCH_S = 2.0
+# The calls of the watch bound when a target wrote its entry at the earliest.
+# Two of them and a heartbeat are less than the three heartbeats after which an
+# entry expires.
+TARGETS_WATCH_S = 1.0
 # Each reply also confirms that the scheduler's key is unchanged.
 INTAKE_WATCH_S = 0.5
 # Targets that have not been listed by then are treated as unreachable;
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -13,12 +13,6 @@
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
 
-# An exiting target removes its entry as it stops answering. The listing that
-# fails then was sent up to a second before, and the store may be slow to tell
-# of the removal. An entry that expires goes later: two heartbeats after the
-# target has fallen silent at the earliest.
-MAX_EXIT_S = 2.0
-
 
 def add_unregistered(
     schedule: schedule_state.Schedule, target_id: ids.TargetId, address: str
@@ -47,7 +41,8 @@
             f"entry {item.key} is not a valid target: {decoded.failure()}",
             warning=True,
         )
-        _remove_entry(schedule, step, item.key)
+        # The target itself has not removed its entry.
+        _remove_entry(schedule, step, item.key, may_have_left=False)
         return
     entry: target_api.TargetEntry = decoded.unwrap()
     target = schedule.targets.get(entry.id)
@@ -59,10 +54,10 @@
         _list_again(target, step.moment.now_s)
         target.address = entry.address
     before = target.entry
-    target.departed = is_announced and target.is_draining()
+    was_draining = target.is_draining()
+    target.exit_signs.record_report(watch.confirmed_s)
+    target.exit_signs.departed = is_announced and was_draining
     target.entry = entry
-    target.expired = False
-    target.unregistered_s = float("inf")
     schedule.dirty = True
     if before is None or before.state is not entry.state:
         step.note(
@@ -92,24 +87,30 @@
     key: str,
 ) -> None:
     if state.schedule is not None:
-        _remove_entry(state.schedule, step, key)
+        _remove_entry(state.schedule, step, key, may_have_left=True)
 
 
 def _remove_entry(
-    schedule: schedule_state.Schedule, step: dispatch.Step, key: str
+    schedule: schedule_state.Schedule,
+    step: dispatch.Step,
+    key: str,
+    may_have_left: bool,
 ) -> None:
     now_s = step.moment.now_s
     target = schedule.targets.get(ids.TargetId(key.rpartition("/")[2]))
     if target is not None and target.entry is not None:
         step.note(
-            effects.Component.TARGETS, f"{target.id} is no longer registered"
+            effects.Component.TARGETS,
+            f"{target.id} is no longer registered",
+            reported_s=round(now_s - target.exit_signs.reported_s, 2),
         )
-        target.departed = target.entry.state is target_api.TargetState.DRAINING
-        target.expired = (
-            target.failed and now_s - target.failing_since_s > MAX_EXIT_S
+        target.exit_signs.record_removal(
+            now_s,
+            may_have_left
+            and target.entry.state is target_api.TargetState.DRAINING,
+            now_s - target.failing_since_s if target.failed else 0.0,
         )
         target.entry = None
-        target.unregistered_s = now_s
 
 
 def drop_unregistered_targets(
--- a/dandelionpick/cli_schedule.py
+++ b/dandelionpick/cli_schedule.py
@@ -32,7 +32,7 @@
         path = self.argument("settings") or self.env.get(
             cli_options.SETTINGS_ENV_VAR, ""
         )
-        loaded = settings_lib.load(path)
+        loaded = settings_lib.load(path, self.env)
         if not pipeline.is_successful(loaded):
             for error in loaded.failure():
                 self.io.error_output.write_line(
--- a/dandelionpick/settings_file.py
+++ b/dandelionpick/settings_file.py
@@ -8,6 +8,7 @@
 import enum
 import pathlib
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
@@ -130,10 +131,18 @@
 
 
 def read(
-    path: str, settings_type: type[SettingsT]
+    path: str,
+    settings_type: type[SettingsT],
+    replaced: Mapping[tuple[str, str], str] | None = None,
 ) -> Result[SettingsT, list[SettingsError]]:
     """Reads a settings file whose sections are the fields of a struct.
 
+    Args:
+        path: path of the file.
+        settings_type: the struct.
+        replaced: values from elsewhere, by section and key, which replace those
+            in the file.
+
     Returns:
         The settings, or all errors in the file.
     """
@@ -153,6 +162,8 @@
     except configparser.Error as error:
         return Failure([_syntax_error(path, error)])
     sections = {name: dict(parser[name]) for name in parser.sections()}
+    for (section, key), text in (replaced or {}).items():
+        sections.setdefault(section, {})[key] = text
     errors = list(_check_sections(sections, path, section_types(settings_type)))
     if errors:
         return Failure(errors)
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -4,6 +4,7 @@
 
 from dandelionpick import errors
 from dandelionpick.batch import admission
+from dandelionpick.batch import exits
 from dandelionpick.batch import fencing
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_intake
@@ -19,7 +20,6 @@
 from dandelionpick.batch import run_resolution
 from dandelionpick.batch import runs
 from dandelionpick.batch import saving
-from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_health
 from dandelionpick.batch import submission
@@ -162,9 +162,7 @@
 
 def take_expiry_for_exit() -> None:
     """Takes a draining target without an entry that is silent for gone."""
-    schedule_state.Target.has_left = lambda target: (
-        target.departed and target.failed
-    )
+    exits.ExitSigns.show_exit = lambda signs, heartbeat_s: signs.departed
 
 
 def believe_full_lists() -> None:
--- a/tests/batch_target_faults.py
+++ b/tests/batch_target_faults.py
@@ -8,7 +8,8 @@
 from standins import platform_store
 from standins import platform_targets
 
-ENTRY_TTL_S = 4.5
+HEARTBEAT_S = 1.5
+ENTRY_TTL_S = 3 * HEARTBEAT_S
 # How long a target that a task has crashed takes to restart.
 TARGET_RESTART_S = 3.3
 
@@ -116,7 +117,13 @@
         """
         target = self.world.targets[name]
         target.draining = True
-        self.store.put(keys.TARGETS_PREFIX + name, target.entry())
+
+        def report() -> None:
+            if target.up:
+                self._report(target)
+                self.call_later(HEARTBEAT_S, report)
+
+        report()
 
         def leave() -> None:
             target.crash()
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -1,5 +1,6 @@
 """Mutants of the mechanisms around restarted targets and late writes."""
 
+from dandelionpick.batch import exits
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
@@ -43,6 +44,11 @@
     incarnations.may_acknowledge = lambda target, now_s: target.listed
 
 
+def ignore_expiry() -> None:
+    """Takes an entry that may have expired for a sign of an exit."""
+    exits.HEARTBEATS_BEFORE_EXPIRY = 1e6
+
+
 def settle_lost_writes() -> None:
     """Takes a write of the roster without a reply for one that failed."""
 
@@ -60,6 +66,11 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "an exit is proved by an entry that goes before it can expire",
+        ignore_expiry,
+        ("tests.test_batch_draining",),
+    ),
     mutant.Mutant(
         "ends are acknowledged right after the target has answered",
         acknowledge_at_any_time,
--- a/tests/test_batch_draining.py
+++ b/tests/test_batch_draining.py
@@ -79,6 +79,23 @@
         fabric.until_completed(1, limit_s=25.0)
         self.assertEqual(self.starts(fabric), TASKS)
 
+    def test_entry_that_expires_as_connections_are_reset_shows_no_exit(self):
+        """Guards against a target that loses its links one by one."""
+        for drained_s in (0.1, 1.4, 1.6, 2.3):
+            for before_s in (0.05, 0.3, 0.5, 1.0, 1.6, 1.9):
+                with self.subTest(drained_s=drained_s, before_s=before_s):
+                    fabric, target = self.start_work()
+                    fabric.drain_target(target, leaves_s=60.0)
+                    fabric.run_for(drained_s)
+                    fabric.cut_from_store(target)
+                    fabric.run_for(batch_target_faults.ENTRY_TTL_S - before_s)
+                    fabric.refusing_targets.add(target)
+                    fabric.run_for(5.5)
+                    fabric.refusing_targets.clear()
+                    fabric.rejoin_store(target)
+                    fabric.until_completed(1, limit_s=25.0)
+                    self.assertEqual(self.starts(fabric), TASKS)
+
     def listings_of(self, fabric, target: str) -> list[str]:
         return [
             call_id
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,6 +12,7 @@
 from dandelionpick import settings
 from dandelionpick import settings_file
 from dandelionpick import state as state_lib
+from dandelionpick.batch import settings as batch_settings
 from dandelionpick.status import ExitStatus
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -152,5 +153,44 @@
         self.assertEqual(status, ExitStatus.INVALID_SETTINGS)
 
 
+SCHEDULER = {
+    "instance": {"name": "e1", "failure_domain": "a", "region": "r"},
+    "listen": dict.fromkeys(("callers", "health", "peers"), "127.0.0.1:0"),
+    "store": {"address": "127.0.0.1:1"},
+    "bounds": {
+        "revoke_ms": "5000",
+        "run_lease_ms": "10000",
+        "restore_ms": "600",
+        "stop_ms": "400",
+        "early_ms": "250",
+        "retention_s": "120",
+        "drain_s": "6",
+    },
+}
+
+
+class SchedulerSettingsTest(unittest.TestCase):
+    """The interval of heartbeats comes from the environment or the file."""
+
+    def load(self, heartbeat_ms: str | None):
+        with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+            file.write(text_of(SCHEDULER))
+            file.flush()
+            env = {batch_settings.HEARTBEAT_ENV_VAR: heartbeat_ms}
+            return batch_settings.load(file.name, env if heartbeat_ms else {})
+
+    def test_environment_sets_the_heartbeat(self):
+        """Guards against an interval that is assumed instead of given."""
+        for text, expected_s in ((None, 0.0), ("1500", 1.5)):
+            with self.subTest(text=text):
+                limits = batch_settings.limits_of(self.load(text).unwrap())
+                self.assertEqual(limits.heartbeat_s, expected_s)
+
+    def test_invalid_heartbeat_is_reported(self):
+        """Guards against a wrong variable that ends the process in a trace."""
+        (error,) = self.load("soon").failure()
+        self.assertEqual((error.section, error.key), ("bounds", "heartbeat_ms"))
+
+
 if __name__ == "__main__":
     unittest.main()
