Refuse entries of known targets that name no pool

Cause: an entry decided that a target had restarted.

Change: an entry over a known target whose pool the configuration doesn't name is refused, and read again when the configuration changes.

--- a/dandelionpick/batch/catalog.py
+++ b/dandelionpick/batch/catalog.py
@@ -33,10 +33,15 @@
 
 
 class Catalog(msgspec.Struct, frozen=True, dict=True):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    Attributes:
+        pools: pools of targets that it names, beside those of its queues.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
+    pools: frozenset[ids.PoolName] = frozenset()
     organisations: tuple[Organisation, ...] = ()
     max_body_bytes: int = 262_144
 
@@ -59,6 +64,11 @@
             for key in organisation.keys
         }
 
+    @functools.cached_property
+    def named_pools(self) -> frozenset[ids.PoolName]:
+        """All pools that it names."""
+        return self.pools | {queue.terms.pool for queue in self.queues}
+
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching prefix, or None."""
         for queue in self.by_host.get(host, ()):
--- a/dandelionpick/batch/configuration.py
+++ b/dandelionpick/batch/configuration.py
@@ -9,6 +9,7 @@
 from dandelionpick import effects
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
+from dandelionpick.batch import target_registry
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
 
@@ -62,6 +63,7 @@
     catalog_state.value = item.value
     if state.schedule is not None:
         state.schedule.dirty = True
+    target_registry.apply_catalog(state, step)
     step.note(
         effects.Component.CONFIGURATION,
         f"version {catalog.version} in force, revision {item.revision},"
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -302,6 +302,8 @@
         obeyed_by_all_s: no target had obeyed a later scheduler by then.
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
+        has_unnamed_pools: an entry of a known target names a pool that the
+            configuration does not name.
         starts: bounds the starts that are in flight.
         planned_starts: starts of suspected tasks that are being stored; those
             of each item are sent together.
@@ -342,6 +344,7 @@
     )
     dirty: bool = True
     last_pass_s: float = float("-inf")
+    has_unnamed_pools: bool = False
     starts: start_window.StartWindow = dataclasses.field(
         default_factory=start_window.StartWindow
     )
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -46,6 +46,18 @@
         return
     entry: target_api.TargetEntry = decoded.unwrap()
     target = schedule.targets.get(entry.id)
+    if target is not None and not _names_pool(state, entry):
+        step.note(
+            effects.Component.TARGETS,
+            f"entry {item.key} names no pool of the configuration",
+            warning=True,
+            pool=entry.pool,
+        )
+        # It is applied when it is listed under a configuration that names it.
+        watch.revisions.pop(item.key, None)
+        schedule.has_unnamed_pools = True
+        _remove_entry(schedule, step, item.key, may_have_left=False)
+        return
     if target is None:
         target = schedule_state.Target(entry.id, entry.address, entry)
         schedule.targets[entry.id] = target
@@ -66,6 +78,21 @@
         )
 
 
+def _names_pool(state: state_lib.State, entry: target_api.TargetEntry) -> bool:
+    catalog = state.catalog.current
+    return catalog is None or entry.pool in catalog.named_pools
+
+
+def apply_catalog(state: state_lib.State, step: dispatch.Step) -> None:
+    """Lists the entries again if one named no pool so far."""
+    schedule = state.schedule
+    watch = state.watches.get(watches.TargetsWatch)
+    if schedule is None or watch is None or not schedule.has_unnamed_pools:
+        return
+    schedule.has_unnamed_pools = False
+    watching.refresh(state, step, watch)
+
+
 def _list_again(target: schedule_state.Target, now_s: float) -> None:
     """Lists a target that may have restarted.
 
--- a/dandelionpick/platform/configuration.py
+++ b/dandelionpick/platform/configuration.py
@@ -45,6 +45,12 @@
     guaranteed: dict[str, float] = {}
 
 
+class Service(msgspec.Struct):
+    """A pool of targets."""
+
+    name: str
+
+
 class Limits(msgspec.Struct):
     """Limits on callers' requests."""
 
@@ -56,6 +62,7 @@
 
     version: int
     routes: list[Route] = []
+    services: list[Service] = []
     tenants: list[Tenant] = []
     limits: Limits = msgspec.field(default_factory=Limits)
 
@@ -73,6 +80,9 @@
         catalog.Catalog(
             version=document.version,
             queues=tuple(map(_to_queue, document.routes)),
+            pools=frozenset(
+                ids.PoolName(service.name) for service in document.services
+            ),
             organisations=tuple(map(_to_organisation, document.tenants)),
             max_body_bytes=document.limits.max_body_bytes,
         )
--- a/tests/test_batch_foreign_entries.py
+++ b/tests/test_batch_foreign_entries.py
@@ -87,6 +87,48 @@
                 fabric.until_completed(1, limit_s=8.0)
                 self.assertEqual(set(fabric.world.starts.values()), {1})
 
+    def test_entry_of_another_service_is_no_restart(self):
+        """Guards against a readable entry over the key of a target at work.
+
+        It may name another address, another start or a state as well.
+        """
+        variants = (
+            {},
+            {"born": 10**12},
+            {"born": 10**12, "address": "t9:80"},
+            {"state": "draining"},
+        )
+        for fields in variants:
+            with self.subTest(fields):
+                fabric = self.build(target_count=2)
+                fabric.run_for(4.0)
+                fabric.submit(1, builders.body(builders.phase(4), work_s=6.0))
+                fabric.run_for(1.0)
+                busy = [t for t in fabric.world.targets.values() if t.runs]
+                (target,) = busy
+                key = keys.TARGETS_PREFIX + target.id
+                foreign = {**GOOD, "address": target.address, **fields}
+                foreign["service"] = "nowhere"
+                fabric.store.put(key, json.dumps(foreign).encode())
+                fabric.run_for(1.4)
+                fabric.store.put(key, target.entry())
+                fabric.until_completed(1, limit_s=8.0)
+                self.assertEqual(set(fabric.world.starts.values()), {1})
+
+    def test_target_of_a_pool_that_is_added_later_is_used(self):
+        """Guards against an entry that is refused before its pool is known."""
+        fabric = self.build(target_count=1)
+        target = fabric.world.targets["t0"]
+        target.pool = "added"
+        fabric.store.put(keys.TARGETS_PREFIX + "t0", target.entry())
+        fabric.run_for(1.0)
+        routes = [builders.route(number, service="added") for number in (0, 1)]
+        value = builders.configuration_value(2, routes=routes)
+        fabric.store.put(keys.CONFIGURATION_KEY, value)
+        fabric.run_for(1.0)
+        fabric.submit(1, builders.body())
+        fabric.until_completed(1, limit_s=5.0)
+
 
 class NestedBodyTest(unittest.TestCase):
     """A caller sends a body that is nested very deeply."""
