Fuzz restarts, reports, cuts and takeovers in random orders

Targets restart under their ids, report that up to a heartbeat later, and are cut off from the instances or the store around that, while schedulers are killed, starts are lost, and writes are lost or late.

--- /dev/null
+++ b/tests/test_batch_restart_fuzz.py
@@ -0,0 +1,198 @@
+"""Random orders of restarts, reports, cuts and takeovers.
+
+Targets restart under their ids and report that late, and are cut off from the
+instances, the store or both around that, while schedulers are killed. The
+oracle of the targets records every violated guarantee.
+"""
+
+import os
+import random
+import unittest
+
+from dandelionpick.batch import messages
+from dandelionpick.batch import model
+from dandelionpick.platform import jobs
+from tests import batch_builders as builders
+from tests import batch_fabric
+from tests import batch_target_faults
+from tests import fuzzing
+from tests import test_batch_jobs
+
+TARGETS = 4
+FAULTS_S = 25.0
+# Every lease has ended, and tasks that have started again are done.
+SETTLE_S = 60.0
+MAX_CUT_S = 5.5
+DEFAULT_SEED = 1
+DEFAULT_EXAMPLES = 40
+
+
+class RandomFaults:
+    """Draws what happens next to a platform, until it is to settle.
+
+    Attributes:
+        sent: replies to each submission.
+        restarts: how often targets have crashed; a job whose tasks were often
+            under way then may be given up.
+    """
+
+    def __init__(self, seed: int):
+        self.random = random.Random(seed)
+        self.fabric = batch_fabric.Fabric(seed=seed, target_count=TARGETS)
+        self.fabric.run_until(self.fabric.scheduler, 5.0)
+        self.fabric.run_for(self.random.choice((0.5, 4.0)))
+        self.sent: list[list[messages.Reply]] = []
+        self.restarts = 0
+
+    def play(self) -> None:
+        """Plays faults, removes them, and waits until work has ended."""
+        faults = (
+            self.submit,
+            self.submit,
+            self.restart,
+            self.restart_and_cut,
+            self.cut,
+            self.cut_from_store,
+            self.kill_scheduler,
+            self.lose_starts,
+            self.lose_writes,
+        )
+        end_s = self.fabric.now_s + FAULTS_S
+        while self.fabric.now_s < end_s:
+            self.random.choice(faults)()
+            self.fabric.run_for(self.random.choice((0.0, 0.01, 0.1, 0.5, 2.0)))
+        self.fabric.lost_start_share = self.fabric.dropped_start_share = 0.0
+        self.fabric.store.lost_share = 0.0
+        self.fabric.run_for(SETTLE_S)
+
+    def draw_targets(self) -> list[str]:
+        """Draws some targets that are up."""
+        names = [
+            target.id
+            for target in self.fabric.world.targets.values()
+            if target.up
+        ]
+        count = self.random.choice((1, 1, 2, TARGETS))
+        return self.random.sample(names, min(count, len(names)))
+
+    def submit(self) -> None:
+        """Submits a job to an instance that is up, if there is one."""
+        up = [name for name, it in self.fabric.instances.items() if it.up]
+        if not up:
+            return
+        count = self.random.choice((1, 4, 12))
+        step = builders.phase(count, gang=self.random.random() < 0.3)
+        body = builders.body(
+            step, work_s=self.random.choice((0.02, 0.4, 3.0, 9.0))
+        )
+        number = len(self.sent) + 1
+        self.fabric.register(number, body)
+        spec = jobs.decode(body).unwrap()
+        name = self.random.choice(up)
+        priority = self.random.choice((0, 1, 2))
+        self.sent.append(
+            self.fabric.send(name, builders.submit(number, spec, priority))
+        )
+
+    def restart(self) -> list[str]:
+        """Restarts targets, which report that up to a heartbeat later."""
+        names = self.draw_targets()
+        for name in names:
+            self.restarts += 1
+            self.fabric.crash_target(
+                name,
+                self.random.choice((0.02, 0.1, 0.3, 0.6, 2.0)),
+                self.random.random() * batch_target_faults.HEARTBEAT_S,
+            )
+        return names
+
+    def restart_and_cut(self) -> None:
+        """Restarts targets, and cuts them off about when they report."""
+        names = self.restart()
+        self.fabric.run_for(self.random.random() * 2.5)
+        self.cut_off(names)
+
+    def cut(self) -> None:
+        """Cuts targets off from all instances, or from one."""
+        self.cut_off(self.draw_targets())
+
+    def cut_off(self, names: list[str]) -> None:
+        """Cuts off the links between targets and instances for a while."""
+        cut = self.fabric.cut
+        instances = list(self.fabric.instances)
+        if self.random.random() < 0.2:
+            instances = [self.random.choice(instances)]
+        links = {
+            frozenset((name, instance))
+            for name in names
+            for instance in instances
+        }
+        cut |= links
+        self.fabric.call_later(
+            self.random.random() * MAX_CUT_S,
+            lambda: cut.difference_update(links),
+        )
+
+    def cut_from_store(self) -> None:
+        """Cuts targets off from the store; their entries may expire."""
+        for name in self.draw_targets():
+            self.fabric.cut_from_store(name)
+            self.fabric.call_later(
+                self.random.random() * 6.0,
+                lambda name=name: self.fabric.rejoin_store(name),
+            )
+
+    def kill_scheduler(self) -> None:
+        """Kills the scheduler; its instance is back a second later."""
+        scheduler = self.fabric.scheduler()
+        if scheduler is not None:
+            self.fabric.kill(scheduler.name)
+            self.fabric.call_later(
+                1.0, lambda: self.fabric.start_instance(scheduler.name)
+            )
+
+    def lose_starts(self) -> None:
+        """Loses replies to starts, or starts, from now on or no longer."""
+        self.fabric.lost_start_share = self.random.choice((0.0, 0.3))
+        self.fabric.dropped_start_share = self.random.choice((0.0, 0.0, 0.2))
+
+    def lose_writes(self) -> None:
+        """Loses replies of the store, whose writes are done late or not."""
+        self.fabric.store.lost_share = self.random.choice((0.0, 0.4))
+        self.fabric.store.late_s = self.random.choice((0.0, 2.0, 5.0))
+
+    def accepted(self) -> list[int]:
+        """Returns the numbers of the jobs that were accepted."""
+        return [
+            number
+            for number, replies in enumerate(self.sent, 1)
+            if any(isinstance(reply, messages.Accepted) for reply in replies)
+        ]
+
+
+class RestartFuzz(test_batch_jobs.BatchTest):
+    """No order of restarts, reports, cuts and takeovers breaks a guarantee."""
+
+    def test_random_orders_break_no_guarantee(self):
+        """Guards against work of a restarted target that runs twice or not."""
+        first = int(os.environ.get(fuzzing.SEED_VARIABLE, DEFAULT_SEED))
+        count = int(os.environ.get(fuzzing.EXAMPLES_VARIABLE, DEFAULT_EXAMPLES))
+        for seed in range(first * 1_000, first * 1_000 + count):
+            with self.subTest(seed=seed):
+                faults = RandomFaults(seed)
+                faults.play()
+                self.check(faults.fabric)
+                self.check_ends(faults)
+
+    def check_ends(self, faults: RandomFaults) -> None:
+        for number in faults.accepted():
+            state = faults.fabric.state_of(number)
+            allowed = [model.JobState.COMPLETED]
+            if faults.restarts >= 3:
+                allowed.append(model.JobState.FAILED)
+            log = "\n".join(faults.fabric.log[-40:])
+            self.assertIn(state, allowed, f"job {number}\n{log}")
+
+
+if __name__ == "__main__":
+    unittest.main()
