Count a job as begun only when a target has started a task

Cause: the choice of a target for a task was read as the start of the job.

Change: a job has begun when a target confirms or lists a run of it, or its end.

Before: the new test failed (0 pending jobs in place of 1).

--- a/dandelionpick/batch/inspection.py
+++ b/dandelionpick/batch/inspection.py
@@ -81,7 +81,7 @@
     if admitted.job_id is None:
         pending = sum(
             job.record.queue == admitted.queue.name
-            and job.first_start_s is None
+            and not job.begun
             and not job.ended
             for job in schedule.jobs.values()
         )
@@ -93,7 +93,7 @@
         _answer_from_store(state, step, request, admitted.job_id)
         return
     shown = job.shown
-    if shown is model.JobState.QUEUED and job.first_start_s is not None:
+    if shown is model.JobState.QUEUED and job.begun:
         shown = model.JobState.ACTIVE
     open_requests.finish(state, step, request, messages.JobView(shown))
 
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -350,9 +350,6 @@
     run.percent = running.percent
     if running.checkpoint:
         run.checkpoint = running.checkpoint
-    job = schedule.jobs.get(running.task.job_id)
-    if job is not None and job.first_start_s is None:
-        job.first_start_s = now_s
 
 
 def _adopt(
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -174,6 +174,7 @@
     if job is None:
         target.ends.append((ended.number, ended.task.job_id, 0))
         return
+    job.begun = True
     _apply_to_job(state, step, target, job, ended)
     target.ends.append((ended.number, job.id, job.version))
 
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -40,6 +40,9 @@
         started_ms: start of the incarnation that has confirmed it; 0 if it is
             not known which one that is.
     """
+    job = schedule.jobs.get(run.task.job_id)
+    if job is not None:
+        job.begun = True
     recorded_ms = incarnations.start_ms_of(run)
     run.confirmed_by_ms = started_ms or run.confirmed_by_ms
     is_first = run.confirmed_s == float("inf")
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -139,7 +139,8 @@
         progress_revision: the store's revision of its progress.
         shown: the state that callers see; an end becomes visible once it is
             stored.
-        first_start_s: when its first task started; None before.
+        placed: a target has been chosen for one of its tasks.
+        begun: a task of it has started on a target.
         steps: by occurrence and number.
     """
 
@@ -152,7 +153,8 @@
     progress_revision: int = 0
     shown: model.JobState = model.JobState.QUEUED
     cancelled: bool = False
-    first_start_s: float | None = None
+    placed: bool = False
+    begun: bool = False
     steps: dict[tuple[int, int], StepRun] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -279,8 +279,8 @@
     schedule.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
     waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
-    if unit.job.first_start_s is None:
-        unit.job.first_start_s = now_s
+    if not unit.job.placed:
+        unit.job.placed = True
         step.emit(
             effects.Observe(
                 "queue_wait_seconds",
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -128,6 +128,30 @@
         waited_s = fabric.run_until(lambda: task in fabric.world.starts, 2.9)
         self.assertLess(waited_s, 2.9)
 
+    def test_pending_counts_a_job_whose_start_was_refused(self):
+        """Guards against a refused start that counts as begun work."""
+        fabric = self.build(target_count=1)
+        target = fabric.world.targets["t0"]
+        serve = target.serve
+
+        def refuse(path, body, now_s, done):
+            if path == "/run-start":
+                done((503, {}))
+            else:
+                serve(path, body, now_s, done)
+
+        target.serve = refuse
+        fabric.submit(1, builders.body())
+        fabric.run_for(1.0)
+        reply = fabric.ask("e0", builders.inspect_queue())
+        self.assertEqual(reply, messages.QueueView(1))
+        self.assertIs(fabric.state_of(1), model.JobState.QUEUED)
+        target.serve = serve
+        fabric.run_for(1.0)
+        reply = fabric.ask("e0", builders.inspect_queue())
+        self.assertEqual(reply, messages.QueueView(0))
+        fabric.until_completed(1, limit_s=4.0)
+
     def test_pending_counts_jobs_that_have_not_begun(self):
         """Guards against a count that omits waiting jobs."""
         fabric = self.build(target_count=1)
