Stop starts that were given up again after a restart

Callers would see: work that runs twice (TWICE), if a start gets no reply, is given up, and is carried out seconds later by the next incarnation of its target, which takes calls that were meant for the former one.

Cause: the stop that the target had confirmed kept the start from taking effect. A restart forgets it.

Left: a start that is carried out between the restart and the next listing.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -7,6 +7,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import kinds
+from dandelionpick.batch import abandoned_starts
 from dandelionpick.batch import fencing
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
@@ -270,6 +271,8 @@
         target.poll_at_s = now_s
         if not target.poll_pending:
             poll(state, step, target)
+    elif abandoned_starts.has_any(target, now_s):
+        target.poll_at_s = now_s + abandoned_starts.LISTING_PERIOD_S
     else:
         target.poll_at_s = now_s + listing_order.IDLE_PERIOD_S
 
@@ -303,6 +306,7 @@
     target.clock_s = now_s
     target.listing_sent_s = context.sent_s
     if not target.listed:
+        abandoned_starts.stop_all(state, step, target)
         target.listed = True
         schedule.dirty = True
         if target.unlisted_until_s > float("-inf"):
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -5,6 +5,7 @@
 
 from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick.batch import abandoned_starts
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import job_ends
@@ -142,6 +143,9 @@
         percent=round(run.percent),
         since_start_s=round(step.moment.now_s - run.ordered_s, 2),
     )
+    target = schedule.targets.get(run.target)
+    if target is not None:
+        abandoned_starts.record(target, run)
     runs.keep_checkpoint(schedule, run, run.checkpoint, run.percent)
     orders.stop_other_gang_members(state, step, run)
     runs.remove(schedule, run)
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -214,6 +214,8 @@
         processed: number of the last end that was processed.
         acknowledged: number of the last end that it is known to have forgotten.
         last_attempts: highest attempt that ended there, by task.
+        abandoned_starts: when starts were sent that got no reply and were given
+            up, by task and attempt.
     """
 
     id: ids.TargetId
@@ -255,6 +257,9 @@
     last_attempts: dict[model.TaskKey, ids.Attempt] = dataclasses.field(
         default_factory=dict
     )
+    abandoned_starts: dict[tuple[model.TaskKey, ids.Attempt], float] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def may_hide_ends(self) -> bool:
         """Returns whether it holds ends that no listing has shown so far."""
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -79,6 +79,8 @@
         commit_delay_s: how long the store takes for each commit.
         late_share: share of the orders to targets that get no reply and are
             executed `late_s` later.
+        late_after_restarts: such orders are executed also if the target has
+            restarted meanwhile.
         renames_crashed: a target that a task has crashed comes back under
             another id.
         replaced_targets: targets whose address another target has.
@@ -113,6 +115,7 @@
         self.commit_delay_s = 0.0
         self.late_share = 0.0
         self.late_s = 5.0
+        self.late_after_restarts = False
         self.renames_crashed = True
         self.replaced_targets: set[str] = set()
         self.unheard_targets: set[str] = set()
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -127,7 +127,8 @@
     if fabric.random.random() < fabric.late_share:
 
         def serve_late() -> None:
-            if target.up and target.born_s == boot_s:
+            is_same = target.born_s == boot_s
+            if target.up and (is_same or fabric.late_after_restarts):
                 target.serve(path, body, fabric.now_s, lambda reply: None)
 
         fabric.call_later(fabric.late_s, serve_late)
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -1,5 +1,6 @@
 """Mutants of the mechanisms around restarted targets and late writes."""
 
+from dandelionpick.batch import abandoned_starts
 from dandelionpick.batch import exits
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import roster
@@ -44,6 +45,11 @@
     incarnations.may_acknowledge = lambda target, now_s: target.listed
 
 
+def forget_abandoned_starts() -> None:
+    """Relies on stops that an earlier incarnation has confirmed."""
+    abandoned_starts.stop_all = lambda state, step, target: None
+
+
 def ignore_expiry() -> None:
     """Takes an entry that may have expired for a sign of an exit."""
     exits.HEARTBEATS_BEFORE_EXPIRY = 1e6
@@ -66,6 +72,11 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "starts that were given up are stopped again after a restart",
+        forget_abandoned_starts,
+        RESTARTS,
+    ),
     mutant.Mutant(
         "an exit is proved by an entry that goes before it can expire",
         ignore_expiry,
--- a/tests/test_batch_restarts.py
+++ b/tests/test_batch_restarts.py
@@ -94,6 +94,22 @@
                 fabric.until_completed(1, limit_s=9.0)
                 self.assertEqual(self.starts(fabric), 12)
 
+    def test_late_start_is_not_carried_out_by_the_next_incarnation(self):
+        """Guards against a start that was given up before a restart."""
+        for late_s in (2.2, 3.0, 5.0):
+            with self.subTest(late_s=late_s):
+                fabric = self.build_idle()
+                fabric.late_after_restarts = True
+                fabric.late_share, fabric.late_s = 1.0, late_s
+                step = builders.phase(TASKS)
+                fabric.submit(1, builders.body(step, work_s=9.0))
+                fabric.run_for(0.3)
+                fabric.late_share = 0.0
+                fabric.run_until(lambda it=fabric: self.starts(it) >= TASKS)
+                fabric.crash_target("t0", 0.1, REPORTS_AFTER_S)
+                fabric.until_completed(1, limit_s=15.0)
+                self.assertEqual(fabric.world.broken, [])
+
     def test_takeover_between_a_restart_and_its_report(self):
         """Guards against a new scheduler that believes an earlier entry."""
         for offset_s in OFFSETS_S:
