--- a/dandelionpick/batch/exits.py
+++ b/dandelionpick/batch/exits.py
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class ExitSigns:
+class ExitEvidence:
     """What is known about the exit of a target.
 
     Attributes:
@@ -70,7 +70,7 @@
         self.closed_s = float("inf")
         self.stayed |= now_s > self.unregistered_s + LAST_REPLY_S
 
-    def show_exit(self, heartbeat_s: float) -> bool:
+    def proves_exit(self, heartbeat_s: float) -> bool:
         """Returns whether a target that fails to answer has exited.
 
         Args:
--- a/dandelionpick/batch/incarnations.py
+++ b/dandelionpick/batch/incarnations.py
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sighting:
+class Snapshot:
     """What was known of a target's incarnation when an order was sent.
 
     Attributes:
@@ -49,9 +49,9 @@
     ordered_s: float
 
 
-def sight(target: schedule_state.Target, now_s: float) -> Sighting:
+def take_snapshot(target: schedule_state.Target, now_s: float) -> Snapshot:
     """Returns what is known of a target's incarnation now."""
-    return Sighting(
+    return Snapshot(
         target.started_ms if target.listed else 0,
         target.clock_ms,
         target.listing_sent_s,
@@ -61,25 +61,25 @@
 
 
 def origin_of_reply(
-    sighting: Sighting, clock_ms: int | None, now_s: float
+    snapshot: Snapshot, clock_ms: int | None, now_s: float
 ) -> Origin:
     """Returns which incarnation has replied to an order.
 
     Args:
-        sighting: what was known when the order was sent.
+        snapshot: what was known when the order was sent.
         clock_ms: the clock in the reply; None if there is none.
         now_s: when the reply arrived.
     """
-    if clock_ms is None or not sighting.started_ms:
+    if clock_ms is None or not snapshot.started_ms:
         return Origin.UNCERTAIN
     clock_s = clock_ms / 1_000
     drift = leadership_bounds.CLOCK_DRIFT_FACTOR
     # A later incarnation has started after the listing was sent.
-    later_age_s = (now_s - sighting.listing_sent_s) * drift
+    later_age_s = (now_s - snapshot.listing_sent_s) * drift
     if clock_s > later_age_s + CLOCK_MARGIN_S:
         return Origin.KNOWN
-    elapsed_s = (sighting.ordered_s - sighting.listed_s) / drift
-    if clock_s < sighting.clock_ms / 1_000 + elapsed_s - CLOCK_MARGIN_S:
+    elapsed_s = (snapshot.ordered_s - snapshot.listed_s) / drift
+    if clock_s < snapshot.clock_ms / 1_000 + elapsed_s - CLOCK_MARGIN_S:
         return Origin.LATER
     return Origin.UNCERTAIN
 
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -36,7 +36,7 @@
 
     epoch: ids.Epoch
     run: schedule_state.Run
-    sighting: incarnations.Sighting
+    snapshot: incarnations.Snapshot
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
 
     epoch: ids.Epoch
     run: schedule_state.Run
-    sighting: incarnations.Sighting
+    snapshot: incarnations.Snapshot
 
 
 def destination(target: schedule_state.Target) -> effects.Destination:
@@ -127,7 +127,7 @@
     schedule.starts.record_sent()
     schedule.unanswered_starts.append(run)
     context = StartContext(
-        schedule.epoch, run, incarnations.sight(target, now_s)
+        schedule.epoch, run, incarnations.take_snapshot(target, now_s)
     )
     dispatch.call(
         state, step, destination(target), message, context, START_TIMEOUT_S
@@ -153,8 +153,8 @@
     message = target_api.StopRun(
         run.target, schedule.epoch, run.task, run.attempt
     )
-    sighting = incarnations.sight(target, step.moment.now_s)
-    context = StopContext(schedule.epoch, run, sighting)
+    snapshot = incarnations.take_snapshot(target, step.moment.now_s)
+    context = StopContext(schedule.epoch, run, snapshot)
     dispatch.call(
         state, step, destination(target), message, context, STOP_TIMEOUT_S
     )
@@ -263,14 +263,14 @@
     assert state.schedule is not None
     now_s = step.moment.now_s
     origin = incarnations.origin_of_reply(
-        context.sighting, reply.clock_ms, now_s
+        context.snapshot, reply.clock_ms, now_s
     )
     known = origin is incarnations.Origin.KNOWN
     run_records.record_running(
         state.schedule,
         context.run,
         now_s,
-        context.sighting.started_ms if known else 0,
+        context.snapshot.started_ms if known else 0,
     )
     if origin is incarnations.Origin.LATER:
         step.note(
@@ -350,12 +350,12 @@
     if isinstance(reply, target_api.Obeyed):
         now_s = step.moment.now_s
         origin = incarnations.origin_of_reply(
-            context.sighting, reply.clock_ms, now_s
+            context.snapshot, reply.clock_ms, now_s
         )
         # A stop that another incarnation has carried out is repeated.
         if (
             origin is incarnations.Origin.KNOWN
-            and context.sighting.started_ms == target.started_ms
+            and context.snapshot.started_ms == target.started_ms
         ):
             run.stopped_s = min(run.stopped_s, now_s)
         target.poll_at_s = now_s
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -176,8 +176,8 @@
     # A call that fails before its timeout was broken off or refused.
     now_s = step.moment.now_s
     if now_s - context.sent_s < timeout_s:
-        signs = target.exit_signs
-        signs.closed_s = min(signs.closed_s, now_s)
+        evidence = target.exit_evidence
+        evidence.closed_s = min(evidence.closed_s, now_s)
     _record_failed_listing(step, target, context, failure.value)
 
 
@@ -200,7 +200,7 @@
     reason: str,
 ) -> None:
     target.poll_pending = False
-    target.exit_signs.unanswered_s = context.sent_s
+    target.exit_evidence.unanswered_s = context.sent_s
     target.poll_at_s = step.moment.now_s + RETRY_S * target.listed
     if not target.failed:
         target.failed = True
@@ -297,7 +297,7 @@
         step.note(effects.Component.TARGETS, f"{target.id} can be listed again")
     target.poll_pending = False
     target.failed = False
-    target.exit_signs.record_answer(now_s)
+    target.exit_evidence.record_answer(now_s)
     target.unheard = False
     target.replaced = False
     target.failing_since_s = float("inf")
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -78,7 +78,7 @@
         target.lease_ends_s = max(
             target.lease_ends_s, orders.longest_lease_end_s(state, now_s)
         )
-    target.replaced = target.exit_signs.departed = False
+    target.replaced = target.exit_evidence.departed = False
     target.started_ms = started_ms
     target.announced_s = float("inf")
     target.processed = target.acknowledged = 0
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -35,7 +35,7 @@
     if _has_restarted_unlisted(target):
         assert target.entry is not None
         run_endings.handle_restart(state, step, target, target.entry.started_ms)
-    has_exited = target.failed and target.exit_signs.show_exit(
+    has_exited = target.failed and target.exit_evidence.proves_exit(
         state.limits.heartbeat_s
     )
     if has_exited and target.runs:
@@ -68,7 +68,7 @@
         target.failed
         and target.entry is not None
         and incarnations.is_later(target, target.entry.started_ms)
-        and target.exit_signs.unanswered_s >= target.announced_s
+        and target.exit_evidence.unanswered_s >= target.announced_s
     )
 
 
@@ -94,7 +94,7 @@
             silent_s=round(step.moment.now_s - target.failing_since_s, 1),
         )
     target.unheard = True
-    if target.exit_signs.departed:
+    if target.exit_evidence.departed:
         loss = run_endings.Loss.SHUT_DOWN
     elif target.entry is None:
         loss = run_endings.Loss.EXPIRED
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -197,7 +197,7 @@
         failing_since_s: when the first of the failed listings was sent.
         replaced: another incarnation answers at its address, so that nothing
             runs there any more.
-        exit_signs: what is known about its exit.
+        exit_evidence: what is known about its exit.
         backoff_until_s: nothing is started there before this time.
         failures: failed runs since the last one that was done.
         quarantined_until_s: nothing is started there before this time, because
@@ -238,8 +238,8 @@
     failing_since_s: float = float("inf")
     backoff_until_s: float = float("-inf")
     replaced: bool = False
-    exit_signs: exits.ExitSigns = dataclasses.field(
-        default_factory=exits.ExitSigns
+    exit_evidence: exits.ExitEvidence = dataclasses.field(
+        default_factory=exits.ExitEvidence
     )
     failures: int = 0
     quarantined_until_s: float = float("-inf")
@@ -271,7 +271,7 @@
 
     def is_draining(self) -> bool:
         """Returns whether it ends by plan, or has done so."""
-        return self.exit_signs.departed or (
+        return self.exit_evidence.departed or (
             self.entry is not None
             and self.entry.state is target_api.TargetState.DRAINING
         )
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -67,8 +67,8 @@
         target.address = entry.address
     before = target.entry
     was_draining = target.is_draining()
-    target.exit_signs.record_report(watch.confirmed_s)
-    target.exit_signs.departed = is_announced and was_draining
+    target.exit_evidence.record_report(watch.confirmed_s)
+    target.exit_evidence.departed = is_announced and was_draining
     target.entry = entry
     schedule.dirty = True
     if before is None or before.state is not entry.state:
@@ -129,9 +129,9 @@
         step.note(
             effects.Component.TARGETS,
             f"{target.id} is no longer registered",
-            reported_s=round(now_s - target.exit_signs.reported_s, 2),
+            reported_s=round(now_s - target.exit_evidence.reported_s, 2),
         )
-        target.exit_signs.record_removal(
+        target.exit_evidence.record_removal(
             now_s,
             may_have_left
             and target.entry.state is target_api.TargetState.DRAINING,
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -162,7 +162,9 @@
 
 def take_expiry_for_exit() -> None:
     """Takes a draining target without an entry that is silent for gone."""
-    exits.ExitSigns.show_exit = lambda signs, heartbeat_s: signs.departed
+    exits.ExitEvidence.proves_exit = lambda evidence, heartbeat_s: (
+        evidence.departed
+    )
 
 
 def believe_full_lists() -> None:
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -18,7 +18,7 @@
 
 def trust_all_replies() -> None:
     """Takes each reply for one of the known incarnation."""
-    incarnations.origin_of_reply = lambda sighting, clock_ms, now_s: (
+    incarnations.origin_of_reply = lambda snapshot, clock_ms, now_s: (
         incarnations.Origin.KNOWN
     )
 
