--- /dev/null
+++ b/dandelionpick/batch/features.py
@@ -0,0 +1,20 @@
+"""Optional parts of the scheduler that settings switch on."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Features:
+    """Optional parts of the scheduler that settings switch on.
+
+    Attributes:
+        target_reliability: judge targets by what their runs did.
+        learn_run_times: expect run times from those of finished runs.
+        fair_shares: order waiting work by what its organisation uses.
+        gang_reservations: keep capacity for gangs that have waited long.
+    """
+
+    target_reliability: bool = False
+    learn_run_times: bool = False
+    fair_shares: bool = False
+    gang_reservations: bool = False
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -7,6 +7,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
 from dandelionpick.batch import exits
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import model
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
@@ -303,6 +304,8 @@
 
     Attributes:
         began_s: when the takeover began.
+        features: the optional parts that are switched on.
+        closed_domains: failure domains that are being evacuated.
         fencing_started_s: when the fencing stage began.
         fenced_s: when a target of an earlier scheduler was first listed; inf
             before.
@@ -341,6 +344,8 @@
 
     epoch: ids.Epoch
     began_s: float
+    features: features_lib.Features = features_lib.Features()
+    closed_domains: frozenset[ids.FailureDomain] = frozenset()
     stage: Stage = Stage.READING
     fencing_started_s: float = 0.0
     fenced_s: float = float("inf")
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -8,6 +8,7 @@
 
 from dandelionpick import ids
 from dandelionpick import settings_file
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import state as state_lib
 
 # The interval is not among the bounds that every platform fills in.
@@ -59,6 +60,11 @@
     Attributes:
         heartbeat_ms: interval of the targets' reports to the store. If it is 0,
             work of a target that has drained waits until its leases end.
+        evacuate_ms: no task may start in a failure domain this long after its
+            evacuation was acknowledged. If it is 0, evacuations are not
+            watched.
+        gang_wait_ms: how long members of a gang wait for the others on their
+            targets. If it is 0, starts without a reply are not repeated.
     """
 
     revoke_ms: Milliseconds
@@ -69,6 +75,8 @@
     retention_s: settings_file.Seconds
     drain_s: settings_file.Seconds
     heartbeat_ms: Milliseconds = 0.0
+    evacuate_ms: Milliseconds = 0.0
+    gang_wait_ms: Milliseconds = 0.0
 
 
 class CapacitySection(msgspec.Struct, frozen=True):
@@ -83,6 +91,15 @@
     core_speed: Processor = 1.0
 
 
+class SchedulingSection(msgspec.Struct, frozen=True):
+    """Optional parts of the scheduler; see Features."""
+
+    target_reliability: settings_file.Boolean = False
+    learn_run_times: settings_file.Boolean = False
+    fair_shares: settings_file.Boolean = False
+    gang_reservations: settings_file.Boolean = False
+
+
 class Settings(msgspec.Struct, frozen=True):
     """All sections of the settings file."""
 
@@ -91,6 +108,7 @@
     store: StoreSection
     bounds: BoundsSection
     capacity: CapacitySection = CapacitySection()
+    scheduling: SchedulingSection = SchedulingSection()
     server: settings_file.ServerSection = settings_file.ServerSection()
     client: settings_file.ClientSection = settings_file.ClientSection()
     tracing: settings_file.TracingSection = settings_file.TracingSection()
@@ -142,4 +160,11 @@
         stop_s=bounds.stop_ms / 1_000,
         early_s=bounds.early_ms / 1_000,
         heartbeat_s=bounds.heartbeat_ms / 1_000,
+        evacuate_s=bounds.evacuate_ms / 1_000,
+        gang_wait_s=bounds.gang_wait_ms / 1_000,
     )
+
+
+def features_of(settings: Settings) -> features_lib.Features:
+    """Returns the parts of the scheduler that are switched on."""
+    return features_lib.Features(**msgspec.structs.asdict(settings.scheduling))
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -14,6 +14,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import catalog as catalog_lib
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
@@ -78,6 +79,10 @@
         early_s: how much too early an occurrence may start.
         heartbeat_s: interval of the targets' reports to the store; 0 if
             unknown.
+        evacuate_s: no task may start in a failure domain this long after its
+            evacuation was acknowledged; 0 if evacuations are not watched.
+        gang_wait_s: how long members of a gang wait for the others on their
+            targets; 0 if starts without a reply are not repeated.
     """
 
     revoke_s: float = 5.0
@@ -88,6 +93,8 @@
     stop_s: float = 0.4
     early_s: float = 0.25
     heartbeat_s: float = 1.5
+    evacuate_s: float = 0.0
+    gang_wait_s: float = 0.0
 
 
 class Role(enum.Enum):
@@ -334,6 +341,7 @@
     incarnation: ids.Incarnation
     formats: Formats
     limits: Limits
+    features: features_lib.Features = features_lib.Features()
     watches: dict[type, watches_lib.Watch] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -35,7 +35,7 @@
 ) -> None:
     """Starts to read the state in the store."""
     now_s = step.moment.now_s
-    state.schedule = schedule_state.Schedule(epoch, now_s)
+    state.schedule = schedule_state.Schedule(epoch, now_s, state.features)
     # Progress is read first: a job without progress would start from the
     # beginning.
     watching.start(
--- a/dandelionpick/batch/wiring.py
+++ b/dandelionpick/batch/wiring.py
@@ -49,6 +49,7 @@
             platform_targets.decode_entry,
         ),
         limits=batch_settings.limits_of(settings),
+        features=batch_settings.features_of(settings),
     )
 
 
