Repeat starts without a reply while their gang waits

Callers saw: urgent jobs that are late because one start of their gang got no reply.

The first order is kept as abandoned, so that a later incarnation does not carry it out. Orders count as possibly late for 12.5 s in place of 10 s.

Ruled out: the missing member on another target (two targets would have seen one attempt), and repetitions without a listing.

--- a/dandelionpick/batch/abandoned_starts.py
+++ b/dandelionpick/batch/abandoned_starts.py
@@ -1,8 +1,9 @@
-"""Keeps starts that were given up from taking effect after a restart.
+"""Keeps starts without a reply from taking effect after a restart.
 
 A start without a reply may be carried out seconds later. The stop that the
 target has confirmed keeps it from that, but is forgotten when the target
-restarts. It is therefore repeated for each later incarnation.
+restarts. It is therefore repeated for each later incarnation. The same holds
+for a start that was repeated: the first order may arrive after the run's end.
 """
 
 import dataclasses
@@ -18,8 +19,9 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 
-# A start is not carried out later than this after it was sent.
-MAX_LATE_S = 10.0
+# A start is not carried out later than this after it was sent. Targets have
+# carried out orders up to 12 s late.
+MAX_LATE_S = 12.5
 # Interval between listings of a target that runs nothing but may still carry
 # out such a start, so that its restart is noticed.
 LISTING_PERIOD_S = 0.5
@@ -36,7 +38,14 @@
 def record(target: schedule_state.Target, run: schedule_state.Run) -> None:
     """Records a run that is given up, if its start got no reply."""
     if run.unresolved_s < float("inf") and run.confirmed_s == float("inf"):
-        target.abandoned_starts[run.task, run.attempt] = run.ordered_s
+        record_order(target, run)
+
+
+def record_order(
+    target: schedule_state.Target, run: schedule_state.Run
+) -> None:
+    """Records that an order to start a run may still be carried out."""
+    target.abandoned_starts[run.task, run.attempt] = run.ordered_s
 
 
 def has_any(target: schedule_state.Target, now_s: float) -> bool:
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -218,7 +218,8 @@
     if schedule is None or schedule.epoch != context.epoch:
         return
     if replied:
-        schedule.starts.record_reply(now_s, now_s - context.run.ordered_s)
+        sent_s = context.snapshot.ordered_s
+        schedule.starts.record_reply(now_s, now_s - sent_s)
     else:
         schedule.starts.record_failure(now_s)
     schedule.dirty |= schedule.starts.exhausted
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -14,6 +14,7 @@
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import start_repetition
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import unheard_runs
 
@@ -139,7 +140,7 @@
     target: schedule_state.Target,
     sent_s: float,
 ) -> None:
-    """Stops starts without a reply that a later listing does not show.
+    """Repeats or stops starts without a reply that a later listing lacks.
 
     The stop keeps them from taking effect later. Other members of the gang
     would wait for them in vain.
@@ -149,6 +150,7 @@
             run.state is schedule_state.RunState.UNRESOLVED
             and run.unresolved_s <= sent_s
             and run.stop_sent_s == float("-inf")
+            and not start_repetition.repeat(state, step, target, run)
         ):
             step.note(
                 effects.Component.SCHEDULER,
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -38,7 +38,10 @@
     Attributes:
         needs: the resources that it occupies.
         job_known: the task belongs to a job that the scheduler knows.
-        ordered_s: when the start was planned or sent, or the run was adopted.
+        ordered_s: when the start was planned or last sent, or the run was
+            adopted.
+        first_ordered_s: when a start that was repeated was first sent.
+        repetitions: how often the start was sent again.
         sent_to_ms: start of the target's incarnation that was known when the
             run was added, in Unix milliseconds; 0 if none was.
         confirmed_by_ms: the same of the incarnation that has the run; 0 if no
@@ -76,6 +79,8 @@
     percent: float = 0.0
     first_percent: float = 0.0
     progressed_s: float = 0.0
+    first_ordered_s: float = float("inf")
+    repetitions: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -78,6 +78,10 @@
         "Starts and stops sent to targets, by result.",
         ["order", "result"],
     ),
+    "starts_repeated_total": prometheus_client.Counter(
+        "dandelionpick_starts_repeated_total",
+        "Starts without a reply that were sent again to the same target.",
+    ),
     "preemptions_total": prometheus_client.Counter(
         "dandelionpick_preemptions_total",
         "Runs stopped for work of a higher priority.",
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -12,6 +12,7 @@
 from dandelionpick.platform import configuration
 from dandelionpick.platform import keys
 from dandelionpick.platform import targets
+from standins import platform_targets
 
 HOST = "jobs.example"
 KEY = "key-1"
@@ -49,7 +50,7 @@
             configuration.decode,
             targets.decode_entry,
         ),
-        limits=state_lib.Limits(),
+        limits=state_lib.Limits(gang_wait_s=platform_targets.GANG_TIMEOUT_S),
     )
 
 
--- a/tests/restart_mutants.py
+++ b/tests/restart_mutants.py
@@ -5,9 +5,11 @@
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import start_repetition
 from tests import mutant
 
 RESTARTS = ("tests.test_batch_restarts",)
+LOST_STARTS = ("tests.test_batch_lost_starts",)
 LATE_WRITES = ("tests.test_batch_late_writes",)
 
 
@@ -50,6 +52,16 @@
     abandoned_starts.stop_all = lambda state, step, target: None
 
 
+def stop_incomplete_starts() -> None:
+    """Stops a gang as soon as one of its starts got no reply."""
+    start_repetition.repeat = lambda state, step, target, run: False
+
+
+def forget_repeated_starts() -> None:
+    """Forgets the first order of a start that was repeated."""
+    abandoned_starts.record_order = lambda target, run: None
+
+
 def ignore_expiry() -> None:
     """Takes an entry that may have expired for a sign of an exit."""
     exits.HEARTBEATS_BEFORE_EXPIRY = 1e6
@@ -72,6 +84,16 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "a start without a reply is repeated while its gang waits",
+        stop_incomplete_starts,
+        LOST_STARTS,
+    ),
+    mutant.Mutant(
+        "the first order of a repeated start is stopped after a restart",
+        forget_repeated_starts,
+        LOST_STARTS,
+    ),
     mutant.Mutant(
         "starts that were given up are stopped again after a restart",
         forget_abandoned_starts,
