Keep new work out of failure domains that operators evacuate

Change: the scheduler watches `op/evacuate/` if `[bounds] evacuate_ms` is set, and lists it before it is ready. Closed targets are no candidates; plans and reservations there are given up, and their racks don't count for locality. Targets that say that they are cold come last. Log lines, two gauges and the command `dandelionpick evacuations` show the progress. A key that is removed and written with an empty value within one reply of a watch no longer counts as removed; `Changed.removed` names revisions for that, and its contract test does too.

--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -25,6 +25,7 @@
     Attributes:
         max_tasks: how many more tasks the step's limit per target allows.
         penalty: targets with a lower penalty are preferred.
+        is_cold: the target works slowly for now.
     """
 
     target: ids.TargetId
@@ -33,6 +34,7 @@
     max_tasks: int = UNLIMITED_TASKS
     penalty: float = 0.0
     labels: frozenset[str] = frozenset()
+    is_cold: bool = False
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit, 0 if the target lacks the label."""
@@ -66,6 +68,15 @@
             self.counts[key] = count
         return count
 
+    def count_fitting_warm(self, needs: model.Resources, label: str) -> int:
+        """Returns how many tasks fit on targets that aren't cold."""
+        cold = sum(
+            candidate.count_fitting(needs, label)
+            for candidate in self.candidates
+            if candidate.is_cold
+        )
+        return self.count_fitting(needs, label) - cold
+
 
 Racks = dict[ids.Rack, Rack]
 
--- a/dandelionpick/batch/locality.py
+++ b/dandelionpick/batch/locality.py
@@ -9,6 +9,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
@@ -79,6 +80,7 @@
             or entry.pool != pool
             or entry.state is not target_api.TargetState.READY
             or target.failed
+            or evacuations.is_closed(schedule, target)
         ):
             continue
         entries_by_rack.setdefault(entry.rack, []).append(entry)
--- a/dandelionpick/batch/messages.py
+++ b/dandelionpick/batch/messages.py
@@ -183,7 +183,48 @@
     """The receiver does not watch the configuration in the store itself."""
 
 
-PeerMessage = Relay | Monitor | ReadCatalog
+class ReadEvacuations(msgspec.Struct, frozen=True, tag="read_evacuations"):
+    """Reads the evacuations in progress.
+
+    Attributes:
+        relayed: the sender is an instance that is not the scheduler.
+    """
+
+    relayed: bool = False
+
+
+class EvacuationView(msgspec.Struct, frozen=True):
+    """An evacuation as the scheduler sees it.
+
+    Attributes:
+        since_ms: Unix milliseconds at which the scheduler learnt of it.
+        targets: number of targets of the domain.
+        runs: number of runs there, by target, without targets that have none.
+    """
+
+    domain: ids.FailureDomain
+    since_ms: int
+    targets: int
+    runs: dict[ids.TargetId, int]
+
+
+class Evacuations(msgspec.Struct, frozen=True, tag="evacuations"):
+    """The evacuations in progress.
+
+    Attributes:
+        scheduler: the instance that replied.
+        watched: whether evacuations are followed at all.
+        is_outdated: the store has not told about evacuations for too long, so
+            that nothing is started.
+    """
+
+    scheduler: ids.InstanceId
+    watched: bool
+    is_outdated: bool
+    evacuations: tuple[EvacuationView, ...]
+
+
+PeerMessage = Relay | Monitor | ReadCatalog | ReadEvacuations
 PeerReply = (
     Relayed
     | NotScheduler
@@ -191,4 +232,5 @@
     | StoreRefuses
     | CatalogCopy
     | NoCatalog
+    | Evacuations
 )
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from dandelionpick import ids
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
 from dandelionpick.batch import incarnations
@@ -25,6 +26,9 @@
 # They count less than a failure of the task itself.
 SHARED_TARGET_PENALTY = 2.0
 OBSERVED_TARGET_PENALTY = 2.0
+# Places targets that are cold for now after all others, except those on which a
+# task of the unit failed: an attempt there may be its last.
+COLD_TARGET_PENALTY = 3.5
 
 
 class PassCapacity:
@@ -152,15 +156,20 @@
             continue
         if not is_usable(target, pool, now_s):
             continue
+        if evacuations.is_closed(schedule, target):
+            continue
         entry = target.entry
         assert entry is not None
+        is_cold = now_s < target.cold_until_s
         candidates.append(
             free_capacity.Candidate(
                 target.id,
                 entry.rack,
                 target.free(),
-                penalty=target_health.penalty(target),
+                penalty=target_health.penalty(target)
+                + COLD_TARGET_PENALTY * is_cold,
                 labels=entry.labels,
+                is_cold=is_cold,
             )
         )
     capacity = free_capacity.FreeCapacity(candidates)
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -66,12 +66,18 @@
 def _pack_into_one_rack(
     demand: Demand, racks: free_capacity.Racks
 ) -> list[ids.TargetId]:
+    needs, label, count = demand.needs, demand.label, demand.count
     best: free_capacity.Rack | None = None
-    best_spare = 0
+    # Racks where the gang needs no cold target come first; a gang is as slow as
+    # its slowest member.
+    best_rank = (True, 0)
     for rack in racks.values():
-        spare = rack.count_fitting(demand.needs, demand.label) - demand.count
-        if spare >= 0 and (best is None or spare < best_spare):
-            best, best_spare = rack, spare
+        spare = rack.count_fitting(needs, label) - count
+        if spare < 0:
+            continue
+        rank = (rack.count_fitting_warm(needs, label) < count, spare)
+        if best is None or rank < best_rank:
+            best, best_rank = rack, rank
     if best is not None:
         return _pack(demand, [best])
     return _pack(demand, racks.values()) if demand.relax_locality else []
--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -15,6 +15,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
@@ -109,6 +110,8 @@
         return "one of them was stopped or lost"
     if not leadership_bounds.may_start(state, now_s):
         return "this instance may not start work at present"
+    if not evacuations.is_view_current(state, now_s):
+        return "evacuations are not known"
     targets = [schedule.targets[run.target] for run in planned]
     for target in targets:
         if not _takes_work(schedule, target):
@@ -139,6 +142,7 @@
         and not target.is_draining()
         and not target.is_exceeded()
         and not target.failed
+        and not evacuations.is_closed(schedule, target)
         and roster.may_use(schedule, target)
     )
 
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -10,6 +10,8 @@
 from dandelionpick import reduction
 from dandelionpick.batch import catalog_copy
 from dandelionpick.batch import configuration
+from dandelionpick.batch import evacuation_reads
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import leadership
 from dandelionpick.batch import leaving
 from dandelionpick.batch import monitoring
@@ -28,7 +30,7 @@
 from dandelionpick.batch import watching
 
 # Imported only because they register message handlers.
-HANDLER_MODULES: tuple[ModuleType, ...] = (target_registry,)
+HANDLER_MODULES: tuple[ModuleType, ...] = (target_registry, evacuation_reads)
 
 # Run on each tick, in this order: handlers that update the known state come
 # before those that make decisions from it.
@@ -41,6 +43,7 @@
     takeover.tick,
     roster.tick,
     polling.tick,
+    evacuations.tick,
     requests.tick,
     scheduling.tick,
     saving.tick,
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -6,6 +6,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
+from dandelionpick.batch import evacuation_state
 from dandelionpick.batch import exits
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import model
@@ -208,6 +209,7 @@
         silent_until_ms: everything on a silent target ends by this Unix time,
             as recorded in the store; no lease is extended until the record is
             gone. 0 if there is no record.
+        cold_until_s: it works slowly until then, as its entry says.
         runs: runs that occupy resources, by task and attempt.
         used: the sum of their resources.
         ends: ends that are not acknowledged: number, job and the version of
@@ -246,6 +248,7 @@
     quarantined_until_s: float = float("-inf")
     unlisted_until_s: float = float("-inf")
     silent_until_ms: int = 0
+    cold_until_s: float = float("-inf")
     runs: dict[tuple[model.TaskKey, ids.Attempt], Run] = dataclasses.field(
         default_factory=dict
     )
@@ -306,6 +309,7 @@
         began_s: when the takeover began.
         features: the optional parts that are switched on.
         closed_domains: failure domains that are being evacuated.
+        evacuations: what was observed of these evacuations.
         fencing_started_s: when the fencing stage began.
         fenced_s: when a target of an earlier scheduler was first listed; inf
             before.
@@ -346,6 +350,9 @@
     began_s: float
     features: features_lib.Features = features_lib.Features()
     closed_domains: frozenset[ids.FailureDomain] = frozenset()
+    evacuations: evacuation_state.Evacuations = dataclasses.field(
+        default_factory=evacuation_state.Evacuations
+    )
     stage: Stage = Stage.READING
     fencing_started_s: float = 0.0
     fenced_s: float = float("inf")
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -7,6 +7,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
@@ -105,6 +106,7 @@
         schedule is None
         or schedule.stage is not schedule_state.Stage.READY
         or not leadership_bounds.may_start(state, now_s)
+        or not evacuations.is_view_current(state, now_s)
         or state.drain.requested_s is not None
     ):
         return
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -14,6 +14,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import catalog as catalog_lib
+from dandelionpick.batch import evacuation_state
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import schedule_state
@@ -56,10 +57,13 @@
     Attributes:
         catalog_key: key of the operators' configuration.
         targets_prefix: key prefix of the targets' entries.
+        evacuations_prefix: key prefix of the failure domains that operators
+            evacuate.
     """
 
     catalog_key: str
     targets_prefix: str
+    evacuations_prefix: str
     decode_catalog: Callable[[bytes], Result[catalog_lib.Catalog, str]]
     decode_target: Callable[[str, bytes], Result[target_api.TargetEntry, str]]
 
@@ -372,11 +376,15 @@
         """Returns the gauges that are derived from the state, by metric."""
         current = self.catalog.current
         schedule = self.schedule
+        evacuations = (
+            schedule.evacuations if schedule else evacuation_state.Evacuations()
+        )
         return {
             "revision": current.version if current else 0,
             "leaving": float(self.drain.requested_s is not None),
             "scheduler": float(self.election.role is Role.LEADING),
             "jobs": len(schedule.jobs) if schedule else 0,
+            **evacuations.gauges(),
         }
 
 
--- a/dandelionpick/batch/store_api.py
+++ b/dandelionpick/batch/store_api.py
@@ -63,12 +63,12 @@
 
     Attributes:
         items: changed keys; a removed key has no value.
-        removed: the removed keys.
+        removed: keys and revisions of the removals.
         revision: where the next watch continues.
     """
 
     items: tuple[Item, ...]
-    removed: frozenset[str]
+    removed: frozenset[tuple[str, int]]
     revision: int
 
 
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -10,6 +10,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import job_intake
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import polling
@@ -46,6 +47,7 @@
         step,
         watches.TargetsWatch(state.formats.targets_prefix, TARGETS_WATCH_S),
     )
+    evacuations.start(state, step)
     roster.read(state, step)
 
 
@@ -55,6 +57,7 @@
     for kind in (
         watches.ProgressWatch,
         watches.TargetsWatch,
+        watches.EvacuationsWatch,
         watches.IntakeWatch,
     ):
         watching.stop(state, kind)
@@ -87,11 +90,13 @@
     state: state_lib.State,
     step: dispatch.Step,
 ) -> None:
-    needed = (
+    needed = [
         watches.ProgressWatch,
         watches.TargetsWatch,
         watches.IntakeWatch,
-    )
+    ]
+    if evacuations.is_watched(state):
+        needed.append(watches.EvacuationsWatch)
     listed = all(
         kind in state.watches and state.watches[kind].listed for kind in needed
     )
--- a/dandelionpick/batch/target_api.py
+++ b/dandelionpick/batch/target_api.py
@@ -23,6 +23,7 @@
             distinguishes incarnations of the same id.
         rack: "" if unknown.
         remaining_s: seconds that a draining target keeps running, at least.
+        cold_remaining_s: seconds for which it still works slowly.
     """
 
     id: ids.TargetId
@@ -35,6 +36,7 @@
     rack: ids.Rack
     started_ms: int = 0
     remaining_s: float = 0.0
+    cold_remaining_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -70,6 +70,7 @@
     target.exit_evidence.record_report(watch.confirmed_s)
     target.exit_evidence.departed = is_announced and was_draining
     target.entry = entry
+    target.cold_until_s = step.moment.now_s + entry.cold_remaining_s
     schedule.dirty = True
     if before is None or before.state is not entry.state:
         step.note(
--- a/dandelionpick/batch/watches.py
+++ b/dandelionpick/batch/watches.py
@@ -10,6 +10,8 @@
     Attributes:
         wait_s: longest wait of one call; bounds how long a dead connection goes
             undetected. If 0, the prefix is listed and not watched.
+        relists: whether the prefix is listed again after a call that failed or
+            was refused.
         generation: increases when the watch restarts; replies to calls of an
             earlier generation are ignored.
         pending: whether a call is in progress, or no further call is to be
@@ -27,6 +29,7 @@
 
     prefix: str
     wait_s: float
+    relists: bool = False
     generation: int = 0
     pending: bool = False
     retry_at_s: float = float("-inf")
@@ -52,6 +55,10 @@
     """Watches the targets' entries."""
 
 
+class EvacuationsWatch(Watch):
+    """Watches the failure domains that operators evacuate."""
+
+
 class IntakeWatch(Watch):
     """Watches accepted jobs and cancellations, and the scheduler's key."""
 
--- a/dandelionpick/batch/watching.py
+++ b/dandelionpick/batch/watching.py
@@ -106,6 +106,15 @@
     watch.listed_keys = set()
 
 
+def _retry_later(watch: watches.Watch, step: dispatch.Step) -> None:
+    """Plans the next call after one that failed or was refused."""
+    if watch.relists:
+        _restart_listing(watch)
+    watch.retry_at_s = step.moment.now_s + RETRY_S * (
+        0.5 + step.moment.random_value
+    )
+
+
 def _send_call(
     state: state_lib.State, step: dispatch.Step, watch: watches.Watch
 ) -> None:
@@ -146,9 +155,7 @@
     if watch is None or watch.generation != context.generation:
         return
     watch.pending = False
-    watch.retry_at_s = step.moment.now_s + RETRY_S * (
-        0.5 + step.moment.random_value
-    )
+    _retry_later(watch, step)
 
 
 @functools.singledispatch
@@ -170,9 +177,7 @@
     step: dispatch.Step,
     context: WatchContext,
 ) -> None:
-    watch.retry_at_s = step.moment.now_s + RETRY_S * (
-        0.5 + step.moment.random_value
-    )
+    _retry_later(watch, step)
 
 
 @_handle_reply.register
@@ -233,7 +238,7 @@
     context: WatchContext,
 ) -> None:
     for item in reply.items:
-        if item.key in reply.removed and not item.value:
+        if (item.key, item.revision) in reply.removed:
             _remove(state, step, watch, item.key)
         else:
             apply_if_newer(state, step, watch, item)
--- a/dandelionpick/batch/wiring.py
+++ b/dandelionpick/batch/wiring.py
@@ -45,6 +45,7 @@
         formats=state_lib.Formats(
             platform_keys.CONFIGURATION_KEY,
             platform_keys.TARGETS_PREFIX,
+            platform_keys.EVACUATIONS_PREFIX,
             platform_configuration.decode,
             platform_targets.decode_entry,
         ),
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -44,6 +44,7 @@
     "tree set": CommandSpec("cli_tree", "SetCommand"),
     "tree edit": CommandSpec("cli_tree", "EditCommand"),
     "tree diff": CommandSpec("cli_tree", "DiffCommand"),
+    "evacuations": CommandSpec("cli_evacuations", "EvacuationsCommand"),
     "status": CommandSpec("cli_status", "StatusCommand"),
 }
 
--- a/dandelionpick/cli_options.py
+++ b/dandelionpick/cli_options.py
@@ -65,6 +65,14 @@
 )
 
 CLIENT_OPTIONS = [SERVER, JSON]
+PEER_OPTIONS = [
+    value_option(
+        "server",
+        "Address of an instance for its peers, as in 10.0.0.1:7000"
+        f" (default: {SERVER_ENV_VAR}).",
+    ),
+    JSON,
+]
 REQUEST_OPTIONS = [
     *CLIENT_OPTIONS,
     ORGANISATION,
--- a/dandelionpick/client.py
+++ b/dandelionpick/client.py
@@ -115,13 +115,19 @@
         self.server = server
         self.session = session
 
-    async def send(self, message: Any) -> Result[Any, ClientFailure]:
+    async def send(
+        self, message: Any, operation: Operation | None = None
+    ) -> Result[Any, ClientFailure]:
         """Sends a message of a caller or operator.
 
+        Args:
+            message: the message.
+            operation: its HTTP request, if `OPERATIONS` lacks the type.
+
         Returns:
             The reply, or why there is none.
         """
-        operation = OPERATIONS[type(message)]
+        operation = operation or OPERATIONS[type(message)]
         timeout = aiohttp.ClientTimeout(
             total=timeout_s_of(message), sock_connect=CONNECT_TIMEOUT_S
         )
@@ -153,12 +159,14 @@
         yield Client(server, session)
 
 
-def send_once(server: str, message: Any) -> Result[Any, ClientFailure]:
+def send_once(
+    server: str, message: Any, operation: Operation | None = None
+) -> Result[Any, ClientFailure]:
     """Sends one message from code that has no event loop."""
 
     async def run() -> Result[Any, ClientFailure]:
         async with connect(server) as client:
-            return await client.send(message)
+            return await client.send(message, operation)
 
     return asyncio.run(run())
 
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -137,6 +137,14 @@
     "jobs": prometheus_client.Gauge(
         "dandelionpick_jobs", "Jobs that the scheduler keeps."
     ),
+    "evacuated_domains": prometheus_client.Gauge(
+        "dandelionpick_evacuated_domains",
+        "Failure domains that are being evacuated.",
+    ),
+    "evacuated_runs": prometheus_client.Gauge(
+        "dandelionpick_evacuated_runs",
+        "Runs in failure domains that are being evacuated.",
+    ),
     "open_exchanges": prometheus_client.Gauge(
         "dandelionpick_open_exchanges", "Inbound messages without a response."
     ),
--- a/dandelionpick/platform/keys.py
+++ b/dandelionpick/platform/keys.py
@@ -2,3 +2,4 @@
 
 CONFIGURATION_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
--- a/dandelionpick/platform/store.py
+++ b/dandelionpick/platform/store.py
@@ -237,7 +237,11 @@
     wire = _items_decoder.decode(body)
     return store_api.Changed(
         tuple(map(_to_item, wire.events)),
-        frozenset(event.key for event in wire.events if event.deleted),
+        frozenset(
+            (event.key, event.revision)
+            for event in wire.events
+            if event.deleted
+        ),
         wire.store_revision,
     )
 
--- a/dandelionpick/platform/targets.py
+++ b/dandelionpick/platform/targets.py
@@ -60,6 +60,7 @@
         labels: the target's kind and its rack, in this order.
         born: start time in Unix milliseconds.
         remaining_ms: time that a draining target has left.
+        cold_remaining_ms: time for which the target still works slowly.
     """
 
     service: str
@@ -70,6 +71,7 @@
     labels: list[str] = []
     born: Milliseconds = 0
     remaining_ms: Duration = 0
+    cold_remaining_ms: Duration = 0
 
 
 class Listing(msgspec.Struct):
@@ -134,6 +136,7 @@
             rack=ids.Rack(wire.labels[-1] if wire.labels else ""),
             started_ms=wire.born,
             remaining_s=wire.remaining_ms / 1_000,
+            cold_remaining_s=wire.cold_remaining_ms / 1_000,
         )
     )
 
--- a/standins/platform_oracle.py
+++ b/standins/platform_oracle.py
@@ -12,6 +12,9 @@
 # Starts after that many crashes that violate the guarantee. Fewer may happen if
 # schedulers are lost before they have recorded a crash.
 EXCESS_STARTS = 3
+# Nothing may start in a failure domain this long after the request to evacuate
+# it was acknowledged.
+EVACUATION_BOUND_S = 5.0
 
 
 @dataclasses.dataclass
@@ -38,6 +41,10 @@
         phases: steps of the submitted jobs, by job.
         refused: jobs of which every submission was refused.
         cancelled_s: when a cancellation was acknowledged, by job.
+        evacuated_s: when the request to evacuate a failure domain was
+            acknowledged, by domain.
+        order_sent_s: when the order was sent that a target carries out late;
+            None while none is.
         done: tasks that ended as "done"; True once the scheduler has
             acknowledged that end and the target has dropped it.
         failures: number of failed runs that were acknowledged, by task.
@@ -59,6 +66,8 @@
         self.phases: dict[str, list[dict[str, Any]]] = {}
         self.refused: set[str] = set()
         self.cancelled_s: dict[str, float] = {}
+        self.evacuated_s: dict[str, float] = {}
+        self.order_sent_s: float | None = None
         self.done: dict[str, bool] = {}
         self.failures: dict[str, int] = {}
         self.attempts: dict[str, int] = {}
@@ -153,6 +162,8 @@
             self.broken.append(f"{task} was never submitted")
             return
         job = task.split(".")[0]
+        sent_s = now_s if self.order_sent_s is None else self.order_sent_s
+        evacuated_s = self.evacuated_s.get(target.zone, float("inf"))
         if self.crashes.get(task, 0) >= MAX_CRASHES:
             self.excess_starts[task] = self.excess_starts.get(task, 0) + 1
         problems = {
@@ -170,6 +181,9 @@
             "starts long after its cancellation": (
                 now_s > self.cancelled_s.get(job, float("inf")) + CANCEL_GRACE_S
             ),
+            f"starts in the evacuated domain {target.zone}": (
+                sent_s > evacuated_s + EVACUATION_BOUND_S
+            ),
             "starts before an earlier step": self._starts_before_dependencies(
                 task, phase
             ),
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -41,6 +41,7 @@
         hangs: whether its runs make no progress.
         fails: whether all its runs fail at once.
         speed: seconds of work done per second.
+        cold_until_s: until when its entry says that it is cold.
         stop_s: seconds from the request to stop a run to its end.
         clock_rate: speed of its clock relative to real time.
         fencing_token: highest fencing token that it has seen.
@@ -71,6 +72,7 @@
         self.fails = False
         self.draining = False
         self.speed = 1.0
+        self.cold_until_s = 0.0
         self.stop_s = STOP_S
         self.clock_rate = 1.0
         world.targets[target_id] = self
@@ -106,7 +108,8 @@
                 "version": "v1",
                 "slots": 8,
                 "state": "draining" if self.draining else "ready",
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": 1_000
+                * max(0.0, self.cold_until_s - self.now_s),
                 "capacity": self.capacity,
                 "labels": self.labels,
                 "clock_ms": self.clock_ms(),
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -46,6 +46,7 @@
         formats=state_lib.Formats(
             keys.CONFIGURATION_KEY,
             keys.TARGETS_PREFIX,
+            keys.EVACUATIONS_PREFIX,
             configuration.decode,
             targets.decode_entry,
         ),
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -88,6 +88,8 @@
         refusing_targets: targets that have exited and whose machine is up, so
             that it refuses connections.
         retention_s: how long instances keep the state of ended jobs.
+        evacuate_s: bound on starts after the request of an evacuation; 0 if
+            there are no evacuations.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
     """
@@ -98,6 +100,8 @@
         instances: int = 3,
         target_count: int = 3,
         retention_s: float = 120.0,
+        domains: int = 1,
+        evacuate_s: float = 0.0,
     ):
         self.random = random.Random(seed)
         self.now_s = 0.0
@@ -122,13 +126,15 @@
         self.refusing_targets: set[str] = set()
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
+        self.evacuate_s = evacuate_s
         self.log: list[str] = []
         self.faults: list[Exception] = []
         self.reply_callbacks: dict[str, Callable[[Any], None]] = {}
         self.open_exchanges: dict[str, tuple[str, Callable[[], None]]] = {}
         self.store.put(keys.CONFIGURATION_KEY, builders.configuration_value())
         for number in range(target_count):
-            self.add_target(f"t{number}", rack=f"r{number // 2}")
+            zone = "abcd"[number * domains // target_count]
+            self.add_target(f"t{number}", rack=f"r{number // 2}", zone=zone)
         for number in range(instances):
             self.start_instance(f"e{number}")
         self.call_later(0.0, self._advance_world)
@@ -145,6 +151,7 @@
         """Starts a process, which replaces an earlier one of this name."""
         instance = Instance(name, "a", next(self.process_numbers))
         instance.state.limits.retention_s = self.retention_s
+        instance.state.limits.evacuate_s = self.evacuate_s
         self.instances[name] = instance
         self.powered_machines.add(name)
         self.call_later(
--- a/tests/batch_links.py
+++ b/tests/batch_links.py
@@ -123,13 +123,15 @@
         if not muted:
             reply_later(lambda: targets.decode_reply(message, exchange))
 
-    boot_s = target.born_s
+    boot_s, sent_s = target.born_s, fabric.now_s
     if fabric.random.random() < fabric.late_share:
 
         def serve_late() -> None:
             is_same = target.born_s == boot_s
             if target.up and (is_same or fabric.late_after_restarts):
+                fabric.world.order_sent_s = sent_s
                 target.serve(path, body, fabric.now_s, lambda reply: None)
+                fabric.world.order_sent_s = None
 
         fabric.call_later(fabric.late_s, serve_late)
         return
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -28,6 +28,7 @@
 from dandelionpick.batch import watches
 from dandelionpick.platform import targets
 from tests import crash_mutants
+from tests import evacuation_mutants
 from tests import mutant
 from tests import overload_mutants
 from tests import restart_mutants
@@ -395,6 +396,7 @@
         ("tests.test_batch_unlisted_targets",),
     ),
     *crash_mutants.MUTANTS,
+    *evacuation_mutants.MUTANTS,
     *overload_mutants.MUTANTS,
     *restart_mutants.MUTANTS,
 )
--- a/tests/batch_target_faults.py
+++ b/tests/batch_target_faults.py
@@ -132,3 +132,13 @@
                 self.refusing_targets.add(name)
 
         self.call_later(leaves_s, leave)
+
+    def evacuate(self, domain: str, value: bytes = b"{}") -> None:
+        """Requests the evacuation of a failure domain, as operators do."""
+        self.store.put(keys.EVACUATIONS_PREFIX + domain, value)
+        self.world.evacuated_s.setdefault(domain, self.now_s)
+
+    def readmit(self, domain: str) -> None:
+        """Ends the evacuation of a failure domain."""
+        self.world.evacuated_s.pop(domain, None)
+        self.store.remove(keys.EVACUATIONS_PREFIX + domain)
--- a/tests/test_batch_foreign_entries.py
+++ b/tests/test_batch_foreign_entries.py
@@ -39,6 +39,8 @@
             ("born", -1),
             ("remaining_ms", 1e300),
             ("remaining_ms", -1),
+            ("cold_remaining_ms", 1e300),
+            ("cold_remaining_ms", -1),
             ("capacity", {"cpu": 10**40}),
             ("capacity", {"cpu": 1, "mem_mb": -1}),
             ("capacity", {"cpu": 1, "gpu": 2**60}),
--- a/tests/test_batch_planned_starts.py
+++ b/tests/test_batch_planned_starts.py
@@ -83,6 +83,19 @@
         self.assertNotIn(run.target, fabric.world.targets_started_on[TASK])
         self.assertIs(fabric.state_of(1), model.JobState.FAILED)
 
+    def test_start_is_not_sent_into_a_domain_that_is_evacuated(self):
+        """Guards against a start that was possible only when it was planned."""
+        fabric = self.build(target_count=4, domains=4, evacuate_s=5.0)
+        self.crash_once(fabric, builders.body(builders.phase(1), crashes=True))
+        run = self.plan(fabric)
+        fabric.commit_delay_s = COMMIT_DELAY_S
+        fabric.evacuate(fabric.world.targets[run.target].zone)
+        fabric.run_for(0.1)
+        self.assertIsNot(self.planned_run(fabric), run)
+        fabric.run_for(60.0)
+        self.assertEqual(fabric.world.starts[TASK], 3)
+        self.assertNotIn(run.target, fabric.world.targets_started_on[TASK])
+
     def test_start_is_not_sent_to_a_target_that_shrinks_meanwhile(self):
         """Guards against a start that was possible only when it was planned."""
         fabric = self.build(target_count=4)
--- a/tests/test_batch_restart_fuzz.py
+++ b/tests/test_batch_restart_fuzz.py
@@ -40,7 +40,9 @@
 
     def __init__(self, seed: int):
         self.random = random.Random(seed)
-        self.fabric = batch_fabric.Fabric(seed=seed, target_count=TARGETS)
+        self.fabric = batch_fabric.Fabric(
+            seed=seed, target_count=TARGETS, domains=2, evacuate_s=5.0
+        )
         self.fabric.run_until(self.fabric.scheduler, 5.0)
         self.fabric.run_for(self.random.choice((0.5, 4.0)))
         self.sent: list[list[messages.Reply]] = []
@@ -60,6 +62,7 @@
             self.lose_writes,
             self.cut_scheduler_from_store,
             self.freeze_scheduler,
+            self.evacuate,
         )
         end_s = self.fabric.now_s + FAULTS_S
         while self.fabric.now_s < end_s:
@@ -67,6 +70,8 @@
             self.fabric.run_for(self.random.choice((0.0, 0.01, 0.1, 0.5, 2.0)))
         self.fabric.lost_start_share = self.fabric.dropped_start_share = 0.0
         self.fabric.store.lost_share = 0.0
+        for domain in list(self.fabric.world.evacuated_s):
+            self.fabric.readmit(domain)
         self.fabric.run_for(SETTLE_S)
 
     def draw_targets(self) -> list[str]:
@@ -181,6 +186,16 @@
         if self.fabric.instances[name].frozen:
             self.fabric.thaw(name)
 
+    def evacuate(self) -> None:
+        """Evacuates a failure domain, or returns it to service."""
+        domain = self.random.choice("ab")
+        if domain in self.fabric.world.evacuated_s:
+            self.fabric.readmit(domain)
+        else:
+            self.fabric.evacuate(domain)
+        if self.random.random() < 0.2:
+            self.fabric.store.forget_history()
+
     def lose_starts(self) -> None:
         """Loses replies to starts, or starts, from now on or no longer."""
         self.fabric.lost_start_share = self.random.choice((0.0, 0.3))
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -106,11 +106,14 @@
     for request in (SUBMIT, INSPECT, CANCEL)
 )
 MONITOR = '{"type":"monitor","epoch":5,"wait_s":1.0}'
+READ_EVACUATIONS = '{"type":"read_evacuations","relayed":true}'
 REPLIES = (
     *RELAYED,
     '{"type":"not_scheduler"}',
     '{"type":"still_scheduling"}',
     '{"type":"store_refuses","since_s":0.5}',
+    '{"type":"evacuations","scheduler":"a","watched":true,"is_outdated":false,'
+    '"evacuations":[{"domain":"f","since_ms":7,"targets":2,"runs":{"t":1}}]}',
 )
 HEARTBEAT = (
     '{"type":"Heartbeat","instance":"a","failure_domain":"f",'
@@ -166,7 +169,7 @@
             self.check(kind, text)
 
     def test_messages_between_schedulers(self):
-        for text in (*RELAYS, MONITOR):
+        for text in (*RELAYS, MONITOR, READ_EVACUATIONS):
             self.check(messages.PeerMessage, text)
         for text in REPLIES:
             self.check(messages.PeerReply, text)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -80,7 +80,7 @@
         item = store_api.Item("a", b"v", 4, ids.LeaseId(9))
         removal = {"key": "b", "revision": 6, "deleted": True}
         changed = store_api.Changed(
-            (item, store_api.Item("b", b"", 6)), frozenset("b"), 6
+            (item, store_api.Item("b", b"", 6)), frozenset({("b", 6)}), 6
         )
         cases = (
             (read, 200, self.ITEM, item),
