--- a/dandelionpick/batch/evacuations.py
+++ b/dandelionpick/batch/evacuations.py
@@ -208,14 +208,14 @@
     schedule: schedule_state.Schedule, step: dispatch.Step
 ) -> None:
     """Warns when no target is left that may take work."""
-    registered = [
-        target
-        for target in schedule.targets.values()
-        if target.entry is not None
-    ]
-    covers_all = bool(schedule.closed_domains and registered) and all(
-        is_closed(schedule, target) for target in registered
-    )
+    covers_all = False
+    if schedule.closed_domains:
+        domains = {
+            target.entry.failure_domain
+            for target in schedule.targets.values()
+            if target.entry is not None
+        }
+        covers_all = bool(domains) and domains <= schedule.closed_domains
     if covers_all and not schedule.evacuations.covers_all:
         step.note(
             effects.Component.SCHEDULER,
