--- a/tests/test_batch_restart_fuzz.py
+++ b/tests/test_batch_restart_fuzz.py
@@ -69,7 +69,7 @@
             self.random.choice(faults)()
             self.fabric.run_for(self.random.choice((0.0, 0.01, 0.1, 0.5, 2.0)))
         self.fabric.lost_start_share = self.fabric.dropped_start_share = 0.0
-        self.fabric.store.lost_share = 0.0
+        self.fabric.late_share = self.fabric.store.lost_share = 0.0
         for domain in list(self.fabric.world.evacuated_s):
             self.fabric.readmit(domain)
         self.fabric.run_for(SETTLE_S)
@@ -195,6 +195,7 @@
             self.fabric.evacuate(domain)
         if self.random.random() < 0.2:
             self.fabric.store.forget_history()
+        self.fabric.late_share = self.random.choice((0.0, 0.0, 0.1))
 
     def lose_starts(self) -> None:
         """Loses replies to starts, or starts, from now on or no longer."""
