--- a/dandelionpick/batch/start_repetition.py
+++ b/dandelionpick/batch/start_repetition.py
@@ -11,6 +11,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import abandoned_starts
+from dandelionpick.batch import evacuations
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
@@ -86,6 +87,7 @@
         and run.sent_to_ms > 0
         and run.sent_to_ms == target.started_ms
         and leadership_bounds.may_start(state, now_s)
+        and evacuations.is_view_current(state, now_s)
         and _takes_work(schedule, target)
         # A task that may crash its target is started by plan only.
         and all(record.attempt == run.attempt for record in task.records)
@@ -100,7 +102,7 @@
     return (
         entry is not None
         and entry.state is target_api.TargetState.READY
-        and entry.failure_domain not in schedule.closed_domains
+        and not evacuations.is_closed(schedule, target)
         and not target.is_exceeded()
         and roster.may_use(schedule, target)
     )
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -74,6 +74,7 @@
     # A listed entry may have been written a heartbeat ago.
     max_age_s = 0.0 if watch.listed else state.limits.heartbeat_s
     departures.record(schedule, target, step.moment.now_s, max_age_s)
+    target.cold_until_s = step.moment.now_s + entry.cold_remaining_s
     schedule.dirty = True
     if before is None or before.state is not entry.state:
         step.note(
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -41,6 +41,7 @@
         hangs: whether its runs make no progress.
         fails: whether all its runs fail at once.
         speed: seconds of work done per second.
+        cold_until_s: until when its entry says that it is cold.
         stop_s: seconds from the request to stop a run to its end.
         leaves_s: when it will be taken away; inf if that is not planned.
         clock_rate: speed of its clock relative to real time.
@@ -73,6 +74,7 @@
         self.draining = False
         self.leaves_s = float("inf")
         self.speed = 1.0
+        self.cold_until_s = 0.0
         self.stop_s = STOP_S
         self.clock_rate = 1.0
         world.targets[target_id] = self
@@ -113,7 +115,8 @@
                 "version": "v1",
                 "slots": 8,
                 "state": "draining" if self.draining else "ready",
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": 1_000
+                * max(0.0, self.cold_until_s - self.now_s),
                 "capacity": self.capacity,
                 "labels": self.labels,
                 "clock_ms": self.clock_ms(),
