Judge targets by what their runs did

Now one such failure takes it out of use for 3 s, doubled up to 24 s if it fails again soon, and it returns with one task that loses little. A job that fails early on sound targets takes none out of use. Gangs and urgent work avoid slow targets. All of it is off unless [scheduling] target_reliability is on.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -14,7 +14,6 @@
 import pathlib
 import random
 import sys
-from collections.abc import Callable
 from typing import Any
 
 from cleo import application
@@ -22,11 +21,10 @@
 from cleo.helpers import option
 
 from bench import load_patterns
-from dandelionpick.batch import free_capacity
-from dandelionpick.batch import locality
+from bench import policies as policies_lib
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
-from dandelionpick.batch import scheduling
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
 from standins import platform_targets
@@ -47,6 +45,9 @@
 # slow targets. Both are those of the faults that the users inject.
 AFFECTED_TARGETS = 3
 SLOW_FACTOR = 6.5
+# Time from a start on a failing target to its failure, as seen on the users'
+# days: 0.1 to 0.3 s.
+FAILS_AFTER_S = 0.2
 # Demand changes within seconds, so the worst phases are searched for in windows
 # of this length.
 WINDOW_S = 5.0
@@ -78,58 +79,6 @@
         return 0.0
 
 
-def _unchanged() -> None:
-    """Keeps the product's policy as it is."""
-
-
-def _early_remote_placement() -> None:
-    """Lets a step run in the wrong rack after one estimated run time."""
-    locality.BUSY_WAIT_FACTOR = locality.IDLE_WAIT_FACTOR
-
-
-def _first_come_first_served() -> None:
-    """Starts steps in the order in which their jobs were accepted."""
-    urgency = scheduling.urgency
-
-    def by_acceptance(job: Any, step_run: Any, rank: float) -> Any:
-        due_s = urgency(job, step_run, rank)[-1]
-        return (float(job.accepted_revision), due_s, due_s)
-
-    scheduling.urgency = by_acceptance
-
-
-def _first_fit() -> None:
-    """Chooses targets by name instead of by the capacity left on them."""
-    fill = scheduling.placement._pack
-
-    def first_fit(demand: Any, racks: Any) -> Any:
-        candidates = [
-            candidate for rack in racks for candidate in rack.candidates
-        ]
-        candidates.sort(key=lambda candidate: candidate.target)
-        numbered = [
-            dataclasses.replace(candidate, penalty=float(number))
-            for number, candidate in enumerate(candidates)
-        ]
-        return fill(demand, [free_capacity.Rack(numbered)])
-
-    scheduling.placement._pack = first_fit
-
-
-def _no_headroom() -> None:
-    """Reserves no capacity for urgent work."""
-    scheduling.headroom.GANG_HEADROOM_FACTOR = 0.0
-
-
-POLICIES: dict[str, Callable[[], None]] = {
-    "product": _unchanged,
-    "no-headroom": _no_headroom,
-    "far-early": _early_remote_placement,
-    "first-come": _first_come_first_served,
-    "first-fit": _first_fit,
-}
-
-
 class Simulation:
     """A simulation of one load pattern under the policy in force."""
 
@@ -138,9 +87,13 @@
         site: load_patterns.Site,
         pattern: load_patterns.Pattern,
         seed: int,
+        features: features_lib.Features | None = None,
     ):
         self.site = site
-        self.fabric = batch_fabric.Fabric(seed=seed, target_count=0)
+        self.speeds = pattern.speeds or site.speeds
+        self.fabric = batch_fabric.Fabric(
+            seed=seed, target_count=0, features=features
+        )
         for instance in self.fabric.instances.values():
             instance.state.limits.stop_s = site.stop_s
         self._configure()
@@ -179,8 +132,7 @@
         target.stop_s = self.site.stop_s
 
     def _speed_of(self, target: platform_targets.Target) -> float:
-        speeds = self.site.speeds
-        return speeds[int(target.id[1:]) % len(speeds)]
+        return self.speeds[int(target.id[1:]) % len(self.speeds)]
 
     def _schedule_arrival(
         self, number: int, arrival: load_patterns.Arrival
@@ -218,6 +170,7 @@
         for target in targets:
             if fault == "heal":
                 target.fails = target.hangs = False
+                target.fails_after_s = 0.0
                 target.speed = self._speed_of(target)
         for target in affected:
             if fault == "slow":
@@ -226,6 +179,9 @@
                 self.fabric.crash_target(target.id, back_s=4.5)
             elif fault == "fail":
                 target.fails = True
+            elif fault == "fail-starts":
+                target.fails = True
+                target.fails_after_s = FAILS_AFTER_S
             elif fault == "hang":
                 target.hangs = True
 
@@ -267,13 +223,14 @@
     """Simulates one site, pattern, policy and seed; returns the metrics."""
     site_name, pattern_name, policy, seed = task
     site = load_patterns.SITES[site_name]
-    POLICIES[policy]()
+    policies_lib.POLICIES[policy]()
     pattern = next(
         pattern
         for pattern in load_patterns.PATTERNS
         if pattern.name == pattern_name
     )
-    simulation = Simulation(site, pattern, seed)
+    features = policies_lib.FEATURES.get(policy)
+    simulation = Simulation(site, pattern, seed, features)
     job_results = simulation.run()
     windows: dict[int, list[JobResult]] = {}
     for result in job_results:
@@ -324,7 +281,9 @@
         """Runs the simulations and prints the table."""
         names = [pattern.name for pattern in load_patterns.PATTERNS]
         patterns = _selected(self.option("patterns"), names)
-        policies = _selected(self.option("policies"), list(POLICIES))
+        policies = _selected(
+            self.option("policies"), list(policies_lib.POLICIES)
+        )
         tasks = list(
             itertools.product(
                 load_patterns.SITES,
--- a/bench/load_patterns.py
+++ b/bench/load_patterns.py
@@ -159,11 +159,13 @@
     Attributes:
         rate: returns the factor on a kind's mean rate at a time.
         faults: times in seconds and the faults injected then; "heal" ends them.
+        speeds: relative speeds in place of the site's, assigned in turn.
     """
 
     name: str
     rate: Callable[[JobKind, float], float]
     faults: tuple[tuple[float, str], ...] = ()
+    speeds: tuple[float, ...] = ()
 
 
 def _sine_rate(kind: JobKind, at_s: float) -> float:
@@ -188,6 +190,12 @@
     Pattern("slow-targets", _sine_rate, ((8.0, "slow"), (15.0, "heal"))),
     Pattern("lost-targets", _sine_rate, ((8.0, "crash"),)),
     Pattern("failing-targets", _sine_rate, ((8.0, "fail"), (15.0, "heal"))),
+    # Two more disturbances of the audio guide's days: targets that fail every
+    # start shortly after it, and a quarter of the targets at another speed.
+    Pattern(
+        "failing-starts", _sine_rate, ((8.0, "fail-starts"), (24.0, "heal"))
+    ),
+    Pattern("slow-quarter", _sine_rate, speeds=(0.55, 1.2, 1.2, 1.2)),
     Pattern("hanging-targets", _sine_rate, ((8.0, "hang"), (14.0, "heal"))),
 )
 
--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -25,6 +25,9 @@
     Attributes:
         max_tasks: how many more tasks the step's limit per target allows.
         penalty: targets with a lower penalty are preferred.
+        sensitive_penalty: added to it for work that loses much if a target is
+            unsound or slow.
+        other_penalty: added to it for other work.
     """
 
     target: ids.TargetId
@@ -33,6 +36,8 @@
     max_tasks: int = UNLIMITED_TASKS
     penalty: float = 0.0
     labels: frozenset[str] = frozenset()
+    sensitive_penalty: float = 0.0
+    other_penalty: float = 0.0
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit, 0 if the target lacks the label."""
@@ -46,13 +51,16 @@
 
     Attributes:
         counts: how many tasks fit, by needs and label; filled on demand.
+        preferred_counts: how many of them fit on targets without a penalty
+            for sensitive work.
     """
 
-    __slots__ = ("candidates", "counts")
+    __slots__ = ("candidates", "counts", "preferred_counts")
 
     def __init__(self, candidates: list[Candidate]):
         self.candidates = candidates
         self.counts: dict[tuple[model.Resources, str], int] = {}
+        self.preferred_counts: dict[tuple[model.Resources, str], int] = {}
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit in the rack."""
@@ -66,6 +74,24 @@
             self.counts[key] = count
         return count
 
+    def count_preferred(self, needs: model.Resources, label: str) -> int:
+        """Returns how many tasks fit without a penalty for sensitive work."""
+        key = needs, label
+        count = self.preferred_counts.get(key)
+        if count is None:
+            count = sum(
+                candidate.count_fitting(needs, label)
+                for candidate in self.candidates
+                if not candidate.sensitive_penalty
+            )
+            self.preferred_counts[key] = count
+        return count
+
+    def clear_counts(self) -> None:
+        """Forgets the counts, because what is free has changed."""
+        self.counts.clear()
+        self.preferred_counts.clear()
+
 
 Racks = dict[ids.Rack, Rack]
 
@@ -104,7 +130,7 @@
         candidate = self.by_target.get(target)
         if candidate is not None:
             candidate.free = candidate.free.minus(amount)
-            self.racks[candidate.rack].counts.clear()
+            self.racks[candidate.rack].clear_counts()
 
     def remove(self, target: ids.TargetId) -> None:
         """Removes a target, if it is a candidate."""
@@ -112,11 +138,11 @@
         if candidate is not None:
             rack = self.racks[candidate.rack]
             rack.candidates.remove(candidate)
-            rack.counts.clear()
+            rack.clear_counts()
 
     def put_back(self, target: ids.TargetId, amount: model.Resources) -> None:
         """Adds an amount."""
         candidate = self.by_target.get(target)
         if candidate is not None:
             candidate.free = candidate.free.plus(amount)
-            self.racks[candidate.rack].counts.clear()
+            self.racks[candidate.rack].clear_counts()
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -17,6 +17,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
+from dandelionpick.batch import target_preference
 
 # Penalty that places targets on which a task of the unit failed after all
 # others.
@@ -25,6 +26,8 @@
 # They count less than a failure of the task itself.
 SHARED_TARGET_PENALTY = 2.0
 OBSERVED_TARGET_PENALTY = 2.0
+# Key of the targets on probation among the racks of a unit that may use them.
+PROBATION_RACK = ids.Rack("\0probation")
 
 
 class PassCapacity:
@@ -36,6 +39,9 @@
         other: what other work may use, by pool. It is derived from `urgent`
             when the first unit asks for it; urgent units come before it. It
             lacks the targets under observation.
+        probes: targets on probation that only work that loses little may use,
+            by pool. Each takes one task.
+        single_use: other targets on probation; each takes one task.
     """
 
     def __init__(self, schedule: schedule_state.Schedule, now_s: float):
@@ -43,13 +49,15 @@
         self.now_s = now_s
         self.urgent: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
         self.other: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
+        self.probes: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
+        self.single_use: set[ids.TargetId] = set()
 
     def of_pool(
         self, pool: ids.PoolName, is_urgent: bool
     ) -> free_capacity.FreeCapacity:
         """Returns the free capacity of a pool."""
         if pool not in self.urgent:
-            self.urgent[pool] = _build(self.schedule, pool, self.now_s)
+            self._build(pool)
         if is_urgent:
             return self.urgent[pool]
         if pool not in self.other:
@@ -81,7 +89,7 @@
             and not observed
             and not unit.is_suspected
         ):
-            return pool.racks
+            return self._add_probes(unit, pool.racks)
         own = reservation.resources if reservation else {}
         running = _count_running(unit) if max_per_target else {}
         candidates = []
@@ -99,14 +107,27 @@
             if penalty:
                 changes["penalty"] = candidate.penalty + penalty
             if max_per_target:
-                changes["max_tasks"] = max(
-                    0, max_per_target - running.get(target, 0)
-                )
+                left = max(0, max_per_target - running.get(target, 0))
+                changes["max_tasks"] = min(candidate.max_tasks, left)
             if changes:
                 candidate = dataclasses.replace(candidate, **changes)
             candidates.append(candidate)
         return free_capacity.group(candidates)
 
+    def _add_probes(
+        self, unit: Any, racks: free_capacity.Racks
+    ) -> free_capacity.Racks:
+        """Adds the targets on probation for work that loses little."""
+        probes = self.probes.get(unit.job.record.terms.pool)
+        if (
+            probes is None
+            or not probes.by_target
+            or not target_preference.may_probe(unit)
+        ):
+            return racks
+        rack = free_capacity.Rack(list(probes.candidates()))
+        return {**racks, PROBATION_RACK: rack}
+
     def _is_shared(self, unit: Any, target: ids.TargetId) -> bool:
         """Returns whether other jobs have runs on a target."""
         return any(
@@ -123,6 +144,8 @@
         """Records that a task of a unit starts on a target."""
         pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
         pool.take(target, unit.needs)
+        if target in self.single_use:
+            self._close_probation(target)
 
     def reserve(self, unit: Any) -> None:
         """Records a reservation that was made for a unit during the pass."""
@@ -136,6 +159,41 @@
             pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
             pool.put_back(target, amount)
 
+    def _close_probation(self, target: ids.TargetId) -> None:
+        """Removes a target on probation that has got its task."""
+        for pools in (self.urgent, self.other, self.probes):
+            for pool in pools.values():
+                pool.remove(target)
+
+    def _build(self, pool: ids.PoolName) -> None:
+        """Builds the capacity of a pool from the state of its targets."""
+        schedule = self.schedule
+        preference = target_preference.PoolPreference(
+            schedule, pool, self.now_s
+        )
+        candidates, probes = [], []
+        for target in schedule.targets.values():
+            if not roster.may_use(schedule, target):
+                continue
+            if not is_usable(target, pool, self.now_s):
+                continue
+            if preference.is_out(target):
+                continue
+            candidate = _candidate_of(target)
+            preference.apply(candidate, target)
+            if candidate.max_tasks == 1:
+                self.single_use.add(target.id)
+            if preference.is_reserved_for_probes(target):
+                probes.append(candidate)
+            else:
+                candidates.append(candidate)
+        capacity = free_capacity.FreeCapacity(candidates)
+        for reservation in schedule.reservations.values():
+            for target_id, amount in reservation.resources.items():
+                capacity.take(target_id, amount)
+        self.urgent[pool] = capacity
+        self.probes[pool] = free_capacity.FreeCapacity(probes)
+
     def _reserved(
         self, unit: Any
     ) -> list[tuple[ids.TargetId, model.Resources]]:
@@ -143,31 +201,18 @@
         return list(reservation.resources.items()) if reservation else []
 
 
-def _build(
-    schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
-) -> free_capacity.FreeCapacity:
-    candidates = []
-    for target in schedule.targets.values():
-        if not roster.may_use(schedule, target):
-            continue
-        if not is_usable(target, pool, now_s):
-            continue
-        entry = target.entry
-        assert entry is not None
-        candidates.append(
-            free_capacity.Candidate(
-                target.id,
-                entry.rack,
-                target.free(),
-                penalty=target_health.penalty(target),
-                labels=entry.labels,
-            )
-        )
-    capacity = free_capacity.FreeCapacity(candidates)
-    for reservation in schedule.reservations.values():
-        for target_id, amount in reservation.resources.items():
-            capacity.take(target_id, amount)
-    return capacity
+def _candidate_of(
+    target: schedule_state.Target,
+) -> free_capacity.Candidate:
+    entry = target.entry
+    assert entry is not None
+    return free_capacity.Candidate(
+        target.id,
+        entry.rack,
+        target.free(),
+        penalty=target_health.penalty(target),
+        labels=entry.labels,
+    )
 
 
 def is_usable(
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -27,6 +27,7 @@
         data_rack: tasks must be in this rack, unless `relax_locality`; "" if
             none.
         relax_locality: other racks are accepted, although work is slower there.
+        is_sensitive: much is lost if a target is unsound or slow.
     """
 
     needs: model.Resources
@@ -38,6 +39,7 @@
     pool: ids.PoolName = ids.PoolName("")
     label: str = ""
     max_per_target: int = 0
+    is_sensitive: bool = False
 
 
 def choose_targets(
@@ -67,11 +69,19 @@
     demand: Demand, racks: free_capacity.Racks
 ) -> list[ids.TargetId]:
     best: free_capacity.Rack | None = None
-    best_spare = 0
+    best_key = (False, 0)
+    needs, label = demand.needs, demand.label
     for rack in racks.values():
-        spare = rack.count_fitting(demand.needs, demand.label) - demand.count
-        if spare >= 0 and (best is None or spare < best_spare):
-            best, best_spare = rack, spare
+        spare = rack.count_fitting(needs, label) - demand.count
+        if spare < 0:
+            continue
+        # A rack where the gang needs an unsound or slow target comes last.
+        is_last = (
+            demand.is_sensitive
+            and rack.count_preferred(needs, label) < demand.count
+        )
+        if best is None or (is_last, spare) < best_key:
+            best, best_key = rack, (is_last, spare)
     if best is not None:
         return _pack(demand, [best])
     return _pack(demand, racks.values()) if demand.relax_locality else []
@@ -91,9 +101,15 @@
         for candidate in rack.candidates
         if (count := candidate.count_fitting(needs, label))
     ]
+    is_sensitive = demand.is_sensitive
     fitting.sort(
         key=lambda pair: (
-            pair[1].penalty,
+            pair[1].penalty
+            + (
+                pair[1].sensitive_penalty
+                if is_sensitive
+                else pair[1].other_penalty
+            ),
             pair[1].free.accelerators,
             pair[1].free.cpu_millis,
             pair[1].target,
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -23,6 +23,7 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
+from dandelionpick.batch import target_reliability
 
 # How long a listing waits for an end. A connection that has gone silent is
 # noticed soon after, well within the lease.
@@ -354,6 +355,7 @@
     run.percent = running.percent
     if running.checkpoint:
         run.checkpoint = running.checkpoint
+    target_reliability.record_progress(schedule, step, target, run)
 
 
 def _adopt(
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -18,6 +18,7 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
+from dandelionpick.batch import target_reliability
 
 
 class Loss(enum.Enum):
@@ -53,6 +54,8 @@
     The runs that an earlier incarnation has confirmed are lost. What it has not
     confirmed is looked up, as the new one may run it.
     """
+    schedule = state.schedule
+    assert schedule is not None
     now_s = step.moment.now_s
     lost = [
         run
@@ -80,6 +83,7 @@
         )
     target.replaced = target.exit_evidence.departed = False
     target.started_ms = started_ms
+    schedule.evidence.forget_target(target.id)
     target.announced_s = float("inf")
     target.processed = target.acknowledged = 0
     target.ends.clear()
@@ -165,7 +169,8 @@
     schedule = state.schedule
     assert schedule is not None
     step.count("runs_total", ended.ending.value)
-    target_health.record_ending(target, ended.ending, step)
+    if target_reliability.record_end(schedule, step, target, ended):
+        target_health.record_ending(target, ended.ending, step)
     target.last_attempts[ended.task] = max(
         ended.attempt, target.last_attempts.get(ended.task, ended.attempt)
     )
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -11,6 +11,7 @@
 from dandelionpick.batch import model
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
+from dandelionpick.batch import target_evidence
 
 # Attempts of an epoch are numbered from epoch << ATTEMPT_BITS, so that the
 # numbers rise from one scheduler to the next without a write to the store.
@@ -306,14 +307,14 @@
         began_s: when the takeover began.
         features: the optional parts that are switched on.
         closed_domains: failure domains that are being evacuated.
+        evidence: what runs have shown about targets.
         fencing_started_s: when the fencing stage began.
         fenced_s: when a target of an earlier scheduler was first listed; inf
             before.
         obeyed_by_all_s: no target had obeyed a later scheduler by then.
         dirty: something has changed that may allow a task to start.
         last_pass_s: when the last scheduling pass ran.
-        has_unnamed_pools: an entry of a known target names a pool that the
-            configuration does not name.
+        has_unnamed_pools: a known target's pool is not configured.
         starts: bounds the starts that are in flight.
         planned_starts: starts of suspected tasks that are being stored; those
             of each item are sent together.
@@ -323,29 +324,26 @@
         unsaved: jobs whose progress has to be stored.
         saving: a commit of progress is in progress.
         save_at_s: no commit before this time.
-        reservations: resources that are being freed, by job, occurrence and
-            step.
+        reservations: resources being freed, by job, occurrence and step.
         observed_until_s: until when a target on which a task started again
             after a crash gets no other work, by target.
-        over_guarantee: urgent jobs that exceed their organisation's
-            guarantee, as of the last pass.
+        over_guarantee: urgent jobs above their organisation's guarantee.
         pool_views: cached view of each pool.
-        headroom: accelerators that are kept free for urgent work, by pool,
-            as of the last pass.
+        headroom: accelerators kept free for urgent work in the last pass.
         roster: what the store holds about targets that may run something.
         unsettled_rosters: what it may hold instead, or may come to hold: writes
             on condition of `roster_revision` whose outcome is not known.
         roster_at_s: the roster is neither read nor written before this time.
         sweep_at_s: when ended jobs are next removed.
         early_cancels: jobs whose cancellation was read before the job itself.
-        early_progress: progress that was read before its job, with its
-            revision.
+        early_progress: progress read before its job, with its revision.
     """
 
     epoch: ids.Epoch
     began_s: float
     features: features_lib.Features = features_lib.Features()
     closed_domains: frozenset[ids.FailureDomain] = frozenset()
+    evidence: target_evidence.Evidence = target_evidence.new_field()
     stage: Stage = Stage.READING
     fencing_started_s: float = 0.0
     fenced_s: float = float("inf")
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -23,6 +23,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
+from dandelionpick.batch import target_preference
 
 # Changes that arrive together, such as the ends of a gang's tasks, are
 # handled by one pass.
@@ -359,4 +360,6 @@
         relax_locality=locality.may_relax_locality(
             schedule, terms, unit.step_run, now_s
         ),
+        is_sensitive=schedule.features.target_reliability
+        and target_preference.is_sensitive(unit),
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -377,6 +377,7 @@
             "leaving": float(self.drain.requested_s is not None),
             "scheduler": float(self.election.role is Role.LEADING),
             "jobs": len(schedule.jobs) if schedule else 0,
+            "slow_targets": schedule.evidence.slow_targets() if schedule else 0,
         }
 
 
--- a/dandelionpick/batch/target_registry.py
+++ b/dandelionpick/batch/target_registry.py
@@ -150,3 +150,4 @@
         known = target.listed or now_s >= target.unlisted_until_s
         if target.replaced or (known and now_s > target.lease_ends_s):
             del schedule.targets[target.id]
+            schedule.evidence.forget_target(target.id)
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -86,6 +86,16 @@
         "dandelionpick_target_quarantines_total",
         "Times that a target got no work because work failed there.",
     ),
+    "early_failures_total": prometheus_client.Counter(
+        "dandelionpick_early_failures_total",
+        "Runs that failed right after their start, by what is at fault.",
+        ["cause"],
+    ),
+    "target_probations_total": prometheus_client.Counter(
+        "dandelionpick_target_probations_total",
+        "Tries of targets that were out of use, by result.",
+        ["result"],
+    ),
     "log_lines_dropped_total": prometheus_client.Counter(
         "dandelionpick_log_lines_dropped_total",
         "Log lines above the limit, or that the reader was too slow for.",
@@ -137,6 +147,10 @@
     "jobs": prometheus_client.Gauge(
         "dandelionpick_jobs", "Jobs that the scheduler keeps."
     ),
+    "slow_targets": prometheus_client.Gauge(
+        "dandelionpick_slow_targets",
+        "Targets on which work progresses much more slowly than elsewhere.",
+    ),
     "open_exchanges": prometheus_client.Gauge(
         "dandelionpick_open_exchanges", "Inbound messages without a response."
     ),
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -39,7 +39,8 @@
         address: address in its entry.
         up: whether it answers and its runs make progress.
         hangs: whether its runs make no progress.
-        fails: whether all its runs fail at once.
+        fails: whether all its runs fail.
+        fails_after_s: time from a start to that failure.
         speed: seconds of work done per second.
         stop_s: seconds from the request to stop a run to its end.
         clock_rate: speed of its clock relative to real time.
@@ -69,6 +70,7 @@
         self.up = True
         self.hangs = False
         self.fails = False
+        self.fails_after_s = 0.0
         self.draining = False
         self.speed = 1.0
         self.stop_s = STOP_S
@@ -303,7 +305,8 @@
         phase = self.world.phase_of(run.task)
         if phase.get("gang") and not self.world.is_gang_present(run):
             return
-        if self.fails or self._fails_attempt(run):
+        fails = self.fails and now_s >= run.started_s + self.fails_after_s
+        if fails or self._fails_attempt(run):
             self.end(run, "failed")
             return
         if not self.hangs:
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -18,6 +18,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import runtime
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
 from dandelionpick.batch import reducer
@@ -88,6 +89,7 @@
         refusing_targets: targets that have exited and whose machine is up, so
             that it refuses connections.
         retention_s: how long instances keep the state of ended jobs.
+        features: the optional parts of the scheduler that are switched on.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
     """
@@ -98,6 +100,7 @@
         instances: int = 3,
         target_count: int = 3,
         retention_s: float = 120.0,
+        features: features_lib.Features | None = None,
     ):
         self.random = random.Random(seed)
         self.now_s = 0.0
@@ -122,6 +125,7 @@
         self.refusing_targets: set[str] = set()
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
+        self.features = features or features_lib.Features()
         self.log: list[str] = []
         self.faults: list[Exception] = []
         self.reply_callbacks: dict[str, Callable[[Any], None]] = {}
@@ -145,6 +149,7 @@
         """Starts a process, which replaces an earlier one of this name."""
         instance = Instance(name, "a", next(self.process_numbers))
         instance.state.limits.retention_s = self.retention_s
+        instance.state.features = self.features
         self.instances[name] = instance
         self.powered_machines.add(name)
         self.call_later(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -19,6 +19,7 @@
 from tests import fuzzing
 from tests import mutant as mutant_lib
 from tests import mutant_list
+from tests import reliability_mutants
 
 MAX_PARALLEL = 5
 MUTANT_TIMEOUT_S = 120
@@ -29,7 +30,11 @@
 
 BY_NAME = {
     mutant.name: mutant
-    for mutant in (*mutant_list.MUTANTS, *batch_mutants.MUTANTS)
+    for mutant in (
+        *mutant_list.MUTANTS,
+        *batch_mutants.MUTANTS,
+        *reliability_mutants.MUTANTS,
+    )
 }
 
 
