--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -53,14 +53,18 @@
         counts: how many tasks fit, by needs and label; filled on demand.
         preferred_counts: how many of them fit on targets without a penalty
             for sensitive work.
+        has_penalties: a target has such a penalty.
     """
 
-    __slots__ = ("candidates", "counts", "preferred_counts")
+    __slots__ = ("candidates", "counts", "has_penalties", "preferred_counts")
 
     def __init__(self, candidates: list[Candidate]):
         self.candidates = candidates
         self.counts: dict[tuple[model.Resources, str], int] = {}
         self.preferred_counts: dict[tuple[model.Resources, str], int] = {}
+        self.has_penalties = any(
+            candidate.sensitive_penalty for candidate in candidates
+        )
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit in the rack."""
@@ -76,6 +80,8 @@
 
     def count_preferred(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit without a penalty for sensitive work."""
+        if not self.has_penalties:
+            return self.count_fitting(needs, label)
         key = needs, label
         count = self.preferred_counts.get(key)
         if count is None:
@@ -104,6 +110,7 @@
         if rack is None:
             rack = racks[candidate.rack] = Rack([])
         rack.candidates.append(candidate)
+        rack.has_penalties |= candidate.sensitive_penalty > 0
     return racks
 
 
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -168,9 +168,7 @@
     def _build(self, pool: ids.PoolName) -> None:
         """Builds the capacity of a pool from the state of its targets."""
         schedule = self.schedule
-        preference = target_preference.PoolPreference(
-            schedule, pool, self.now_s
-        )
+        preference = target_preference.TargetPreference(schedule, self.now_s)
         candidates, probes = [], []
         for target in schedule.targets.values():
             if not roster.may_use(schedule, target):
--- a/dandelionpick/batch/target_preference.py
+++ b/dandelionpick/batch/target_preference.py
@@ -1,14 +1,12 @@
-"""Orders the targets of a pool in a scheduling pass by what runs have shown.
+"""Orders the targets in a scheduling pass by what their runs have shown.
 
 Targets that are out of use get no work. One on probation gets one task at a
-time, at first only work that loses little if it fails. While several targets of
-a pool fail what they start, those that have proved sound lately come first for
-work that loses much. Slow targets come last for that work, and first for other.
+time, at first only work that loses little if it fails. Slow targets come last
+for work that loses much, and first for other work.
 """
 
 from typing import Any
 
-from dandelionpick import ids
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import schedule_state
@@ -16,43 +14,21 @@
 
 # How long a target on probation waits for work that loses little.
 PROBATION_WAIT_S = 2.0
-# So many targets that failed early within the last seconds are a disturbance
-# of the pool. Tasks that fail by their own fault make one now and then.
-ALARM_TARGETS = 2
-ALARM_S = 5.0
-# A start that was ordered within this time and survived proves a target sound.
-PROVED_S = 5.0
 # They sum up to less than the penalty of a target that failed the unit itself.
 PROBATION_PENALTY = 2.0
-UNPROVED_PENALTY = 0.5
 SLOW_PENALTY = 0.25
 
 
-class PoolPreference:
-    """How the evidence changes the order of a pool's targets in one pass.
+class TargetPreference:
+    """How the evidence changes the order of targets in one pass.
 
     Attributes:
         evidence: what runs have shown, by target.
-        is_alarmed: several targets have failed early just now.
     """
 
-    def __init__(
-        self,
-        schedule: schedule_state.Schedule,
-        pool: ids.PoolName,
-        now_s: float,
-    ):
+    def __init__(self, schedule: schedule_state.Schedule, now_s: float):
         self.now_s = now_s
         self.evidence = schedule.evidence.targets
-        self.is_alarmed = False
-        if schedule.features.target_reliability:
-            failed = [
-                name
-                for name, evidence in self.evidence.items()
-                if now_s - evidence.failed_s < ALARM_S
-                and _is_in_pool(schedule, name, pool)
-            ]
-            self.is_alarmed = len(failed) >= ALARM_TARGETS
 
     def is_out(self, target: schedule_state.Target) -> bool:
         """Returns whether a target gets no work.
@@ -87,10 +63,6 @@
             candidate.max_tasks = 1
             candidate.sensitive_penalty += PROBATION_PENALTY
             candidate.other_penalty -= PROBATION_PENALTY
-        if self.is_alarmed and (
-            evidence is None or self.now_s - evidence.survived_s > PROVED_S
-        ):
-            candidate.sensitive_penalty += UNPROVED_PENALTY
         if (
             evidence is not None
             and evidence.is_slow
@@ -100,17 +72,6 @@
             candidate.other_penalty -= SLOW_PENALTY
 
 
-def _is_in_pool(
-    schedule: schedule_state.Schedule, name: ids.TargetId, pool: ids.PoolName
-) -> bool:
-    target = schedule.targets.get(name)
-    return (
-        target is not None
-        and target.entry is not None
-        and target.entry.pool == pool
-    )
-
-
 def is_sensitive(unit: Any) -> bool:
     """Returns whether a unit loses much if one of its targets is unsound.
 
@@ -129,9 +90,13 @@
 
 
 def may_probe(unit: Any) -> bool:
-    """Returns whether a task of a unit may show that a target is sound."""
+    """Returns whether a task of a unit may show that a target is sound.
+
+    The first task goes to the target that comes first. One that has failed
+    before might do so by its own fault.
+    """
     return (
         not unit.step_run.spec.max_per_target
         and not is_sensitive(unit)
-        and not any(task.failures for task in unit.tasks)
+        and not unit.tasks[0].failures
     )
--- a/tests/reliability_mutants.py
+++ b/tests/reliability_mutants.py
@@ -21,10 +21,10 @@
 
 def skip_probation() -> None:
     """Gives full work to a target as soon as its time is over."""
-    target_preference.PoolPreference.is_reserved_for_probes = (
+    target_preference.TargetPreference.is_reserved_for_probes = (
         lambda preference, target: False
     )
-    target_preference.PoolPreference.apply = (
+    target_preference.TargetPreference.apply = (
         lambda preference, candidate, target: None
     )
 
