--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -26,6 +26,9 @@
         max_tasks: how many more tasks the step's limit per target allows.
         penalty: targets with a lower penalty are preferred.
         is_cold: the target works slowly for now.
+        sensitive_penalty: added to it for work that loses much if a target is
+            unsound or slow.
+        other_penalty: added to it for other work.
     """
 
     target: ids.TargetId
@@ -35,6 +38,8 @@
     penalty: float = 0.0
     labels: frozenset[str] = frozenset()
     is_cold: bool = False
+    sensitive_penalty: float = 0.0
+    other_penalty: float = 0.0
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit, 0 if the target lacks the label."""
@@ -48,13 +53,20 @@
 
     Attributes:
         counts: how many tasks fit, by needs and label; filled on demand.
+        preferred_counts: how many of them fit on targets without a penalty
+            for sensitive work.
+        has_penalties: a target has such a penalty.
     """
 
-    __slots__ = ("candidates", "counts")
+    __slots__ = ("candidates", "counts", "has_penalties", "preferred_counts")
 
     def __init__(self, candidates: list[Candidate]):
         self.candidates = candidates
         self.counts: dict[tuple[model.Resources, str], int] = {}
+        self.preferred_counts: dict[tuple[model.Resources, str], int] = {}
+        self.has_penalties = any(
+            candidate.sensitive_penalty for candidate in candidates
+        )
 
     def count_fitting(self, needs: model.Resources, label: str) -> int:
         """Returns how many tasks fit in the rack."""
@@ -77,6 +89,26 @@
         )
         return self.count_fitting(needs, label) - cold
 
+    def count_preferred(self, needs: model.Resources, label: str) -> int:
+        """Returns how many tasks fit without a penalty for sensitive work."""
+        if not self.has_penalties:
+            return self.count_fitting(needs, label)
+        key = needs, label
+        count = self.preferred_counts.get(key)
+        if count is None:
+            count = sum(
+                candidate.count_fitting(needs, label)
+                for candidate in self.candidates
+                if not candidate.sensitive_penalty
+            )
+            self.preferred_counts[key] = count
+        return count
+
+    def clear_counts(self) -> None:
+        """Forgets the counts, because what is free has changed."""
+        self.counts.clear()
+        self.preferred_counts.clear()
+
 
 Racks = dict[ids.Rack, Rack]
 
@@ -89,6 +121,7 @@
         if rack is None:
             rack = racks[candidate.rack] = Rack([])
         rack.candidates.append(candidate)
+        rack.has_penalties |= candidate.sensitive_penalty > 0
     return racks
 
 
@@ -115,7 +148,7 @@
         candidate = self.by_target.get(target)
         if candidate is not None:
             candidate.free = candidate.free.minus(amount)
-            self.racks[candidate.rack].counts.clear()
+            self.racks[candidate.rack].clear_counts()
 
     def remove(self, target: ids.TargetId) -> None:
         """Removes a target, if it is a candidate."""
@@ -123,11 +156,11 @@
         if candidate is not None:
             rack = self.racks[candidate.rack]
             rack.candidates.remove(candidate)
-            rack.counts.clear()
+            rack.clear_counts()
 
     def put_back(self, target: ids.TargetId, amount: model.Resources) -> None:
         """Adds an amount."""
         candidate = self.by_target.get(target)
         if candidate is not None:
             candidate.free = candidate.free.plus(amount)
-            self.racks[candidate.rack].counts.clear()
+            self.racks[candidate.rack].clear_counts()
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -27,6 +27,7 @@
         data_rack: tasks must be in this rack, unless `relax_locality`; "" if
             none.
         relax_locality: other racks are accepted, although work is slower there.
+        is_sensitive: much is lost if a target is unsound or slow.
     """
 
     needs: model.Resources
@@ -38,6 +39,7 @@
     pool: ids.PoolName = ids.PoolName("")
     label: str = ""
     max_per_target: int = 0
+    is_sensitive: bool = False
 
 
 def choose_targets(
@@ -68,14 +70,18 @@
 ) -> list[ids.TargetId]:
     needs, label, count = demand.needs, demand.label, demand.count
     best: free_capacity.Rack | None = None
-    # Racks where the gang needs no cold target come first; a gang is as slow as
-    # its slowest member.
-    best_rank = (True, 0)
+    best_rank = (True, True, 0)
+    # A gang is as slow as its slowest member. Racks where it needs an unsound
+    # or slow target come last, and before them those where it needs a cold one.
     for rack in racks.values():
         spare = rack.count_fitting(needs, label) - count
         if spare < 0:
             continue
-        rank = (rack.count_fitting_warm(needs, label) < count, spare)
+        rank = (
+            demand.is_sensitive and rack.count_preferred(needs, label) < count,
+            rack.count_fitting_warm(needs, label) < count,
+            spare,
+        )
         if best is None or rank < best_rank:
             best, best_rank = rack, rank
     if best is not None:
@@ -97,9 +103,15 @@
         for candidate in rack.candidates
         if (count := candidate.count_fitting(needs, label))
     ]
+    is_sensitive = demand.is_sensitive
     fitting.sort(
         key=lambda pair: (
-            pair[1].penalty,
+            pair[1].penalty
+            + (
+                pair[1].sensitive_penalty
+                if is_sensitive
+                else pair[1].other_penalty
+            ),
             pair[1].free.accelerators,
             pair[1].free.cpu_millis,
             pair[1].target,
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -385,6 +385,7 @@
             "scheduler": float(self.election.role is Role.LEADING),
             "jobs": len(schedule.jobs) if schedule else 0,
             **evacuations.gauges(),
+            "slow_targets": schedule.evidence.slow_targets() if schedule else 0,
         }
 
 
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -18,6 +18,8 @@
 HOST = "jobs.example"
 KEY = "key-1"
 ORGANISATION = "ward"
+# Optional parts that tests run with unless they name others.
+FEATURES = features.Features(departures=True)
 PREFIXES = {0: "/urgent/", 1: "/normal/", 2: "/batch/"}
 
 
@@ -52,7 +54,7 @@
             configuration.decode,
             targets.decode_entry,
         ),
-        features=features.Features(departures=True),
+        features=FEATURES,
         limits=state_lib.Limits(gang_wait_s=platform_targets.GANG_TIMEOUT_S),
     )
 
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -18,6 +18,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import runtime
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
 from dandelionpick.batch import reducer
@@ -90,6 +91,7 @@
         retention_s: how long instances keep the state of ended jobs.
         evacuate_s: bound on starts after the request of an evacuation; 0 if
             there are no evacuations.
+        features: the optional parts of the scheduler that are switched on.
         log: log lines of all instances, with time and name.
         faults: exceptions of the instances' handlers.
     """
@@ -102,6 +104,7 @@
         retention_s: float = 120.0,
         domains: int = 1,
         evacuate_s: float = 0.0,
+        features: features_lib.Features | None = None,
     ):
         self.random = random.Random(seed)
         self.now_s = 0.0
@@ -127,6 +130,7 @@
         self.world.on_crash = self._restart_crashed
         self.retention_s = retention_s
         self.evacuate_s = evacuate_s
+        self.features = features or builders.FEATURES
         self.log: list[str] = []
         self.faults: list[Exception] = []
         self.reply_callbacks: dict[str, Callable[[Any], None]] = {}
@@ -152,6 +156,7 @@
         instance = Instance(name, "a", next(self.process_numbers))
         instance.state.limits.retention_s = self.retention_s
         instance.state.limits.evacuate_s = self.evacuate_s
+        instance.state.features = self.features
         self.instances[name] = instance
         self.powered_machines.add(name)
         self.call_later(
