Expect run times from those of finished runs

Callers' estimates are off by up to nine tenths, or false in their own favour, and decide the order of work, preemption, locality, headroom and stalls.

[scheduling] learn_run_times keeps quantile sketches of run times and of their ratio to the estimates by queue, organisation and shape, stores them under dandelionpick/run-times and uses them in place of the estimate. Off by default. dandelionpick run-times prints the errors by queue from logs. make experiment has the policies learnt and learnt-before, and patterns with wrong and false estimates.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -1,10 +1,10 @@
 """Simulates workloads on the scheduler's reducer in virtual time.
 
-Compares scheduling policies on the same job arrivals: the product's policy, and
-variants that replace one of its rules. The same seed gives the same output.
-Prints a table with the worth earned and, as `net`, that worth minus the price
-of discarded work, and writes one JSON line per simulation to
-build/experiment.jsonl.
+Compares scheduling policies on the same job arrivals (see bench/policies.py).
+The same seed gives the same output. Prints a table with the worth earned and,
+as `net`, that worth minus the price of discarded work, and a table with the
+errors of estimated and expected run times. Writes one JSON line per simulation
+to build/experiment.jsonl.
 """
 
 import concurrent.futures
@@ -14,7 +14,6 @@
 import pathlib
 import random
 import sys
-from collections.abc import Callable
 from typing import Any
 
 from cleo import application
@@ -22,16 +21,16 @@
 from cleo.helpers import option
 
 from bench import load_patterns
-from dandelionpick.batch import free_capacity
-from dandelionpick.batch import locality
+from bench import policies as policies_lib
+from bench import run_time_history
+from bench import run_time_lines
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
-from dandelionpick.batch import scheduling
+from dandelionpick.batch import state as state_lib
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
 from standins import platform_targets
 from tests import batch_builders as builders
-from tests import batch_fabric
 
 OUTPUT = pathlib.Path("build/experiment.jsonl")
 # Price of one core second of discarded work, in units of worth; set by the
@@ -78,71 +77,24 @@
         return 0.0
 
 
-def _unchanged() -> None:
-    """Keeps the product's policy as it is."""
-
-
-def _early_remote_placement() -> None:
-    """Lets a step run in the wrong rack after one estimated run time."""
-    locality.BUSY_WAIT_FACTOR = locality.IDLE_WAIT_FACTOR
-
-
-def _first_come_first_served() -> None:
-    """Starts steps in the order in which their jobs were accepted."""
-    urgency = scheduling.urgency
-
-    def by_acceptance(job: Any, step_run: Any, rank: float) -> Any:
-        due_s = urgency(job, step_run, rank)[-1]
-        return (float(job.accepted_revision), due_s, due_s)
-
-    scheduling.urgency = by_acceptance
-
-
-def _first_fit() -> None:
-    """Chooses targets by name instead of by the capacity left on them."""
-    fill = scheduling.placement._pack
-
-    def first_fit(demand: Any, racks: Any) -> Any:
-        candidates = [
-            candidate for rack in racks for candidate in rack.candidates
-        ]
-        candidates.sort(key=lambda candidate: candidate.target)
-        numbered = [
-            dataclasses.replace(candidate, penalty=float(number))
-            for number, candidate in enumerate(candidates)
-        ]
-        return fill(demand, [free_capacity.Rack(numbered)])
-
-    scheduling.placement._pack = first_fit
-
-
-def _no_headroom() -> None:
-    """Reserves no capacity for urgent work."""
-    scheduling.headroom.GANG_HEADROOM_FACTOR = 0.0
-
-
-POLICIES: dict[str, Callable[[], None]] = {
-    "product": _unchanged,
-    "no-headroom": _no_headroom,
-    "far-early": _early_remote_placement,
-    "first-come": _first_come_first_served,
-    "first-fit": _first_fit,
-}
-
-
 class Simulation:
-    """A simulation of one load pattern under the policy in force."""
+    """A simulation of one load pattern under a policy."""
 
     def __init__(
         self,
         site: load_patterns.Site,
         pattern: load_patterns.Pattern,
+        policy: policies_lib.Policy,
         seed: int,
     ):
         self.site = site
-        self.fabric = batch_fabric.Fabric(seed=seed, target_count=0)
+        self.fabric = run_time_lines.Fabric(seed)
         for instance in self.fabric.instances.values():
             instance.state.limits.stop_s = site.stop_s
+            instance.state.features = policy.features
+        if policy.has_history:
+            history = run_time_history.encode(site, pattern, seed)
+            self.fabric.store.put(state_lib.RUN_TIMES_KEY, history)
         self._configure()
         self.rng = random.Random(seed)
         self.job_results: dict[str, JobResult] = {}
@@ -167,7 +119,11 @@
             )
             for kind in self.site.kinds
         ]
-        value = builders.configuration_value(2, routes=routes)
+        tenants = [
+            builders.tenant(name, key, load_patterns.GUARANTEED)
+            for name, key in load_patterns.ORGANISATION_KEYS.items()
+        ]
+        value = builders.configuration_value(2, routes=routes, tenants=tenants)
         self.fabric.store.put(keys.CONFIGURATION_KEY, value)
 
     def _add_target(self, number: int) -> None:
@@ -195,7 +151,12 @@
         self, number: int, arrival: load_patterns.Arrival, attempt: int
     ) -> None:
         spec = jobs.decode(arrival.body).unwrap()
-        message = builders.submit(number, spec, arrival.kind.priority)
+        message = builders.submit(
+            number,
+            spec,
+            arrival.kind.priority,
+            credential=load_patterns.ORGANISATION_KEYS[arrival.organisation],
+        )
         name = self.rng.choice(sorted(self.fabric.instances))
 
         def done(reply: Any) -> None:
@@ -267,13 +228,13 @@
     """Simulates one site, pattern, policy and seed; returns the metrics."""
     site_name, pattern_name, policy, seed = task
     site = load_patterns.SITES[site_name]
-    POLICIES[policy]()
+    policies_lib.POLICIES[policy].apply()
     pattern = next(
         pattern
         for pattern in load_patterns.PATTERNS
         if pattern.name == pattern_name
     )
-    simulation = Simulation(site, pattern, seed)
+    simulation = Simulation(site, pattern, policies_lib.POLICIES[policy], seed)
     job_results = simulation.run()
     windows: dict[int, list[JobResult]] = {}
     for result in job_results:
@@ -294,6 +255,17 @@
         ),
         "worst_windows": round(sum(worst) / len(worst), 4),
         "restarts": sum(runs.values()) - len(runs),
+        "false": round(
+            earned_share(
+                [
+                    result
+                    for result in job_results
+                    if result.arrival.organisation == load_patterns.LIARS
+                ]
+            ),
+            4,
+        ),
+        "run_times": [line.fields for line in simulation.fabric.run_time_lines],
         **{
             kind.name: round(
                 earned_share(
@@ -324,7 +296,9 @@
         """Runs the simulations and prints the table."""
         names = [pattern.name for pattern in load_patterns.PATTERNS]
         patterns = _selected(self.option("patterns"), names)
-        policies = _selected(self.option("policies"), list(POLICIES))
+        policies = _selected(
+            self.option("policies"), list(policies_lib.POLICIES)
+        )
         tasks = list(
             itertools.product(
                 load_patterns.SITES,
@@ -342,6 +316,8 @@
         OUTPUT.parent.mkdir(exist_ok=True)
         OUTPUT.write_text("".join(json.dumps(row) + "\n" for row in results))
         self._print(results, patterns, policies)
+        for text in run_time_lines.format_tables(results):
+            self.line(text)
         return 0
 
     def _print(
@@ -356,6 +332,7 @@
             "worst_windows",
             *(kind.name for kind in load_patterns.SMALL.kinds),
             "restarts",
+            "false",
         ]
         table = self.table()
         table.set_headers(["site", "pattern", "policy", *measures])
--- a/bench/load_patterns.py
+++ b/bench/load_patterns.py
@@ -18,6 +18,12 @@
 # Share of jobs that are stragglers, and the factor on their run time.
 STRAGGLER_SHARE = 0.03
 STRAGGLER_FACTOR = 7.0
+# Organisations and their API keys. Those of LIARS say that their work takes a
+# tenth of the time, so that it is taken for more urgent.
+ORGANISATION, LIARS = "ward", "liars"
+ORGANISATION_KEYS = {ORGANISATION: "key-1", LIARS: "key-2"}
+GUARANTEED = 8
+FALSE_FACTOR = 0.1
 TARGETS = 24
 TARGETS_PER_RACK = 8
 
@@ -142,6 +148,7 @@
         objective_s: intended time from submission to completion.
         worth: worth if the job meets the objective.
         late_worth: worth if it takes up to three times as long.
+        work_s: run time of each task.
     """
 
     submit_s: float
@@ -150,6 +157,8 @@
     objective_s: float
     worth: float
     late_worth: float
+    organisation: str
+    work_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,11 +168,15 @@
     Attributes:
         rate: returns the factor on a kind's mean rate at a time.
         faults: times in seconds and the faults injected then; "heal" ends them.
+        estimate_error: replaces that of the kinds of jobs.
+        false_share: share of the jobs whose estimates are false.
     """
 
     name: str
     rate: Callable[[JobKind, float], float]
     faults: tuple[tuple[float, str], ...] = ()
+    estimate_error: float | None = None
+    false_share: float = 0.0
 
 
 def _sine_rate(kind: JobKind, at_s: float) -> float:
@@ -189,6 +202,9 @@
     Pattern("lost-targets", _sine_rate, ((8.0, "crash"),)),
     Pattern("failing-targets", _sine_rate, ((8.0, "fail"), (15.0, "heal"))),
     Pattern("hanging-targets", _sine_rate, ((8.0, "hang"), (14.0, "heal"))),
+    Pattern("half-off", _sine_rate, estimate_error=0.5),
+    Pattern("nine-tenths-off", _sine_rate, estimate_error=0.9),
+    Pattern("false-estimates", _sine_rate, false_share=0.3),
 )
 
 
@@ -208,12 +224,16 @@
                 * pattern.rate(kind, at_s)
                 / peak_rate_per_s
             ):
-                jobs.append(_build_arrival(site, kind, at_s, rng))
+                jobs.append(_build_arrival(site, pattern, kind, at_s, rng))
     yield from sorted(jobs, key=lambda job: job.submit_s)
 
 
 def _build_arrival(
-    site: Site, kind: JobKind, at_s: float, rng: random.Random
+    site: Site,
+    pattern: Pattern,
+    kind: JobKind,
+    at_s: float,
+    rng: random.Random,
 ) -> Arrival:
     accelerators = rng.choice(kind.accelerators)
     count = round(_log_normal(kind.mean_tasks, 0.8 * kind.mean_tasks, rng))
@@ -225,13 +245,20 @@
     work_s = _log_normal(kind.work_s, kind.work_spread * kind.work_s, rng)
     if rng.random() < STRAGGLER_SHARE:
         work_s *= STRAGGLER_FACTOR
-    error = rng.uniform(-kind.estimate_error, kind.estimate_error)
+    largest_error = kind.estimate_error
+    if pattern.estimate_error is not None:
+        largest_error = pattern.estimate_error
+    estimate_s = work_s * (1 + rng.uniform(-largest_error, largest_error))
+    organisation = ORGANISATION
+    if pattern.false_share and rng.random() < pattern.false_share:
+        organisation = LIARS
+        estimate_s = FALSE_FACTOR * work_s
     phase: dict[str, Any] = {
         "count": count,
         "cpu": kind.cpu_millis,
         "mem_mb": kind.memory_mb,
         "gpu": accelerators,
-        "estimate_ms": int(1_000 * work_s * (1 + error)),
+        "estimate_ms": int(1_000 * estimate_s),
         "gang": kind.gang,
         "same_rack": one_rack,
         "checkpointing": rng.random() < kind.checkpoint_share,
@@ -252,6 +279,8 @@
         objective_s,
         weight * kind.worth,
         weight * kind.late_worth,
+        organisation,
+        work_s,
     )
 
 
--- a/dandelionpick/batch/headroom.py
+++ b/dandelionpick/batch/headroom.py
@@ -9,13 +9,13 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
 from collections.abc import Sequence
 
 from dandelionpick import ids
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import model
+from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
 
 # Urgent demand of this past period is expected to recur. The period is short
@@ -30,27 +30,29 @@
 
 
 def required_accelerators(
-    jobs: Iterable[schedule_state.Job], unix_ms: int, stop_s: float
+    schedule: schedule_state.Schedule, unix_ms: int, stop_s: float
 ) -> dict[ids.PoolName, int]:
     """Returns how many accelerators to keep free in each pool."""
     requested: collections.Counter[ids.PoolName] = collections.Counter()
-    for job in jobs:
+    for job in schedule.jobs.values():
         terms = job.record.terms
         if (
             terms.priority == guarantees.URGENT_PRIORITY
             and job.record.accepted_ms > unix_ms - DEMAND_WINDOW_S * 1_000
-            and slack_s(job.record) < MIN_SLACK_STOPS * stop_s
+            and slack_s(schedule, job) < MIN_SLACK_STOPS * stop_s
         ):
             requested[terms.pool] += guarantees.peak_accelerators(job)
     factor = GANG_HEADROOM_FACTOR * stop_s / DEMAND_WINDOW_S
     return {pool: int(count * factor) for pool, count in requested.items()}
 
 
-def slack_s(record: model.JobRecord) -> float:
+def slack_s(
+    schedule: schedule_state.Schedule, job: schedule_state.Job
+) -> float:
     """Returns how long a job can wait before it misses its objective."""
-    terms = record.terms
-    estimate_s = sum(step.estimate_ms for step in record.spec.steps) / 1_000
-    return (terms.objective_factor - 1) * estimate_s + terms.objective_extra_s
+    terms = job.record.terms
+    expected_s = run_times.job_expected_s(schedule, job)
+    return (terms.objective_factor - 1) * expected_s + terms.objective_extra_s
 
 
 def subtract_headroom(
--- a/dandelionpick/batch/locality.py
+++ b/dandelionpick/batch/locality.py
@@ -10,6 +10,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
 from dandelionpick.batch import model
+from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
 
@@ -30,7 +31,7 @@
 
 def may_relax_locality(
     schedule: schedule_state.Schedule,
-    terms: model.QueueTerms,
+    job: schedule_state.Job,
     step_run: schedule_state.StepRun,
     now_s: float,
 ) -> bool:
@@ -38,7 +39,7 @@
     spec = step_run.spec
     if not spec.data_rack and not spec.one_rack:
         return True
-    view = view_of(schedule, terms.pool, now_s)
+    view = view_of(schedule, job.record.terms.pool, now_s)
     if spec.data_rack:
         fits = view.max_tasks_in(spec, ids.Rack(spec.data_rack)) > 0
     else:
@@ -51,7 +52,9 @@
     is_idle = now_s - view.idle_since_s >= IDLE_S
     wait_factor = IDLE_WAIT_FACTOR if is_idle else BUSY_WAIT_FACTOR
     waited_s = now_s - step_run.open_s
-    return waited_s > wait_factor * spec.estimate_ms / 1_000
+    return waited_s > wait_factor * run_times.expected_s(
+        schedule, job, step_run
+    )
 
 
 def view_of(
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -24,6 +24,7 @@
 from dandelionpick.batch import orders
 from dandelionpick.batch import placement
 from dandelionpick.batch import preemption_gain
+from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import victim_choice
@@ -126,7 +127,10 @@
         return False
     covered = unit.job.id not in schedule.over_guarantee
     if not covered and not preemption_gain.pays(
-        plan.lost_core_s, unit.step_run.spec, len(unit.tasks)
+        plan.lost_core_s,
+        unit.step_run.spec.needs,
+        len(unit.tasks),
+        run_times.expected_s(schedule, unit.job, unit.step_run),
     ):
         return False
     counts = collections.Counter(plan.targets)
@@ -179,7 +183,7 @@
             continue
         rank_gap = guarantees.rank(schedule, job) - rank
         for tasks in _preemption_groups(step_run):
-            victim = _make_victim(step_run, tasks, rank_gap, now_s)
+            victim = _make_victim(schedule, step_run, tasks, rank_gap, now_s)
             if victim is not None:
                 victims.append(victim)
     return victims
@@ -205,6 +209,7 @@
 
 
 def _make_victim(
+    schedule: schedule_state.Schedule,
     step_run: schedule_state.StepRun,
     tasks: Sequence[schedule_state.Task],
     rank_gap: float,
@@ -222,7 +227,9 @@
     weight = 1 + max(task.preemptions for task in tasks)
     lost = sum(_lost_core_seconds(step_run.spec, run, now_s) for run in runs)
     cost = lost * weight / PRIORITY_WEIGHT ** (rank_gap - 1)
-    remaining_s = max(preemption_gain.remaining_s(run, now_s) for run in runs)
+    remaining_s = max(
+        run_times.remaining_s(schedule, run, now_s) for run in runs
+    )
     return victim_choice.Victim(
         tuple(runs), _occupied(runs), cost, lost, remaining_s
     )
--- a/dandelionpick/batch/preemption_gain.py
+++ b/dandelionpick/batch/preemption_gain.py
@@ -33,7 +33,9 @@
     return max(0.0, run.ordered_s + total_s - now_s)
 
 
-def pays(lost_core_s: float, spec: model.StepSpec, tasks: int) -> bool:
+def pays(
+    lost_core_s: float, needs: model.Resources, tasks: int, expected_s: float
+) -> bool:
     """Returns whether work outside a guarantee is worth what is stopped."""
-    own_core_s = tasks * cores_of(spec.needs) * spec.estimate_ms / 1_000
+    own_core_s = tasks * cores_of(needs) * expected_s
     return lost_core_s <= MAX_LOSS_FACTOR * own_core_s
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -19,6 +19,7 @@
 from dandelionpick.batch import requests
 from dandelionpick.batch import retention
 from dandelionpick.batch import roster
+from dandelionpick.batch import run_time_store
 from dandelionpick.batch import saving
 from dandelionpick.batch import scheduling
 from dandelionpick.batch import state as state_lib
@@ -45,6 +46,7 @@
     scheduling.tick,
     saving.tick,
     planned_starts.tick,
+    run_time_store.tick,
     retention.tick,
     leaving.tick,
 )
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -13,6 +13,7 @@
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_records
+from dandelionpick.batch import run_time_records
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -172,6 +173,7 @@
     run_records.forget_run(schedule, ended.task, ended.attempt)
     run = target.runs.get((ended.task, ended.attempt))
     if run is not None:
+        run_time_records.record_end(state, step, run, ended.ending)
         runs.keep_checkpoint(schedule, run, ended.checkpoint, run.percent)
         runs.remove(schedule, run)
     job = schedule.jobs.get(ended.task.job_id)
@@ -201,6 +203,7 @@
         _record_done(job, step_run, ended)
         schedule.unsaved.add(job.id)
         _stop_other_attempts(state, step, step_run, ended)
+        run_time_records.note_step_end(state, step, job, step_run)
         job_ends.end_if_complete(state, step, job)
     elif ended.ending is model.Ending.FAILED and not task.done:
         task.avoided_targets.add(target.id)
--- a/dandelionpick/batch/runs.py
+++ b/dandelionpick/batch/runs.py
@@ -4,7 +4,10 @@
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 
-ATTEMPT_MASK = (1 << schedule_state.ATTEMPT_BITS) - 1
+# Attempts of an epoch are numbered from epoch << ATTEMPT_BITS, so that the
+# numbers rise from one scheduler to the next without a write to the store.
+ATTEMPT_BITS = 16
+ATTEMPT_MASK = (1 << ATTEMPT_BITS) - 1
 
 
 def occupied_resources(spec: model.StepSpec) -> model.Resources:
@@ -65,5 +68,5 @@
 ) -> ids.Attempt:
     """Returns an attempt number above all earlier ones, in any epoch."""
     step.attempts = min(step.attempts + 1, ATTEMPT_MASK)
-    base = schedule.epoch << schedule_state.ATTEMPT_BITS
+    base = schedule.epoch << ATTEMPT_BITS
     return ids.Attempt(base + step.attempts)
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -9,12 +9,12 @@
 from dandelionpick.batch import exits
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import model
+from dandelionpick.batch import run_time_groups
+from dandelionpick.batch import stages
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
 
-# Attempts of an epoch are numbered from epoch << ATTEMPT_BITS, so that the
-# numbers rise from one scheduler to the next without a write to the store.
-ATTEMPT_BITS = 16
+Stage = stages.Stage
 
 
 class RunState(enum.Enum):
@@ -290,14 +290,6 @@
         return self.entry.capacity.minus(self.used)
 
 
-class Stage(enum.Enum):
-    """Stage of a takeover."""
-
-    READING = "reading"
-    FENCING = "fencing"
-    READY = "ready"
-
-
 @dataclasses.dataclass(slots=True)
 class Schedule:
     """State of the scheduler, apart from the configuration.
@@ -340,6 +332,7 @@
         early_cancels: jobs whose cancellation was read before the job itself.
         early_progress: progress that was read before its job, with its
             revision.
+        run_times: what was learnt about run times.
     """
 
     epoch: ids.Epoch
@@ -392,6 +385,9 @@
     early_progress: dict[ids.JobId, tuple[model.Progress, int]] = (
         dataclasses.field(default_factory=dict)
     )
+    run_times: run_time_groups.RunTimes = dataclasses.field(
+        default_factory=run_time_groups.RunTimes
+    )
 
     def task_of(self, key: model.TaskKey) -> Task | None:
         """Returns a task, or None if its job is not known."""
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -19,6 +19,8 @@
 from dandelionpick.batch import placement
 from dandelionpick.batch import planned_starts
 from dandelionpick.batch import preemption
+from dandelionpick.batch import run_time_records
+from dandelionpick.batch import run_times
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -115,11 +117,12 @@
     schedule.last_pass_s = now_s
     _drop_expired_reservations(schedule, now_s)
     crash_budget.drop_ended_observations(schedule, now_s)
+    run_time_records.refresh(schedule, now_s)
     schedule.over_guarantee = guarantees.jobs_over_guarantee(
         schedule, state.catalog.current
     )
     schedule.headroom = headroom.required_accelerators(
-        schedule.jobs.values(), step.moment.unix_ms, state.limits.stop_s
+        schedule, step.moment.unix_ms, state.limits.stop_s
     )
     current = SchedulingPass(
         pass_capacity.PassCapacity(schedule, now_s),
@@ -185,9 +188,8 @@
                 break
             if tasks:
                 rank = guarantees.rank(schedule, job)
-                unit = PlacementUnit(
-                    job, step_run, tasks, urgency(job, step_run, rank)
-                )
+                key = urgency(schedule, job, step_run, rank)
+                unit = PlacementUnit(job, step_run, tasks, key)
                 if not unit.is_suspected or planned_starts.may_plan(state):
                     yield unit
 
@@ -232,7 +234,10 @@
 
 
 def urgency(
-    job: schedule_state.Job, step_run: schedule_state.StepRun, rank: float
+    schedule: schedule_state.Schedule,
+    job: schedule_state.Job,
+    step_run: schedule_state.StepRun,
+    rank: float,
 ) -> tuple[float, ...]:
     """Returns the sort key of a step: its job's rank, then its objective.
 
@@ -245,7 +250,7 @@
         job.record.accepted_ms, job_progress.due_ms(job, step_run.occurrence)
     )
     objective_s = (
-        terms.objective_factor * step_run.spec.estimate_ms / 1_000
+        terms.objective_factor * run_times.expected_s(schedule, job, step_run)
         + terms.objective_extra_s
     )
     due_s = started_ms / 1_000
@@ -357,6 +362,6 @@
         one_rack=spec.gang and spec.one_rack,
         data_rack=spec.data_rack,
         relax_locality=locality.may_relax_locality(
-            schedule, terms, unit.step_run, now_s
+            schedule, unit.job, unit.step_run, now_s
         ),
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -29,6 +29,7 @@
 # sees any job that was accepted afterwards.
 SCHEDULER_KEY = "dandelionpick/intake/authority"
 ROSTER_KEY = "dandelionpick/roster"
+RUN_TIMES_KEY = "dandelionpick/run-times"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -14,6 +14,7 @@
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import polling
 from dandelionpick.batch import roster
+from dandelionpick.batch import run_time_store
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import watches
@@ -47,6 +48,7 @@
         watches.TargetsWatch(state.formats.targets_prefix, TARGETS_WATCH_S),
     )
     roster.read(state, step)
+    run_time_store.read(state, step)
 
 
 def abandon(state: state_lib.State) -> None:
--- a/dandelionpick/cli.py
+++ b/dandelionpick/cli.py
@@ -33,6 +33,7 @@
     "check-settings": CommandSpec("cli_run", "CheckSettingsCommand", False),
     "schedule": CommandSpec("cli_schedule", "ScheduleCommand"),
     "explain": CommandSpec("cli_explain", "ExplainCommand", False),
+    "run-times": CommandSpec("cli_run_times", "RunTimesCommand", False),
     "request submit": CommandSpec("cli_requests", "SubmitCommand"),
     "request fetch": CommandSpec("cli_requests", "FetchCommand"),
     "request cancel": CommandSpec("cli_requests", "CancelCommand"),
--- a/dandelionpick/cli_explain.py
+++ b/dandelionpick/cli_explain.py
@@ -1,19 +1,14 @@
 """The command that merges the log lines about a job."""
 
-import pathlib
-import sys
-from collections.abc import Iterator
-
 import msgspec
 from cleo.commands import command
 from cleo.io.outputs import output
 
+from dandelionpick import cli_logs
 from dandelionpick import cli_options
 from dandelionpick import log_search
 from dandelionpick.status import ExitStatus
 
-STDIN = "-"
-
 
 class ExplainCommand(command.Command):
     """Shows the log lines of all instances about a job, sorted by time."""
@@ -28,15 +23,11 @@
         job = self.argument("id")
         try:
             lines = log_search.lines_about_job(
-                log_search.parse_lines(self._read()), job
+                log_search.parse_lines(cli_logs.read(self.argument("logs"))),
+                job,
             )
-        except OSError as error:
-            return self._fail(
-                f"{error.filename}: cannot be read ({error.strerror}); give"
-                " readable log files"
-            )
-        except UnicodeDecodeError as error:
-            return self._fail(f"the log is not UTF-8 text ({error.reason})")
+        except cli_logs.UnreadableError as error:
+            return self._fail(str(error))
         if not lines:
             return self._fail(
                 f"no line names job {job}; give the logs of all instances and"
@@ -46,13 +37,6 @@
             self._write(self._format_line(line))
         return ExitStatus.OK
 
-    def _read(self) -> Iterator[str]:
-        for name in self.argument("logs") or [STDIN]:
-            if name == STDIN:
-                yield from sys.stdin
-            else:
-                yield from pathlib.Path(name).read_text().splitlines()
-
     def _format_line(self, line: log_search.LogLine) -> str:
         if self.option("json"):
             return msgspec.json.encode(line).decode()
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -118,6 +118,13 @@
         ["queue"],
         buckets=(0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300, 1800),
     ),
+    "run_time_ratio": prometheus_client.Histogram(
+        "dandelionpick_run_time_ratio",
+        "Run times of steps relative to the caller's estimate or what was"
+        " expected, by queue.",
+        ["queue", "predictor"],
+        buckets=(0.1, 0.25, 0.5, 0.67, 0.8, 1, 1.25, 1.5, 2, 4, 10),
+    ),
     "loop_lag_seconds": prometheus_client.Histogram(
         "dandelionpick_loop_lag_seconds",
         "Seconds by which the event loop ran a tick too late.",
--- a/tests/test_batch_headroom.py
+++ b/tests/test_batch_headroom.py
@@ -46,7 +46,10 @@
     """Headroom follows the urgent demand of the last seconds."""
 
     def required(self, *jobs, stop_s=SLOW_STOP_S) -> int:
-        return headroom.required_accelerators(jobs, NOW_MS, stop_s).get(POOL, 0)
+        schedule = schedule_state.Schedule(ids.Epoch(1), 0.0)
+        schedule.jobs.update(enumerate(jobs))
+        required = headroom.required_accelerators(schedule, NOW_MS, stop_s)
+        return required.get(POOL, 0)
 
     def test_grows_with_demand_and_stop_time(self):
         """Guards against headroom for gangs that never arrive."""
--- a/tests/test_batch_locality.py
+++ b/tests/test_batch_locality.py
@@ -46,10 +46,16 @@
             int(ESTIMATE_S * 1_000),
             **fields,
         )
-        step_run = schedule_state.StepRun(spec, 0, 0, [], spec.tasks)
-        return locality.may_relax_locality(
-            self.schedule, model.QueueTerms(POOL), step_run, now_s
+        record = model.JobRecord(
+            ids.QueueName("q"),
+            ids.OrganisationId("o"),
+            model.QueueTerms(POOL),
+            model.JobSpec("", (spec,)),
+            0,
         )
+        job = schedule_state.Job(ids.JobId("j"), record, 1)
+        step_run = schedule_state.StepRun(spec, 0, 0, [], spec.tasks)
+        return locality.may_relax_locality(self.schedule, job, step_run, now_s)
 
     def test_waits_while_the_pool_is_busy(self):
         """Guards against gangs that occupy resources three times as long."""
--- a/tests/test_batch_preemption_gain.py
+++ b/tests/test_batch_preemption_gain.py
@@ -59,8 +59,10 @@
         """Guards against work that is thrown away for a small job."""
         spec = crest_builders.URGENT_SHAPES[0]
         own_core_s = 3 * (7.5 + 8.0) * 2.1
-        self.assertTrue(preemption_gain.pays(own_core_s, spec, 3))
-        self.assertFalse(preemption_gain.pays(5 * own_core_s, spec, 3))
+        self.assertTrue(preemption_gain.pays(own_core_s, spec.needs, 3, 2.1))
+        self.assertFalse(
+            preemption_gain.pays(5 * own_core_s, spec.needs, 3, 2.1)
+        )
 
 
 class BurstTest(test_batch_jobs.BatchTest):
