--- a/bench/run_time_history.py
+++ b/bench/run_time_history.py
@@ -31,6 +31,7 @@
             0,
         )
         for step in spec.steps:
+            learnt.forget_predictions()
             prediction = run_times.predict_from(learnt, record, step)
             run_time_records.record_errors(
                 learnt, record, prediction, arrival.work_s
--- a/dandelionpick/batch/run_time_groups.py
+++ b/dandelionpick/batch/run_time_groups.py
@@ -257,6 +257,8 @@
         groups: the groups, in the order of their first run.
         predictions: cached since `refreshed_s`, by job and step.
         first_predictions: the same, as of when the step first waited.
+        usable: cached groups with enough runs: one for the run times and one
+            for the estimates, by queue, organisation and resources.
         steps: steps of which tasks have ended, by job, occurrence and step.
         refreshed_s: when the runs in progress were last counted.
         changed: something was learnt since the last write to the store.
@@ -272,6 +274,10 @@
     first_predictions: dict[tuple[ids.JobId, int], Prediction] = (
         dataclasses.field(default_factory=dict)
     )
+    usable: dict[
+        tuple[ids.QueueName, ids.OrganisationId, model.Resources],
+        tuple[Group | None, Group | None],
+    ] = dataclasses.field(default_factory=dict)
     steps: dict[tuple[ids.JobId, int, int], StepTimes] = dataclasses.field(
         default_factory=dict
     )
@@ -290,14 +296,36 @@
             found = self.groups[key] = Group()
         return found
 
-    def finest(self, keys: tuple[GroupKey, ...]) -> Group | None:
-        """Returns the first group with enough runs, or None."""
+    def usable_groups(
+        self, record: model.JobRecord, spec: model.StepSpec
+    ) -> tuple[Group | None, Group | None]:
+        """Returns the finest groups with enough runs; None without one.
+
+        Returns:
+            The group for the run times of a step, and that for the caller's
+            estimates.
+        """
+        key = record.queue, record.organisation, spec.needs
+        found = self.usable.get(key)
+        if found is None:
+            found = self.usable[key] = (
+                self._finest(time_keys(record, spec)),
+                self._finest(estimate_keys(record)),
+            )
+        return found
+
+    def _finest(self, keys: tuple[GroupKey, ...]) -> Group | None:
         for key in keys:
             found = self.groups.get(key)
             if found is not None and found.weight >= MIN_WEIGHT:
                 return found
         return None
 
+    def forget_predictions(self) -> None:
+        """Lets predictions be made anew."""
+        self.predictions.clear()
+        self.usable.clear()
+
     def _drop_smallest(self) -> None:
         """Drops a tenth of the groups, so that this is rarely needed."""
         ordered = sorted(self.groups, key=lambda key: self.groups[key].weight)
--- a/dandelionpick/batch/run_time_records.py
+++ b/dandelionpick/batch/run_time_records.py
@@ -4,6 +4,7 @@
 
 from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick import ids
 from dandelionpick.batch import model
 from dandelionpick.batch import run_time_groups
 from dandelionpick.batch import run_times
@@ -29,19 +30,11 @@
     ):
         return
     learnt.refreshed_s = now_s
-    learnt.predictions.clear()
+    learnt.forget_predictions()
     _drop_ended(schedule)
-    running: dict[run_time_groups.GroupKey, dict[int, float]] = (
-        collections.defaultdict(lambda: collections.defaultdict(float))
-    )
-    for job in schedule.jobs.values():
-        if job.ended:
-            continue
-        for step_run in job.steps.values():
-            if step_run.open and step_run.tasks_left:
-                _add_running(running, job, step_run, now_s)
+    weights = _running_weights(schedule, now_s)
     for key, group in learnt.groups.items():
-        group.times.set_running(running.get(key, {}))
+        group.times.set_running(weights.get(key, {}))
 
 
 def _drop_ended(schedule: schedule_state.Schedule) -> None:
@@ -54,31 +47,43 @@
                 del steps[key]
 
 
-def _add_running(
-    running: dict[run_time_groups.GroupKey, dict[int, float]],
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
-    now_s: float,
-) -> None:
-    """Adds the first run of a step, with the weight of all of them."""
-    spec = step_run.spec
-    if spec.until_cancelled:
-        return
-    found = [
-        run
-        for task in step_run.tasks
-        for run in task.runs.values()
-        if run.state is schedule_state.RunState.RUNNING
-    ]
-    if not found or (spec.gang and len(found) < len(step_run.tasks)):
-        return
-    worked_s = now_s - _began_s(step_run, found[0])
-    if worked_s <= 0 or found[0].first_percent > 0:
-        return
-    key = run_time_groups.key_of(worked_s)
-    weight = len(found) * _weight(spec)
-    for group_key in run_time_groups.time_keys(job.record, spec):
-        running[group_key][key] += weight
+def _running_weights(
+    schedule: schedule_state.Schedule, now_s: float
+) -> dict[run_time_groups.GroupKey, dict[int, float]]:
+    """Returns the weights of what runs by group and bin of its time so far.
+
+    All runs of a step count as its first one found.
+    """
+    first: dict[tuple[ids.JobId, int, int], schedule_state.Run] = {}
+    counts: collections.Counter[tuple[ids.JobId, int, int]] = (
+        collections.Counter()
+    )
+    for target in schedule.targets.values():
+        for run in target.runs.values():
+            if (
+                run.state is schedule_state.RunState.RUNNING
+                and run.first_percent <= 0
+            ):
+                step_key = run.task[:3]
+                first.setdefault(step_key, run)
+                counts[step_key] += 1
+    weights: dict[run_time_groups.GroupKey, dict[int, float]] = (
+        collections.defaultdict(lambda: collections.defaultdict(float))
+    )
+    for step_key, run in first.items():
+        job = schedule.jobs.get(run.task.job_id)
+        step_run = job and job.steps.get(step_key[1:])
+        if not job or not step_run or job.ended:
+            continue
+        spec = step_run.spec
+        is_complete = not spec.gang or counts[step_key] == len(step_run.tasks)
+        worked_s = now_s - _began_s(step_run, run)
+        if spec.until_cancelled or not is_complete or worked_s <= 0:
+            continue
+        bin_key = run_time_groups.key_of(worked_s)
+        for group_key in run_time_groups.time_keys(job.record, spec):
+            weights[group_key][bin_key] += counts[step_key] * _weight(spec)
+    return weights
 
 
 def _weight(spec: model.StepSpec) -> float:
--- a/dandelionpick/batch/run_time_store.py
+++ b/dandelionpick/batch/run_time_store.py
@@ -230,7 +230,7 @@
         return
     for group in stored.groups[: run_time_groups.MAX_GROUPS]:
         _add_stored(learnt, group)
-    learnt.predictions.clear()
+    learnt.forget_predictions()
     step.note(
         effects.Component.SCHEDULER,
         f"read the run times of {len(stored.groups)} groups",
--- a/dandelionpick/batch/run_times.py
+++ b/dandelionpick/batch/run_times.py
@@ -109,13 +109,12 @@
     spec: model.StepSpec,
 ) -> run_time_groups.Prediction:
     """Returns what is expected of the tasks of a step by what was learnt."""
-    group = learnt.finest(run_time_groups.time_keys(record, spec))
+    group, callers = learnt.usable_groups(record, spec)
     if group is None:
         return _by_estimate_alone(spec)
     times = group.times.quantiles()
     runs = round(group.weight)
     estimate_s = spec.estimate_ms / 1_000
-    callers = learnt.finest(run_time_groups.estimate_keys(record))
     if (
         estimate_s <= 0
         or callers is None
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -31,6 +31,7 @@
 from tests import mutant
 from tests import overload_mutants
 from tests import restart_mutants
+from tests import run_time_mutants
 
 JOBS = (
     "tests.test_batch_jobs",
@@ -397,4 +398,5 @@
     *crash_mutants.MUTANTS,
     *overload_mutants.MUTANTS,
     *restart_mutants.MUTANTS,
+    *run_time_mutants.MUTANTS,
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -44,6 +44,34 @@
 )
 
 
+class RunTimesTest(unittest.TestCase):
+    """The command compares estimated, expected and actual run times."""
+
+    def test_errors_are_printed_by_queue(self):
+        """Guards against errors that leave out or distort some steps."""
+        message = "run times of a step"
+        rows = [
+            line(1, "scheduler", message, queue="a", actual_s=8.0, **fields)
+            for fields in (
+                {"estimate_s": 1.0, "expected_s": 8.0},
+                {"estimate_s": 64.0, "expected_s": 4.0},
+                {"estimate_s": 0, "expected_s": 16.0},
+                {"estimate_s": "?", "expected_s": None},
+            )
+        ]
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        (folder / "a.log").write_text("\n".join((*rows, *LOG_B)))
+        for name, expected in (("a.log", ExitStatus.OK), ("b.log", 1)):
+            out, err = (buffered_output.BufferedOutput() for _ in range(2))
+            arguments = ["dandelionpick", "run-times", str(folder / name)]
+            self.assertEqual(core.main(arguments, {}, out, err), expected)
+            if expected is ExitStatus.OK:
+                cells = out.fetch().splitlines()[1].split()
+                self.assertEqual(
+                    cells, ["a", "4", "3.00", "3.00", "1.00", "1.00"]
+                )
+
+
 class ExplainTest(unittest.TestCase):
     """The command builds one timeline of a job from many logs."""
 
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -16,6 +16,7 @@
 from dandelionpick import wire
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
+from dandelionpick.batch import run_time_store
 from dandelionpick.batch import state as state_lib
 
 STORED = (
@@ -49,6 +50,11 @@
         '{"scheduler":"a","addresses":{"t":"127.0.0.1:2"},'
         '"silent_until_ms":{"t":4}}',
     ),
+    (
+        run_time_store.StoredRunTimes,
+        '{"version":1,"groups":[["q","o","1/2",[[[23,1.5]],[[30,2.0]]],'
+        "[[[0,1.5]],[]],[0.5,4],[1.0,32]]]}",
+    ),
     (
         tree_state.Document,
         '{"revision":2,"tree":{"branches":{"ward":{}}},"edits":[{"edit_id":"e",'
@@ -186,6 +192,7 @@
                 "dandelionpick/intake/authority",
                 "dandelionpick/progress/",
                 "dandelionpick/roster",
+                "dandelionpick/run-times",
             ),
             (
                 state_lib.JOBS_PREFIX,
@@ -194,6 +201,7 @@
                 state_lib.SCHEDULER_KEY,
                 state_lib.PROGRESS_PREFIX,
                 state_lib.ROSTER_KEY,
+                state_lib.RUN_TIMES_KEY,
             ),
         )
 
