--- a/bench/policies.py
+++ b/bench/policies.py
@@ -17,7 +17,6 @@
 from dandelionpick.batch import preemption
 from dandelionpick.batch import preemption_gain
 from dandelionpick.batch import scheduling
-from dandelionpick.batch import target_health
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +82,6 @@
 # Answers as without learnt run times.
 _ESTIMATES = types.SimpleNamespace(
     expected_s=lambda schedule, job, step_run: step_run.spec.estimate_ms / 1e3,
-    cautious_s=lambda schedule, job, step_run: step_run.spec.estimate_ms / 1e3,
     job_expected_s=lambda schedule, job: sum(
         spec.estimate_ms / 1e3 for spec in job.record.spec.steps
     ),
@@ -118,7 +116,6 @@
             ("preemption", preemption),
             ("locality", locality),
             ("headroom", headroom),
-            ("stalls", target_health),
         )
     },
 }
--- a/dandelionpick/batch/target_health.py
+++ b/dandelionpick/batch/target_health.py
@@ -9,7 +9,6 @@
 from dandelionpick import effects
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
-from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
@@ -59,7 +58,7 @@
         step_run = _working_step(schedule, run)
         if step_run is None:
             continue
-        if _is_stalled(state, schedule, step_run, run, step.moment.now_s):
+        if _is_stalled(state, step_run, run, step.moment.now_s):
             _quarantine(target, step, f"{run.task.job_id} is stalled")
             _reschedule(state, step, run)
 
@@ -104,7 +103,6 @@
 
 def _is_stalled(
     state: state_lib.State,
-    schedule: schedule_state.Schedule,
     step_run: schedule_state.StepRun,
     run: schedule_state.Run,
     now_s: float,
@@ -116,24 +114,20 @@
     # A gang member that has finished its share waits for the others.
     if stalled_s < STALL_S or run.percent >= DONE_PERCENT:
         return False
-    if stalled_s < _patience_s(schedule, step_run, run, worked_s):
+    if stalled_s < _patience_s(step_run, run, worked_s):
         return False
     lost_s = 0.0 if step_run.spec.checkpoints else worked_s
     return stalled_s >= lost_s
 
 
 def _patience_s(
-    schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
-    worked_s: float,
+    step_run: schedule_state.StepRun, run: schedule_state.Run, worked_s: float
 ) -> float:
     """Returns how long the next percent may take."""
     gained = run.percent - run.first_percent
     if gained > 0:
         return STALL_FACTOR * worked_s / gained
-    job = schedule.jobs[run.task.job_id]
-    expected_s = run_times.cautious_s(schedule, job, step_run) / 100
+    expected_s = step_run.spec.estimate_ms / 1_000 / 100
     moves = step_run.tasks[run.task.index].moves
     return max(STALL_S, STALL_FACTOR * expected_s) * 2.0**moves
 
--- a/tests/crash_mutants.py
+++ b/tests/crash_mutants.py
@@ -105,7 +105,7 @@
 
 def move_long_work() -> None:
     """Takes work for stalled before its first percent."""
-    target_health._patience_s = lambda schedule, step_run, run, worked_s: 0.0
+    target_health._patience_s = lambda step_run, run, worked_s: 0.0
 
 
 def retry_after_restarts() -> None:
