--- a/bench/run_time_history.py
+++ b/bench/run_time_history.py
@@ -33,12 +33,21 @@
         for step in spec.steps:
             learnt.forget_predictions()
             prediction = run_times.predict_from(learnt, record, step)
+            times_s = [
+                arrival.work_s / speed for speed in _speeds_of(site, step)
+            ]
+            for time_s in times_s:
+                run_time_records.learn(learnt, record, step, time_s, True)
             run_time_records.record_errors(
-                learnt, record, prediction, arrival.work_s
+                learnt, record, step, prediction, sum(times_s) / len(times_s)
             )
-            ends = 1 if step.gang else step.tasks
-            for _ in range(ends):
-                run_time_records.learn(
-                    learnt, record, step, arrival.work_s, True
-                )
     return run_time_store.encode(learnt)
+
+
+def _speeds_of(site: load_patterns.Site, step: model.StepSpec) -> list[float]:
+    """Returns the speed of each end; a gang is as slow as its slowest."""
+    if step.gang:
+        return [min(site.speeds)]
+    return [
+        site.speeds[number % len(site.speeds)] for number in range(step.tasks)
+    ]
--- a/dandelionpick/batch/run_time_groups.py
+++ b/dandelionpick/batch/run_time_groups.py
@@ -39,8 +39,8 @@
 # Errors in doublings: how large they are taken to be before any was observed,
 # how many observations that stands for, and over how many they are averaged.
 INITIAL_TIME_ERROR = 0.5
-INITIAL_ESTIMATE_ERROR = 1.0
-INITIAL_ERROR_WEIGHT = 4
+INITIAL_ESTIMATE_ERROR = 0.8
+INITIAL_ERROR_WEIGHT = 2
 ERROR_WINDOW = 32
 # A few tasks in a hundred take seven times as long. Larger errors count as this
 # one.
--- a/dandelionpick/batch/run_time_records.py
+++ b/dandelionpick/batch/run_time_records.py
@@ -225,7 +225,7 @@
         first_key, None
     ) or run_times.predict(schedule, job, step_run.number)
     actual_s = times.total_s / times.count
-    record_errors(learnt, job.record, prediction, actual_s)
+    record_errors(learnt, job.record, step_run.spec, prediction, actual_s)
     estimate_s = step_run.spec.estimate_ms / 1_000
     queue = job.record.queue
     if estimate_s > 0:
@@ -258,13 +258,21 @@
 def record_errors(
     learnt: run_time_groups.RunTimes,
     record: model.JobRecord,
+    spec: model.StepSpec,
     prediction: run_time_groups.Prediction,
     actual_s: float,
 ) -> None:
-    """Records how far off both predictors were for a step."""
+    """Records how far off both predictors were for a step.
+
+    An estimate counts from the first step on, so that callers who estimate well
+    are trusted early.
+    """
+    estimate_s = spec.estimate_ms / 1_000
     for key in run_time_groups.estimate_keys(record):
         group = learnt.group(key)
         if prediction.by_times_s:
             group.time_error.add(actual_s, prediction.by_times_s)
-        if prediction.by_estimate_s:
-            group.estimate_error.add(actual_s, prediction.by_estimate_s)
+        if estimate_s > 0:
+            group.estimate_error.add(
+                actual_s, prediction.by_estimate_s or estimate_s
+            )
