--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -1,10 +1,10 @@
 """Simulates workloads on the scheduler's reducer in virtual time.
 
-Compares scheduling policies on the same job arrivals: the product's policy, and
-variants that replace one of its rules. The same seed gives the same output.
-Prints a table with the worth earned and, as `net`, that worth minus the price
-of discarded work, and writes one JSON line per simulation to
-build/experiment.jsonl.
+Compares scheduling policies on the same job arrivals (see bench/policies.py).
+The same seed gives the same output. Prints a table with the worth earned and,
+as `net`, that worth minus the price of discarded work, and a table with the
+errors of estimated and expected run times. Writes one JSON line per simulation
+to build/experiment.jsonl.
 """
 
 import concurrent.futures
@@ -22,14 +22,15 @@
 
 from bench import load_patterns
 from bench import policies as policies_lib
-from dandelionpick.batch import features as features_lib
+from bench import run_time_history
+from bench import run_time_lines
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
+from dandelionpick.batch import state as state_lib
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
 from standins import platform_targets
 from tests import batch_builders as builders
-from tests import batch_fabric
 
 OUTPUT = pathlib.Path("build/experiment.jsonl")
 # Price of one core second of discarded work, in units of worth; set by the
@@ -80,22 +81,24 @@
 
 
 class Simulation:
-    """A simulation of one load pattern under the policy in force."""
+    """A simulation of one load pattern under a policy."""
 
     def __init__(
         self,
         site: load_patterns.Site,
         pattern: load_patterns.Pattern,
+        policy: policies_lib.Policy,
         seed: int,
-        features: features_lib.Features | None = None,
     ):
         self.site = site
         self.speeds = pattern.speeds or site.speeds
-        self.fabric = batch_fabric.Fabric(
-            seed=seed, target_count=0, features=features
-        )
+        self.fabric = run_time_lines.Fabric(seed)
         for instance in self.fabric.instances.values():
             instance.state.limits.stop_s = site.stop_s
+            instance.state.features = policy.features
+        if policy.has_history:
+            history = run_time_history.encode(site, pattern, seed)
+            self.fabric.store.put(state_lib.RUN_TIMES_KEY, history)
         self._configure()
         self.rng = random.Random(seed)
         self.job_results: dict[str, JobResult] = {}
@@ -120,7 +123,11 @@
             )
             for kind in self.site.kinds
         ]
-        value = builders.configuration_value(2, routes=routes)
+        tenants = [
+            builders.tenant(name, key, load_patterns.GUARANTEED)
+            for name, key in load_patterns.ORGANISATION_KEYS.items()
+        ]
+        value = builders.configuration_value(2, routes=routes, tenants=tenants)
         self.fabric.store.put(keys.CONFIGURATION_KEY, value)
 
     def _add_target(self, number: int) -> None:
@@ -147,7 +154,12 @@
         self, number: int, arrival: load_patterns.Arrival, attempt: int
     ) -> None:
         spec = jobs.decode(arrival.body).unwrap()
-        message = builders.submit(number, spec, arrival.kind.priority)
+        message = builders.submit(
+            number,
+            spec,
+            arrival.kind.priority,
+            credential=load_patterns.ORGANISATION_KEYS[arrival.organisation],
+        )
         name = self.rng.choice(sorted(self.fabric.instances))
 
         def done(reply: Any) -> None:
@@ -223,14 +235,13 @@
     """Simulates one site, pattern, policy and seed; returns the metrics."""
     site_name, pattern_name, policy, seed = task
     site = load_patterns.SITES[site_name]
-    policies_lib.POLICIES[policy]()
+    policies_lib.POLICIES[policy].apply()
     pattern = next(
         pattern
         for pattern in load_patterns.PATTERNS
         if pattern.name == pattern_name
     )
-    features = policies_lib.FEATURES.get(policy)
-    simulation = Simulation(site, pattern, seed, features)
+    simulation = Simulation(site, pattern, policies_lib.POLICIES[policy], seed)
     job_results = simulation.run()
     windows: dict[int, list[JobResult]] = {}
     for result in job_results:
@@ -251,6 +262,17 @@
         ),
         "worst_windows": round(sum(worst) / len(worst), 4),
         "restarts": sum(runs.values()) - len(runs),
+        "false": round(
+            earned_share(
+                [
+                    result
+                    for result in job_results
+                    if result.arrival.organisation == load_patterns.LIARS
+                ]
+            ),
+            4,
+        ),
+        "run_times": [line.fields for line in simulation.fabric.run_time_lines],
         **{
             kind.name: round(
                 earned_share(
@@ -301,6 +323,8 @@
         OUTPUT.parent.mkdir(exist_ok=True)
         OUTPUT.write_text("".join(json.dumps(row) + "\n" for row in results))
         self._print(results, patterns, policies)
+        for text in run_time_lines.format_tables(results):
+            self.line(text)
         return 0
 
     def _print(
@@ -315,6 +339,7 @@
             "worst_windows",
             *(kind.name for kind in load_patterns.SMALL.kinds),
             "restarts",
+            "false",
         ]
         table = self.table()
         table.set_headers(["site", "pattern", "policy", *measures])
--- a/dandelionpick/batch/departures.py
+++ b/dandelionpick/batch/departures.py
@@ -13,7 +13,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import orders
-from dandelionpick.batch import preemption_gain
+from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
@@ -89,7 +89,7 @@
             or run.state is not schedule_state.RunState.RUNNING
         ):
             continue
-        rest_s = preemption_gain.remaining_s(run, now_s)
+        rest_s = run_times.remaining_s(schedule, run, now_s)
         if must_stop(
             rest_s,
             leaves_s - now_s,
--- a/dandelionpick/batch/target_reliability.py
+++ b/dandelionpick/batch/target_reliability.py
@@ -11,6 +11,8 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import model
+from dandelionpick.batch import run_times
+from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_evidence
@@ -224,8 +226,9 @@
     if run.percent > run.first_percent or not _is_own(schedule, run):
         return False
     limit_s = EARLY_S
-    if step_run.spec.estimate_ms:
-        estimate_s = step_run.spec.estimate_ms / 1_000
+    job = schedule.jobs[run.task.job_id]
+    estimate_s = run_times.expected_s(schedule, job, step_run)
+    if estimate_s > 0:
         limit_s = min(limit_s, EARLY_SHARE * estimate_s)
     return now_s - _began_s(step_run, run) <= limit_s
 
@@ -260,7 +263,7 @@
 
 def _is_own(schedule: schedule_state.Schedule, run: schedule_state.Run) -> bool:
     """Returns whether this scheduler started a run, so that it knows when."""
-    return run.attempt >> schedule_state.ATTEMPT_BITS == schedule.epoch
+    return run.attempt >> runs.ATTEMPT_BITS == schedule.epoch
 
 
 def _evidence_of(
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -32,6 +32,7 @@
 from tests import mutant
 from tests import overload_mutants
 from tests import restart_mutants
+from tests import run_time_mutants
 
 JOBS = (
     "tests.test_batch_jobs",
@@ -399,4 +400,5 @@
     *evacuation_mutants.MUTANTS,
     *overload_mutants.MUTANTS,
     *restart_mutants.MUTANTS,
+    *run_time_mutants.MUTANTS,
 )
