Experiment: the exams deployment's load, by organisation

The simulations had no load in which wide gangs wait for accelerators that batch tasks take one at a time, nor more than one organisation. The site "exams" has 48 targets, ten organisations and the kinds of the data sheet; "batch-peaks" and "one-sender" are its peaks. Policies move to a module of their own.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -14,7 +14,6 @@
 import pathlib
 import random
 import sys
-from collections.abc import Callable
 from typing import Any
 
 from cleo import application
@@ -22,11 +21,9 @@
 from cleo.helpers import option
 
 from bench import load_patterns
-from dandelionpick.batch import free_capacity
-from dandelionpick.batch import locality
+from bench import policies as policies_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
-from dandelionpick.batch import scheduling
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
 from standins import platform_targets
@@ -43,9 +40,9 @@
 # nothing or are stragglers.
 COMPLETION_GRACE_S = 46.0
 POLL_S = 0.1
-# Number of targets that a fault affects, an eighth of all, and the slowdown of
-# slow targets. Both are those of the faults that the users inject.
-AFFECTED_TARGETS = 3
+# Share of the targets that a fault affects, and the slowdown of slow targets.
+# Both are those of the faults that the users inject.
+AFFECTED_SHARE = 1 / 8
 SLOW_FACTOR = 6.5
 # Demand changes within seconds, so the worst phases are searched for in windows
 # of this length.
@@ -78,58 +75,6 @@
         return 0.0
 
 
-def _unchanged() -> None:
-    """Keeps the product's policy as it is."""
-
-
-def _early_remote_placement() -> None:
-    """Lets a step run in the wrong rack after one estimated run time."""
-    locality.BUSY_WAIT_FACTOR = locality.IDLE_WAIT_FACTOR
-
-
-def _first_come_first_served() -> None:
-    """Starts steps in the order in which their jobs were accepted."""
-    urgency = scheduling.urgency
-
-    def by_acceptance(job: Any, step_run: Any, rank: float) -> Any:
-        due_s = urgency(job, step_run, rank)[-1]
-        return (float(job.accepted_revision), due_s, due_s)
-
-    scheduling.urgency = by_acceptance
-
-
-def _first_fit() -> None:
-    """Chooses targets by name instead of by the capacity left on them."""
-    fill = scheduling.placement._pack
-
-    def first_fit(demand: Any, racks: Any) -> Any:
-        candidates = [
-            candidate for rack in racks for candidate in rack.candidates
-        ]
-        candidates.sort(key=lambda candidate: candidate.target)
-        numbered = [
-            dataclasses.replace(candidate, penalty=float(number))
-            for number, candidate in enumerate(candidates)
-        ]
-        return fill(demand, [free_capacity.Rack(numbered)])
-
-    scheduling.placement._pack = first_fit
-
-
-def _no_headroom() -> None:
-    """Reserves no capacity for urgent work."""
-    scheduling.headroom.GANG_HEADROOM_FACTOR = 0.0
-
-
-POLICIES: dict[str, Callable[[], None]] = {
-    "product": _unchanged,
-    "no-headroom": _no_headroom,
-    "far-early": _early_remote_placement,
-    "first-come": _first_come_first_served,
-    "first-fit": _first_fit,
-}
-
-
 class Simulation:
     """A simulation of one load pattern under the policy in force."""
 
@@ -146,7 +91,7 @@
         self._configure()
         self.rng = random.Random(seed)
         self.job_results: dict[str, JobResult] = {}
-        for number in range(load_patterns.TARGETS):
+        for number in range(site.targets):
             self._add_target(number)
         self.fabric.run_until(self.fabric.scheduler, 5.0)
         self.start_s = self.fabric.now_s
@@ -167,7 +112,11 @@
             )
             for kind in self.site.kinds
         ]
-        value = builders.configuration_value(2, routes=routes)
+        tenants = [
+            builders.tenant(f"o{number}", f"key-{number}", 8)
+            for number in range(len(self.site.organisations))
+        ]
+        value = builders.configuration_value(2, routes=routes, tenants=tenants)
         self.fabric.store.put(keys.CONFIGURATION_KEY, value)
 
     def _add_target(self, number: int) -> None:
@@ -195,7 +144,12 @@
         self, number: int, arrival: load_patterns.Arrival, attempt: int
     ) -> None:
         spec = jobs.decode(arrival.body).unwrap()
-        message = builders.submit(number, spec, arrival.kind.priority)
+        message = builders.submit(
+            number,
+            spec,
+            arrival.kind.priority,
+            credential=f"key-{arrival.organisation}",
+        )
         name = self.rng.choice(sorted(self.fabric.instances))
 
         def done(reply: Any) -> None:
@@ -213,7 +167,7 @@
     def _inject_fault(self, fault: str) -> None:
         targets = list(self.fabric.world.targets.values())
         affected = random.Random(self.rng.random()).sample(
-            targets, AFFECTED_TARGETS
+            targets, round(AFFECTED_SHARE * len(targets))
         )
         for target in targets:
             if fault == "heal":
@@ -267,7 +221,7 @@
     """Simulates one site, pattern, policy and seed; returns the metrics."""
     site_name, pattern_name, policy, seed = task
     site = load_patterns.SITES[site_name]
-    POLICIES[policy]()
+    policies_lib.POLICIES[policy]()
     pattern = next(
         pattern
         for pattern in load_patterns.PATTERNS
@@ -293,6 +247,9 @@
             earned_share(job_results) - WASTE_PRICE * wasted / total_worth, 4
         ),
         "worst_windows": round(sum(worst) / len(worst), 4),
+        "small_orgs": round(
+            earned_share([r for r in job_results if _is_small(site, r)]), 4
+        ),
         "restarts": sum(runs.values()) - len(runs),
         **{
             kind.name: round(
@@ -306,12 +263,19 @@
     }
 
 
+def _is_small(site: load_patterns.Site, result: JobResult) -> bool:
+    """Returns whether a job's organisation is one of the smallest."""
+    demand = site.organisations
+    return demand[result.arrival.organisation] == min(demand)
+
+
 class Experiment(command.Command):
     """Compares scheduling policies on workloads that are hard to serve."""
 
     name = "experiment"
     description = "Simulates workloads on the scheduler in virtual time."
     options = [
+        option("sites", flag=False, description="Comma-separated sites."),
         option("patterns", "p", "Comma-separated load patterns.", flag=False),
         option(
             "policies", "o", "Comma-separated scheduling policies.", flag=False
@@ -322,12 +286,15 @@
 
     def handle(self) -> int:
         """Runs the simulations and prints the table."""
+        sites = _selected(self.option("sites"), list(load_patterns.SITES))
         names = [pattern.name for pattern in load_patterns.PATTERNS]
         patterns = _selected(self.option("patterns"), names)
-        policies = _selected(self.option("policies"), list(POLICIES))
+        policies = _selected(
+            self.option("policies"), list(policies_lib.POLICIES)
+        )
         tasks = list(
             itertools.product(
-                load_patterns.SITES,
+                sites,
                 patterns,
                 policies,
                 range(1, int(self.option("seeds")) + 1),
@@ -341,12 +308,13 @@
             results = list(pool.map(measure, tasks))
         OUTPUT.parent.mkdir(exist_ok=True)
         OUTPUT.write_text("".join(json.dumps(row) + "\n" for row in results))
-        self._print(results, patterns, policies)
+        self._print(results, sites, patterns, policies)
         return 0
 
     def _print(
         self,
         results: list[dict[str, Any]],
+        sites: list[str],
         patterns: list[str],
         policies: list[str],
     ) -> None:
@@ -354,13 +322,14 @@
             "worth",
             "net",
             "worst_windows",
+            "small_orgs",
             *(kind.name for kind in load_patterns.SMALL.kinds),
             "restarts",
         ]
         table = self.table()
         table.set_headers(["site", "pattern", "policy", *measures])
         for site, pattern, policy in itertools.product(
-            load_patterns.SITES, [*patterns, "all"], policies
+            sites, [*patterns, "all"], policies
         ):
             rows = [
                 row
--- a/bench/load_patterns.py
+++ b/bench/load_patterns.py
@@ -18,6 +18,10 @@
 # Share of jobs that are stragglers, and the factor on their run time.
 STRAGGLER_SHARE = 0.03
 STRAGGLER_FACTOR = 7.0
+BURST_S = (10.0, 16.0)
+# Peaks of batch work that the exams deployment sees.
+PEAK_S = 6.0
+PEAK_FACTOR = 2.2
 TARGETS = 24
 TARGETS_PER_RACK = 8
 
@@ -76,6 +80,8 @@
         stop_s: time that a target takes to stop a task.
         speeds: relative speeds, assigned to the targets in turn.
         capacity: capacity of each target.
+        targets: number of targets.
+        organisations: relative demand of each organisation.
     """
 
     name: str
@@ -83,6 +89,8 @@
     speeds: tuple[float, ...]
     capacity: dict[str, int]
     kinds: tuple[JobKind, ...]
+    targets: int = TARGETS
+    organisations: tuple[float, ...] = (1.0,)
 
 
 GANG_SHAPES = (1, 2, 4, 8, 8)
@@ -130,7 +138,33 @@
         ),
     ),
 )  # fmt: skip
-SITES = {site.name: site for site in (SMALL, LARGE)}
+# The exams deployment at 48 of its 176 targets: accelerators are 70 % used on
+# average, and gangs are wide compared with a rack.
+EXAMS = Site(
+    "exams",
+    0.4,
+    (1.0,),
+    {"cpu": 32_000, "mem_mb": 131_072, "gpu": 8},
+    (
+        JobKind(
+            "quick-check", 0, 0.824, 5.0, 30, 2.5, 0.5, 3_700, 11_000,
+            GANG_SHAPES, 0.9, 1.5, 0.4, 4.0, 0.8, gang=True, one_rack_share=0.6,
+        ),
+        JobKind(
+            "full-scan", 1, 0.194, 13.0, 39, 11.0, 0.3, 13_000, 38_000,
+            GANG_SHAPES, 0.9, 3.0, 1.2, 3.0, 0.9, gang=True, one_rack_share=0.6,
+            checkpoint_share=0.45,
+        ),
+        JobKind(
+            "batch", 2, 0.297, 39.0, 234, 6.1, 0.3, 2_800, 8_200,
+            (1,), 0.2, 3.0, 3.0, 1.0, 0.3, checkpoint_share=0.45,
+            second_step_share=0.3,
+        ),
+    ),
+    targets=48,
+    organisations=(8.0, 5.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0),
+)  # fmt: skip
+SITES = {site.name: site for site in (SMALL, LARGE, EXAMS)}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +176,7 @@
         objective_s: intended time from submission to completion.
         worth: worth if the job meets the objective.
         late_worth: worth if it takes up to three times as long.
+        organisation: number of the organisation that submits it.
     """
 
     submit_s: float
@@ -150,6 +185,7 @@
     objective_s: float
     worth: float
     late_worth: float
+    organisation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,11 +195,14 @@
     Attributes:
         rate: returns the factor on a kind's mean rate at a time.
         faults: times in seconds and the faults injected then; "heal" ends them.
+        burst_organisation: the organisation that sends all batch jobs between
+            BURST_S; None if all organisations do.
     """
 
     name: str
     rate: Callable[[JobKind, float], float]
     faults: tuple[tuple[float, str], ...] = ()
+    burst_organisation: int | None = None
 
 
 def _sine_rate(kind: JobKind, at_s: float) -> float:
@@ -174,14 +213,22 @@
 
 def _burst_rate(name: str, factor: float) -> Callable[[JobKind, float], float]:
     def rate(kind: JobKind, at_s: float) -> float:
-        inside = kind.name == name and 10.0 <= at_s < 16.0
+        inside = kind.name == name and BURST_S[0] <= at_s < BURST_S[1]
         return _sine_rate(kind, at_s) * (factor if inside else 1.0)
 
     return rate
 
 
+def _repeated_peaks(kind: JobKind, at_s: float) -> float:
+    """Returns 2.2 for batch jobs for 6 s of each period, otherwise 1."""
+    inside = kind.name == "batch" and at_s % DEMAND_PERIOD_S < PEAK_S
+    return PEAK_FACTOR if inside else 1.0
+
+
 PATTERNS = (
     Pattern("wave", _sine_rate),
+    Pattern("batch-peaks", _repeated_peaks),
+    Pattern("one-sender", _burst_rate("batch", 2.6), burst_organisation=0),
     Pattern("urgent-burst", _burst_rate("quick-check", 2.4)),
     Pattern("scan-burst", _burst_rate("full-scan", 2.6)),
     Pattern("batch-burst", _burst_rate("batch", 2.6)),
@@ -197,6 +244,9 @@
 ) -> Iterator[Arrival]:
     """Yields the jobs of a pattern in the order of their submission."""
     rng = random.Random(f"{site.name}-{pattern.name}-{seed}")
+    # Drawn apart, so that the workloads of sites with one organisation stay as
+    # they were.
+    organisations = random.Random(f"{site.name}-organisations-{seed}")
     jobs = []
     for kind in site.kinds:
         at_s = 0.0
@@ -208,10 +258,27 @@
                 * pattern.rate(kind, at_s)
                 / peak_rate_per_s
             ):
-                jobs.append(_build_arrival(site, kind, at_s, rng))
+                arrival = _build_arrival(site, kind, at_s, rng)
+                sender = _draw_organisation(
+                    site, pattern, arrival, organisations
+                )
+                jobs.append(dataclasses.replace(arrival, organisation=sender))
     yield from sorted(jobs, key=lambda job: job.submit_s)
 
 
+def _draw_organisation(
+    site: Site, pattern: Pattern, arrival: Arrival, rng: random.Random
+) -> int:
+    (drawn,) = rng.choices(range(len(site.organisations)), site.organisations)
+    if (
+        pattern.burst_organisation is not None
+        and arrival.kind.name == "batch"
+        and BURST_S[0] <= arrival.submit_s < BURST_S[1]
+    ):
+        return pattern.burst_organisation
+    return drawn
+
+
 def _build_arrival(
     site: Site, kind: JobKind, at_s: float, rng: random.Random
 ) -> Arrival:
