Fair shares and reservations for wide gangs, behind settings

Batch tasks take each accelerator that becomes free, so that one in ten normal gangs waits for more than 12 s; and a peak of one organisation delays all others. Both rules are off by default.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from dandelionpick.batch import features
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import locality
 from dandelionpick.batch import scheduling
@@ -58,4 +59,14 @@
     "far-early": _early_remote_placement,
     "first-come": _first_come_first_served,
     "first-fit": _first_fit,
+    "fair-shares": _unchanged,
+    "gang-reservations": _unchanged,
+    "contention": _unchanged,
+}
+
+# Optional parts of the scheduler that are on under a policy.
+FEATURES = {
+    "fair-shares": features.Features(fair_shares=True),
+    "gang-reservations": features.Features(gang_reservations=True),
+    "contention": features.Features(fair_shares=True, gang_reservations=True),
 }
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from dandelionpick import ids
+from dandelionpick.batch import capacity_views
+from dandelionpick.batch import contention
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
 from dandelionpick.batch import incarnations
@@ -35,7 +37,9 @@
             not reserved.
         other: what other work may use, by pool. It is derived from `urgent`
             when the first unit asks for it; urgent units come before it. It
-            lacks the targets under observation.
+            lacks the targets under observation and what is reserved for gangs.
+        backfill: the targets with reservations for gangs, with all that is
+            free there.
     """
 
     def __init__(self, schedule: schedule_state.Schedule, now_s: float):
@@ -43,6 +47,7 @@
         self.now_s = now_s
         self.urgent: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
         self.other: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
+        self.backfill: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
 
     def of_pool(
         self, pool: ids.PoolName, is_urgent: bool
@@ -58,17 +63,49 @@
                 for candidate in self.urgent[pool].candidates()
                 if candidate.target not in self.schedule.observed_until_s
             ]
-            self.other[pool] = free_capacity.FreeCapacity(
-                headroom.subtract_headroom(
-                    open_candidates, self.schedule.headroom.get(pool, 0)
-                )
+            candidates = headroom.subtract_headroom(
+                open_candidates, self.schedule.headroom.get(pool, 0)
             )
+            self.other[pool] = self._without_reserved(pool, candidates)
         return self.other[pool]
 
+    def _without_reserved(
+        self,
+        pool: ids.PoolName,
+        candidates: list[free_capacity.Candidate],
+    ) -> free_capacity.FreeCapacity:
+        """Returns candidates without the capacity reserved for gangs."""
+        reserved = [
+            item
+            for reservation in self.schedule.contention.reservations.values()
+            for item in reservation.resources.items()
+        ]
+        if not reserved:
+            return free_capacity.FreeCapacity(candidates)
+        names = {target for target, _ in reserved}
+        self.backfill[pool] = free_capacity.FreeCapacity(
+            [
+                dataclasses.replace(candidate)
+                for candidate in candidates
+                if candidate.target in names
+            ]
+        )
+        capacity = free_capacity.FreeCapacity(
+            [dataclasses.replace(candidate) for candidate in candidates]
+        )
+        for target, amount in reserved:
+            capacity.take(target, amount)
+        return capacity
+
+    def backfill_racks(self, pool: ids.PoolName) -> free_capacity.Racks:
+        """Returns the targets with reservations, for work that ends before."""
+        capacity = self.backfill.get(pool)
+        return capacity.racks if capacity else {}
+
     def racks_for(self, unit: Any) -> free_capacity.Racks:
         """Returns the candidates of a unit, by rack."""
         pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
-        reservation = self.schedule.reservations.get(unit.key)
+        reservation = self._reservation_of(unit)
         avoided: set[ids.TargetId] = set()
         for task in unit.tasks:
             avoided |= task.avoided_targets
@@ -121,8 +158,10 @@
 
     def take(self, unit: Any, target: ids.TargetId) -> None:
         """Records that a task of a unit starts on a target."""
-        pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
-        pool.take(target, unit.needs)
+        name = unit.job.record.terms.pool
+        self.of_pool(name, unit.is_urgent).take(target, unit.needs)
+        if name in self.backfill:
+            self.backfill[name].take(target, unit.needs)
 
     def reserve(self, unit: Any) -> None:
         """Records a reservation that was made for a unit during the pass."""
@@ -139,9 +178,17 @@
     def _reserved(
         self, unit: Any
     ) -> list[tuple[ids.TargetId, model.Resources]]:
-        reservation = self.schedule.reservations.get(unit.key)
+        reservation = self._reservation_of(unit)
         return list(reservation.resources.items()) if reservation else []
 
+    def _reservation_of(
+        self, unit: Any
+    ) -> capacity_views.Reservation | contention.GangReservation | None:
+        """Returns the reservation of an urgent unit or of a gang."""
+        return self.schedule.reservations.get(
+            unit.key
+        ) or self.schedule.contention.reservations.get(unit.key)
+
 
 def _build(
     schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -26,6 +26,7 @@
         one_rack: all tasks must be in one rack, unless `relax_locality`.
         data_rack: tasks must be in this rack, unless `relax_locality`; "" if
             none.
+        backfill: targets with reservations for gangs may be used.
         relax_locality: other racks are accepted, although work is slower there.
     """
 
@@ -38,6 +39,7 @@
     pool: ids.PoolName = ids.PoolName("")
     label: str = ""
     max_per_target: int = 0
+    backfill: bool = False
 
 
 def choose_targets(
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -6,6 +6,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
+from dandelionpick.batch import contention as contention_lib
 from dandelionpick.batch import exits
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import model
@@ -332,6 +333,7 @@
         pool_views: cached view of each pool.
         headroom: accelerators that are kept free for urgent work, by pool,
             as of the last pass.
+        contention: state of the rules for work that waits for capacity.
         roster: what the store holds about targets that may run something.
         unsettled_rosters: what it may hold instead, or may come to hold: writes
             on condition of `roster_revision` whose outcome is not known.
@@ -379,6 +381,9 @@
         default_factory=dict
     )
     headroom: dict[ids.PoolName, int] = dataclasses.field(default_factory=dict)
+    contention: contention_lib.Contention = dataclasses.field(
+        default_factory=contention_lib.Contention
+    )
     roster: model.Roster = dataclasses.field(default_factory=model.Roster)
     unsettled_rosters: list[model.Roster] = dataclasses.field(
         default_factory=list
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -7,7 +7,9 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import crash_budget
+from dandelionpick.batch import fair_shares
 from dandelionpick.batch import free_capacity
+from dandelionpick.batch import gang_reservations
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
@@ -125,7 +127,13 @@
         pass_capacity.PassCapacity(schedule, now_s),
         preemption.VictimIndex(schedule, now_s),
     )
-    units = sorted(_pending_units(state, step), key=lambda unit: unit.urgency)
+    units = fair_shares.order(
+        schedule,
+        _pending_units(state, step),
+        now_s,
+        step.moment.unix_ms / 1_000,
+    )
+    gang_reservations.update(schedule, step, units)
     schedule.waiting_units = len(units)
     window = schedule.starts
     window.exhausted = False
@@ -270,6 +278,9 @@
     capacity = current.capacity
     racks = capacity.racks_for(unit)
     chosen = placement.choose_targets(demand, racks)
+    if not chosen and demand.backfill:
+        racks = capacity.backfill_racks(demand.pool)
+        chosen = placement.choose_targets(demand, racks)
     if not chosen:
         if unit.is_urgent:
             _preempt(state, step, current, unit, demand, racks)
@@ -277,6 +288,7 @@
         return False
     capacity.release(unit)
     schedule.reservations.pop(unit.key, None)
+    schedule.contention.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
     waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
     if not unit.job.placed:
@@ -359,4 +371,5 @@
         relax_locality=locality.may_relax_locality(
             schedule, terms, unit.step_run, now_s
         ),
+        backfill=gang_reservations.may_backfill(schedule, unit, now_s),
     )
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -82,6 +82,10 @@
         "dandelionpick_preemptions_total",
         "Runs stopped for work of a higher priority.",
     ),
+    "gang_reservations_total": prometheus_client.Counter(
+        "dandelionpick_gang_reservations_total",
+        "Times that capacity was reserved for a waiting gang.",
+    ),
     "target_quarantines_total": prometheus_client.Counter(
         "dandelionpick_target_quarantines_total",
         "Times that a target got no work because work failed there.",
