--- a/dandelionpick/batch/contention.py
+++ b/dandelionpick/batch/contention.py
@@ -64,11 +64,14 @@
 
     Attributes:
         reservations: capacity kept for gangs, by job, occurrence and step.
-        plan_at_s: no reservation is planned before this time.
+        retry_at_s: a gang for which no plan was found is not planned for again
+            before this time.
     """
 
     use: OrganisationUse = dataclasses.field(default_factory=OrganisationUse)
     reservations: dict[tuple[ids.JobId, int, int], GangReservation] = (
         dataclasses.field(default_factory=dict)
     )
-    plan_at_s: float = float("-inf")
+    retry_at_s: dict[tuple[ids.JobId, int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
--- a/dandelionpick/batch/gang_reservations.py
+++ b/dandelionpick/batch/gang_reservations.py
@@ -37,8 +37,9 @@
 # are wrong: a reservation that ends when the gang should have started often
 # loses what has become free to other work.
 RESERVED_S = 10.0
-# Pause after a plan, so that plans take little of the processor's time.
-PLAN_PERIOD_S = 0.1
+# At most one gang is planned for in a pass, and one for which no plan was found
+# not again before this time, because a plan looks at all runs of a pool.
+RETRY_S = 1.0
 # Runs are expected to last for this many times their estimate when it is
 # decided whether they end before a gang starts.
 BACKFILL_MARGIN = 1.25
@@ -101,15 +102,23 @@
     """
     if not schedule.features.gang_reservations:
         return
-    now_s = step.moment.now_s
     _drop_void(schedule, step, units)
-    if now_s < schedule.contention.plan_at_s:
-        return
+    now_s = step.moment.now_s
+    state = schedule.contention
+    bounds: dict[ids.PoolName, float] = {}
     for unit in units:
-        if _is_due(schedule, unit, step.moment.unix_ms / 1_000):
-            schedule.contention.plan_at_s = now_s + PLAN_PERIOD_S
-            if _reserve(schedule, step, unit):
-                return
+        if not _is_due(schedule, unit, step.moment.unix_ms / 1_000):
+            continue
+        if now_s < state.retry_at_s.get(unit.key, now_s):
+            continue
+        pool = unit.job.record.terms.pool
+        if pool not in bounds:
+            bounds[pool] = _unreserved_cores(schedule, pool, now_s)
+        own = preemption_gain.cores_of(unit.needs.times(len(unit.tasks)))
+        if own <= bounds[pool]:
+            if not _reserve(schedule, step, unit):
+                state.retry_at_s[unit.key] = now_s + RETRY_S
+            return
 
 
 def _is_due(
@@ -129,10 +138,14 @@
 def _drop_void(
     schedule: schedule_state.Schedule, step: dispatch.Step, units: Sequence[Any]
 ) -> None:
-    reservations = schedule.contention.reservations
-    if not reservations:
+    state = schedule.contention
+    reservations = state.reservations
+    if not reservations and not state.retry_at_s:
         return
     waiting = {unit.key for unit in units}
+    state.retry_at_s = {
+        key: at_s for key, at_s in state.retry_at_s.items() if key in waiting
+    }
     for key, reservation in list(reservations.items()):
         if key not in waiting:
             reason = "it does not wait any more"
@@ -183,20 +196,14 @@
 def _reserve(
     schedule: schedule_state.Schedule, step: dispatch.Step, unit: Any
 ) -> bool:
-    """Reserves capacity for a gang, if the bound and the pool allow it."""
+    """Reserves the capacity where a gang can start first, if there is any."""
     now_s = step.moment.now_s
     pool = unit.job.record.terms.pool
-    targets = [
-        target
-        for target in schedule.targets.values()
-        if _may_hold(schedule, target.id, pool, now_s)
-    ]
-    if not _is_within_bound(schedule, targets, unit):
-        return False
     rooms = sorted(
         (
             room
-            for target in targets
+            for target in schedule.targets.values()
+            if _may_hold(schedule, target.id, pool, now_s)
             for room in _rooms_of(schedule, target, unit, now_s)
         ),
         key=lambda room: (room.at_s, -room.tasks, room.target),
@@ -224,29 +231,27 @@
     return True
 
 
-def _is_within_bound(
-    schedule: schedule_state.Schedule,
-    targets: Iterable[schedule_state.Target],
-    unit: Any,
-) -> bool:
-    """Returns whether a reservation keeps within the bound of its pool."""
+def _unreserved_cores(
+    schedule: schedule_state.Schedule, pool: ids.PoolName, now_s: float
+) -> float:
+    """Returns how much more of a pool may be reserved, in cores."""
     by_rack: collections.Counter[str] = collections.Counter()
-    for target in targets:
-        assert target.entry is not None
-        cores = preemption_gain.cores_of(target.entry.capacity)
-        by_rack[target.entry.rack] += cores
+    for target in schedule.targets.values():
+        if _may_hold(schedule, target.id, pool, now_s):
+            assert target.entry is not None
+            cores = preemption_gain.cores_of(target.entry.capacity)
+            by_rack[target.entry.rack] += cores
     reserved = sum(
         preemption_gain.cores_of(amount)
         for reservation in schedule.contention.reservations.values()
-        if reservation.pool == unit.job.record.terms.pool
+        if reservation.pool == pool
         for amount in reservation.resources.values()
     )
-    own = preemption_gain.cores_of(unit.needs.times(len(unit.tasks)))
-    bound = max(
+    most = max(
         MAX_RESERVED_SHARE * sum(by_rack.values()),
         max(by_rack.values(), default=0.0),
     )
-    return reserved + own <= bound
+    return most - reserved
 
 
 def _rooms_of(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,6 +16,7 @@
 import hypothesis
 
 from tests import batch_mutants
+from tests import contention_mutants
 from tests import fuzzing
 from tests import mutant as mutant_lib
 from tests import mutant_list
@@ -29,7 +30,11 @@
 
 BY_NAME = {
     mutant.name: mutant
-    for mutant in (*mutant_list.MUTANTS, *batch_mutants.MUTANTS)
+    for mutant in (
+        *mutant_list.MUTANTS,
+        *batch_mutants.MUTANTS,
+        *contention_mutants.MUTANTS,
+    )
 }
 
 
--- a/tests/test_batch_crest.py
+++ b/tests/test_batch_crest.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from dandelionpick import events
+from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import model
 from dandelionpick.batch import reducer
 from dandelionpick.batch import roster
@@ -21,14 +22,22 @@
 # Comparisons of a shape with a target or a sum of its resources, a target: the
 # shapes are counted once in each rack and compared once when they are placed.
 MAX_COMPARISONS_PER_TARGET = 40
+ALL_OFF = features_lib.Features()
 
 
 class PassCostTest(unittest.TestCase):
     """A pass costs in proportion to targets and shapes, not their product."""
 
-    def count_comparisons(self, targets: int, urgent: int, batch: int) -> int:
+    def count_comparisons(
+        self,
+        targets: int,
+        urgent: int,
+        batch: int,
+        features: features_lib.Features = ALL_OFF,
+    ) -> int:
         state = builders.scheduler_state(targets)
         schedule = state.schedule
+        schedule.features = features
         builders.fill(schedule)
         builders.add_waiting(schedule, urgent, batch)
         count_fitting_in = model.Resources.count_fitting_in
@@ -59,6 +68,17 @@
         calls = self.count_comparisons(TARGETS, urgent=0, batch=300)
         self.assertLess(calls, MAX_COMPARISONS_PER_TARGET * TARGETS)
 
+    def test_fair_shares_and_reservations_cost_one_look_at_the_pool(self):
+        """Guards against a plan for each gang that waits."""
+        off = self.count_comparisons(TARGETS, urgent=0, batch=300)
+        features = features_lib.Features(
+            fair_shares=True, gang_reservations=True
+        )
+        calls = self.count_comparisons(TARGETS, 0, 300, features)
+        runs_and_free = 9 * TARGETS
+        self.assertLess(calls, off + runs_and_free)
+        self.assertGreater(calls, off)
+
     def test_preemption_does_not_repack_for_each_victim(self):
         """Guards against seconds spent on choosing what to preempt."""
         calls = self.count_comparisons(TARGETS, urgent=4, batch=300)
--- a/tests/test_batch_gang_reservations.py
+++ b/tests/test_batch_gang_reservations.py
@@ -63,12 +63,17 @@
         fabric = self.full_pool()
         fabric.run_until(lambda: self.reservations(fabric), 5.0)
         (reserved,) = self.reservations(fabric)
-        short = builders.body(builders.phase(estimate_ms=50), work_s=0.05)
+        short = builders.body(builders.phase(32, estimate_ms=50), work_s=0.05)
         fabric.submit(2, short, 1)
-        ran_s = fabric.run_until(
-            lambda: f"{builders.job_id(2)}.0.0.0" in fabric.world.starts, 3.0
+        schedule = fabric.scheduler().state.schedule
+        fabric.run_until(
+            lambda: any(
+                task.job_id == builders.job_id(2)
+                for target in reserved.resources
+                for task, _ in schedule.targets[target].runs
+            ),
+            reserved.starts_s - fabric.now_s,
         )
-        self.assertLess(fabric.now_s - ran_s, reserved.starts_s)
 
     def test_reservation_of_a_target_that_fails_is_dropped(self):
         """Guards against a gang that waits for a target that is gone."""
