--- a/dandelionpick/batch/contention.py
+++ b/dandelionpick/batch/contention.py
@@ -24,13 +24,13 @@
     Attributes:
         averages: average use by pool and organisation; recent use counts more.
         sampled_s: when the last sample was taken.
-        heavy: organisations that use much more than their share, as of the
-            last pass.
+        noted_s: no log line says before this time that an organisation's work
+            comes later.
     """
 
     averages: dict[Sender, float] = dataclasses.field(default_factory=dict)
     sampled_s: float = float("-inf")
-    heavy: frozenset[Sender] = frozenset()
+    noted_s: dict[Sender, float] = dataclasses.field(default_factory=dict)
 
     def add_sample(self, used: Mapping[Sender, float], now_s: float) -> None:
         """Includes what is in use now in the averages."""
--- a/dandelionpick/batch/fair_shares.py
+++ b/dandelionpick/batch/fair_shares.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+from dandelionpick import dispatch
+from dandelionpick import effects
 from dandelionpick.batch import contention
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
@@ -31,32 +33,56 @@
 # missing its objective, and for at most MAX_HOLD_S.
 MAX_HOLD_PART = 0.5
 MAX_HOLD_S = 10.0
+# Interval between log lines about one organisation.
+NOTE_PERIOD_S = 20.0
 
 
 def order(
     schedule: schedule_state.Schedule,
+    step: dispatch.Step,
     units: Iterable[Any],
-    now_s: float,
-    unix_s: float,
 ) -> list[Any]:
     """Returns waiting units in the order in which they are placed."""
     ordered = sorted(units, key=lambda unit: unit.urgency)
     if not schedule.features.fair_shares:
         return ordered
     use = schedule.contention.use
+    now_s, unix_s = step.moment.now_s, step.moment.unix_ms / 1_000
     if now_s - use.sampled_s >= SAMPLE_S:
         _sample(schedule, now_s)
-    use.heavy = _heavy_senders(use, ordered)
-    if not use.heavy:
+    heavy = _heavy_senders(use, ordered)
+    if not heavy:
         return ordered
+    _note_heavy(use, step, heavy)
 
     def key(unit: Any) -> tuple[float, ...]:
         rank, *rest = unit.urgency
-        return (rank, float(_is_held_back(use, unit, unix_s)), *rest)
+        held_back = _sender(unit) in heavy and _is_held_back(unit, unix_s)
+        return (rank, float(held_back), *rest)
 
     return sorted(ordered, key=key)
 
 
+def _note_heavy(
+    use: contention.OrganisationUse,
+    step: dispatch.Step,
+    heavy: frozenset[contention.Sender],
+) -> None:
+    """Tells operators whose work is held back, for each peak once."""
+    for sender in sorted(heavy):
+        if step.moment.now_s < use.noted_s.get(sender, float("-inf")):
+            continue
+        use.noted_s[sender] = step.moment.now_s + NOTE_PERIOD_S
+        pool, organisation = sender
+        step.count("organisations_held_back_total")
+        step.note(
+            effects.Component.SCHEDULER,
+            f"{organisation} uses more than its share, its work comes later",
+            pool=pool,
+            used_cores=round(use.averages[sender]),
+        )
+
+
 def _sample(schedule: schedule_state.Schedule, now_s: float) -> None:
     """Records what runs without a guarantee, by pool and organisation."""
     use = schedule.contention.use
@@ -119,11 +145,9 @@
     return record.terms.pool, record.organisation
 
 
-def _is_held_back(
-    use: contention.OrganisationUse, unit: Any, unix_s: float
-) -> bool:
-    """Returns whether a unit comes after others of its rank."""
-    if _is_covered(unit.urgency[0]) or _sender(unit) not in use.heavy:
+def _is_held_back(unit: Any, unix_s: float) -> bool:
+    """Returns whether a heavy organisation's unit comes after others."""
+    if _is_covered(unit.urgency[0]):
         return False
     longest_s = min(
         MAX_HOLD_S, MAX_HOLD_PART * headroom.slack_s(unit.job.record)
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -127,12 +127,7 @@
         pass_capacity.PassCapacity(schedule, now_s),
         preemption.VictimIndex(schedule, now_s),
     )
-    units = fair_shares.order(
-        schedule,
-        _pending_units(state, step),
-        now_s,
-        step.moment.unix_ms / 1_000,
-    )
+    units = fair_shares.order(schedule, step, _pending_units(state, step))
     gang_reservations.update(schedule, step, units)
     schedule.waiting_units = len(units)
     window = schedule.starts
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -82,6 +82,10 @@
         "dandelionpick_preemptions_total",
         "Runs stopped for work of a higher priority.",
     ),
+    "organisations_held_back_total": prometheus_client.Counter(
+        "dandelionpick_organisations_held_back_total",
+        "Times that an organisation's waiting work was put after others'.",
+    ),
     "gang_reservations_total": prometheus_client.Counter(
         "dandelionpick_gang_reservations_total",
         "Times that capacity was reserved for a waiting gang.",
