--- a/dandelionpick/batch/contention.py
+++ b/dandelionpick/batch/contention.py
@@ -64,7 +64,10 @@
 
     Attributes:
         reservations: capacity kept for gangs, by job, occurrence and step.
-        retry_at_s: a gang for which no plan was found is not planned for again
+        earliest_start_s: when the first gang with a reservation is expected to
+            start, by pool.
+        plan_at_s: no reservation is planned before this time.
+        retry_at_s: a gang that can't get a reservation is not looked at again
             before this time.
     """
 
@@ -72,6 +75,10 @@
     reservations: dict[tuple[ids.JobId, int, int], GangReservation] = (
         dataclasses.field(default_factory=dict)
     )
+    earliest_start_s: dict[ids.PoolName, float] = dataclasses.field(
+        default_factory=dict
+    )
+    plan_at_s: float = float("-inf")
     retry_at_s: dict[tuple[ids.JobId, int, int], float] = dataclasses.field(
         default_factory=dict
     )
--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -9,6 +9,7 @@
 import dataclasses
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from dandelionpick import ids
@@ -99,6 +100,32 @@
         """Returns all candidates."""
         return iter(self.by_target.values())
 
+    def racks_with(
+        self, amounts: Mapping[ids.TargetId, model.Resources]
+    ) -> Racks:
+        """Returns the racks as if some amounts were free in addition."""
+        if not amounts:
+            return self.racks
+        changed = {
+            self.by_target[target].rack
+            for target in amounts
+            if target in self.by_target
+        }
+        racks = dict(self.racks)
+        for name in changed:
+            racks[name] = Rack(
+                [
+                    dataclasses.replace(
+                        candidate,
+                        free=candidate.free.plus(amounts[candidate.target]),
+                    )
+                    if candidate.target in amounts
+                    else candidate
+                    for candidate in self.racks[name].candidates
+                ]
+            )
+        return racks
+
     def take(self, target: ids.TargetId, amount: model.Resources) -> None:
         """Subtracts an amount; what is reserved may exceed what is free."""
         candidate = self.by_target.get(target)
--- a/dandelionpick/batch/gang_reservations.py
+++ b/dandelionpick/batch/gang_reservations.py
@@ -17,6 +17,7 @@
 
 from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick.batch import contention
 from dandelionpick.batch import headroom
@@ -37,8 +38,9 @@
 # are wrong: a reservation that ends when the gang should have started often
 # loses what has become free to other work.
 RESERVED_S = 10.0
-# At most one gang is planned for in a pass, and one for which no plan was found
-# not again before this time, because a plan looks at all runs of a pool.
+# At most one gang is planned for in this time, because a plan looks at all runs
+# of a pool. One that can't get a reservation is looked at again after RETRY_S.
+PLAN_PERIOD_S = 0.25
 RETRY_S = 1.0
 # Runs are expected to last for this many times their estimate when it is
 # decided whether they end before a gang starts.
@@ -72,19 +74,13 @@
     schedule: schedule_state.Schedule, unit: Any, now_s: float
 ) -> bool:
     """Returns whether a unit ends before any gang of its pool should start."""
-    pool = unit.job.record.terms.pool
-    starts_s = min(
-        (
-            reservation.starts_s
-            for reservation in schedule.contention.reservations.values()
-            if reservation.pool == pool
-        ),
-        default=float("-inf"),
+    starts_s = schedule.contention.earliest_start_s.get(
+        unit.job.record.terms.pool, float("-inf")
     )
     return (
-        not unit.is_urgent
+        now_s + BACKFILL_MARGIN * expected_s(unit) <= starts_s
+        and not unit.is_urgent
         and not unit.is_suspected
-        and now_s + BACKFILL_MARGIN * expected_s(unit) <= starts_s
     )
 
 
@@ -102,37 +98,55 @@
     """
     if not schedule.features.gang_reservations:
         return
+    state = schedule.contention
     _drop_void(schedule, step, units)
+    _plan(schedule, step, units)
+    state.earliest_start_s.clear()
+    for reservation in state.reservations.values():
+        state.earliest_start_s[reservation.pool] = min(
+            reservation.starts_s,
+            state.earliest_start_s.get(reservation.pool, float("inf")),
+        )
+
+
+def _plan(
+    schedule: schedule_state.Schedule, step: dispatch.Step, units: Sequence[Any]
+) -> None:
+    """Reserves capacity for the first gang for which that is possible."""
     now_s = step.moment.now_s
     state = schedule.contention
+    if now_s < state.plan_at_s:
+        return
     bounds: dict[ids.PoolName, float] = {}
     for unit in units:
-        if not _is_due(schedule, unit, step.moment.unix_ms / 1_000):
-            continue
-        if now_s < state.retry_at_s.get(unit.key, now_s):
+        if not _is_due(schedule, unit, step.moment):
             continue
         pool = unit.job.record.terms.pool
         if pool not in bounds:
             bounds[pool] = _unreserved_cores(schedule, pool, now_s)
         own = preemption_gain.cores_of(unit.needs.times(len(unit.tasks)))
-        if own <= bounds[pool]:
-            if not _reserve(schedule, step, unit):
-                state.retry_at_s[unit.key] = now_s + RETRY_S
+        fits = own <= bounds[pool]
+        if not fits or not _reserve(schedule, step, unit):
+            state.retry_at_s[unit.key] = now_s + RETRY_S
+        if fits:
+            state.plan_at_s = now_s + PLAN_PERIOD_S
             return
 
 
 def _is_due(
-    schedule: schedule_state.Schedule, unit: Any, unix_s: float
+    schedule: schedule_state.Schedule, unit: Any, moment: events.Moment
 ) -> bool:
-    if (
-        unit.is_urgent
-        or unit.is_suspected
-        or not unit.step_run.spec.gang
-        or unit.key in schedule.contention.reservations
-    ):
+    """Returns whether capacity should be reserved for a unit."""
+    waited_s = moment.unix_ms / 1_000 - unit.urgency[2]
+    if not unit.step_run.spec.gang or waited_s < MIN_WAIT_S or unit.is_urgent:
         return False
-    wait_s = max(MIN_WAIT_S, WAIT_PART * headroom.slack_s(unit.job.record))
-    return unix_s - unit.urgency[2] >= wait_s
+    state = schedule.contention
+    return (
+        moment.now_s >= state.retry_at_s.get(unit.key, moment.now_s)
+        and unit.key not in state.reservations
+        and waited_s >= WAIT_PART * headroom.slack_s(unit.job.record)
+        and not unit.is_suspected
+    )
 
 
 def _drop_void(
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -111,15 +111,14 @@
             avoided |= task.avoided_targets
         max_per_target = unit.step_run.spec.max_per_target
         observed = self.schedule.observed_until_s
+        own = reservation.resources if reservation else {}
         if (
-            reservation is None
-            and not avoided
+            not avoided
             and not max_per_target
             and not observed
             and not unit.is_suspected
         ):
-            return pool.racks
-        own = reservation.resources if reservation else {}
+            return pool.racks_with(own)
         running = _count_running(unit) if max_per_target else {}
         candidates = []
         for candidate in pool.candidates():
--- a/tests/contention_mutants.py
+++ b/tests/contention_mutants.py
@@ -21,7 +21,7 @@
 
 def reserve_nothing() -> None:
     """Lets every gang compete for each accelerator that becomes free."""
-    gang_reservations._is_due = lambda schedule, unit, unix_s: False
+    gang_reservations._is_due = lambda *arguments: False
 
 
 def give_reserved_away() -> None:
