--- a/dandelionpick/batch/gang_reservations.py
+++ b/dandelionpick/batch/gang_reservations.py
@@ -40,7 +40,7 @@
 RESERVED_S = 10.0
 # At most one gang is planned for in this time, because a plan looks at all runs
 # of a pool. One that can't get a reservation is looked at again after RETRY_S.
-PLAN_PERIOD_S = 0.25
+PLAN_PERIOD_S = 0.5
 RETRY_S = 1.0
 # Runs are expected to last for this many times their estimate when it is
 # decided whether they end before a gang starts.
@@ -117,6 +117,9 @@
     state = schedule.contention
     if now_s < state.plan_at_s:
         return
+    state.retry_at_s = {
+        key: at_s for key, at_s in state.retry_at_s.items() if now_s < at_s
+    }
     bounds: dict[ids.PoolName, float] = {}
     for unit in units:
         if not _is_due(schedule, unit, step.moment):
@@ -142,7 +145,7 @@
         return False
     state = schedule.contention
     return (
-        moment.now_s >= state.retry_at_s.get(unit.key, moment.now_s)
+        unit.key not in state.retry_at_s
         and unit.key not in state.reservations
         and waited_s >= WAIT_PART * headroom.slack_s(unit.job.record)
         and not unit.is_suspected
@@ -154,12 +157,9 @@
 ) -> None:
     state = schedule.contention
     reservations = state.reservations
-    if not reservations and not state.retry_at_s:
+    if not reservations:
         return
     waiting = {unit.key for unit in units}
-    state.retry_at_s = {
-        key: at_s for key, at_s in state.retry_at_s.items() if key in waiting
-    }
     for key, reservation in list(reservations.items()):
         if key not in waiting:
             reason = "it does not wait any more"
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -5,6 +5,7 @@
 steps wait.
 """
 
+import copy
 import dataclasses
 from typing import Any
 
@@ -84,15 +85,14 @@
             return free_capacity.FreeCapacity(candidates)
         names = {target for target, _ in reserved}
         self.backfill[pool] = free_capacity.FreeCapacity(
+            [candidate for candidate in candidates if candidate.target in names]
+        )
+        capacity = free_capacity.FreeCapacity(
             [
-                dataclasses.replace(candidate)
+                copy.copy(candidate) if candidate.target in names else candidate
                 for candidate in candidates
-                if candidate.target in names
             ]
         )
-        capacity = free_capacity.FreeCapacity(
-            [dataclasses.replace(candidate) for candidate in candidates]
-        )
         for target, amount in reserved:
             capacity.take(target, amount)
         return capacity
