--- a/tests/test_batch_gang_reservations.py
+++ b/tests/test_batch_gang_reservations.py
@@ -75,6 +75,15 @@
             reserved.starts_s - fabric.now_s,
         )
 
+    def test_urgent_work_starts_in_reserved_capacity(self):
+        """Guards against a guarantee that waits for a reservation."""
+        fabric = self.full_pool()
+        fabric.run_until(lambda: self.reservations(fabric), 5.0)
+        urgent = builders.phase(2, gpu=4, gang=True)
+        fabric.submit(2, builders.body(urgent, work_s=0.5), 0)
+        task = f"{builders.job_id(2)}.0.0.0"
+        fabric.run_until(lambda: task in fabric.world.starts, 1.2)
+
     def test_reservation_of_a_target_that_fails_is_dropped(self):
         """Guards against a gang that waits for a target that is gone."""
         fabric = self.full_pool()
