Reservations: a gang's own is tried although its shape did not fit before

A step of the same shape that came earlier in the pass made the pass skip the gang for which capacity was kept. Targets that come under observation are removed from what backfill may use, too.

--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -152,7 +152,7 @@
 
     def close(self, target: ids.TargetId) -> None:
         """Removes a target that has come under observation for other work."""
-        for pool in self.other.values():
+        for pool in (*self.other.values(), *self.backfill.values()):
             pool.remove(target)
 
     def take(self, unit: Any, target: ids.TargetId) -> None:
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -138,10 +138,11 @@
             break
         demand = demand_of(schedule, unit, now_s)
         # Free resources only shrink during a pass, so a demand that did not fit
-        # earlier in the pass doesn't fit now.
-        if demand in current.unplaceable or place(
-            state, step, current, unit, demand
-        ):
+        # earlier in the pass doesn't fit now, unless capacity is kept for it.
+        if (
+            demand in current.unplaceable
+            and unit.key not in schedule.contention.reservations
+        ) or place(state, step, current, unit, demand):
             continue
         # With a limit per target, the result also depends on where tasks of the
         # step already run, so it doesn't hold for other steps.
