--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -42,9 +42,9 @@
 # nothing or are stragglers.
 COMPLETION_GRACE_S = 46.0
 POLL_S = 0.1
-# Number of targets that a fault affects, an eighth of all, and the slowdown of
-# slow targets. Both are those of the faults that the users inject.
-AFFECTED_TARGETS = 3
+# Share of the targets that a fault affects, and the slowdown of slow targets.
+# Both are those of the faults that the users inject.
+AFFECTED_SHARE = 1 / 8
 SLOW_FACTOR = 6.5
 # Time from a start on a failing target to its failure, as seen on the users'
 # days: 0.1 to 0.3 s.
@@ -102,7 +102,7 @@
         self._configure()
         self.rng = random.Random(seed)
         self.job_results: dict[str, JobResult] = {}
-        for number in range(load_patterns.TARGETS):
+        for number in range(site.targets):
             self._add_target(number)
         self.fabric.run_until(self.fabric.scheduler, 5.0)
         self.start_s = self.fabric.now_s
@@ -124,8 +124,10 @@
             for kind in self.site.kinds
         ]
         tenants = [
-            builders.tenant(name, key, load_patterns.GUARANTEED)
-            for name, key in load_patterns.ORGANISATION_KEYS.items()
+            builders.tenant(
+                name, load_patterns.key_of(name), load_patterns.GUARANTEED
+            )
+            for name in load_patterns.organisation_names(self.site)
         ]
         value = builders.configuration_value(2, routes=routes, tenants=tenants)
         self.fabric.store.put(keys.CONFIGURATION_KEY, value)
@@ -158,7 +160,7 @@
             number,
             spec,
             arrival.kind.priority,
-            credential=load_patterns.ORGANISATION_KEYS[arrival.organisation],
+            credential=load_patterns.key_of(arrival.organisation),
         )
         name = self.rng.choice(sorted(self.fabric.instances))
 
@@ -177,7 +179,7 @@
     def _inject_fault(self, fault: str) -> None:
         targets = list(self.fabric.world.targets.values())
         affected = random.Random(self.rng.random()).sample(
-            targets, AFFECTED_TARGETS
+            targets, round(AFFECTED_SHARE * len(targets))
         )
         for target in targets:
             if fault == "heal":
@@ -261,6 +263,9 @@
             earned_share(job_results) - WASTE_PRICE * wasted / total_worth, 4
         ),
         "worst_windows": round(sum(worst) / len(worst), 4),
+        "small_orgs": round(
+            earned_share([r for r in job_results if _is_small(site, r)]), 4
+        ),
         "restarts": sum(runs.values()) - len(runs),
         "false": round(
             earned_share(
@@ -285,12 +290,23 @@
     }
 
 
+def _is_small(site: load_patterns.Site, result: JobResult) -> bool:
+    """Returns whether a job's organisation is one of the smallest."""
+    smallest = min(site.organisations)
+    return result.arrival.organisation in (
+        load_patterns.organisation_name(number)
+        for number, demand in enumerate(site.organisations)
+        if demand == smallest
+    )
+
+
 class Experiment(command.Command):
     """Compares scheduling policies on workloads that are hard to serve."""
 
     name = "experiment"
     description = "Simulates workloads on the scheduler in virtual time."
     options = [
+        option("sites", flag=False, description="Comma-separated sites."),
         option("patterns", "p", "Comma-separated load patterns.", flag=False),
         option(
             "policies", "o", "Comma-separated scheduling policies.", flag=False
@@ -301,6 +317,7 @@
 
     def handle(self) -> int:
         """Runs the simulations and prints the table."""
+        sites = _selected(self.option("sites"), list(load_patterns.SITES))
         names = [pattern.name for pattern in load_patterns.PATTERNS]
         patterns = _selected(self.option("patterns"), names)
         policies = _selected(
@@ -308,7 +325,7 @@
         )
         tasks = list(
             itertools.product(
-                load_patterns.SITES,
+                sites,
                 patterns,
                 policies,
                 range(1, int(self.option("seeds")) + 1),
@@ -322,7 +339,7 @@
             results = list(pool.map(measure, tasks))
         OUTPUT.parent.mkdir(exist_ok=True)
         OUTPUT.write_text("".join(json.dumps(row) + "\n" for row in results))
-        self._print(results, patterns, policies)
+        self._print(results, sites, patterns, policies)
         for text in run_time_lines.format_tables(results):
             self.line(text)
         return 0
@@ -330,6 +347,7 @@
     def _print(
         self,
         results: list[dict[str, Any]],
+        sites: list[str],
         patterns: list[str],
         policies: list[str],
     ) -> None:
@@ -337,6 +355,7 @@
             "worth",
             "net",
             "worst_windows",
+            "small_orgs",
             *(kind.name for kind in load_patterns.SMALL.kinds),
             "restarts",
             "false",
@@ -344,7 +363,7 @@
         table = self.table()
         table.set_headers(["site", "pattern", "policy", *measures])
         for site, pattern, policy in itertools.product(
-            load_patterns.SITES, [*patterns, "all"], policies
+            sites, [*patterns, "all"], policies
         ):
             rows = [
                 row
--- a/bench/load_patterns.py
+++ b/bench/load_patterns.py
@@ -18,12 +18,15 @@
 # Share of jobs that are stragglers, and the factor on their run time.
 STRAGGLER_SHARE = 0.03
 STRAGGLER_FACTOR = 7.0
-# Organisations and their API keys. Those of LIARS say that their work takes a
-# tenth of the time, so that it is taken for more urgent.
-ORGANISATION, LIARS = "ward", "liars"
-ORGANISATION_KEYS = {ORGANISATION: "key-1", LIARS: "key-2"}
+# The organisation whose callers say that their work takes a tenth of the time,
+# so that it is taken for more urgent.
+LIARS = "liars"
 GUARANTEED = 8
 FALSE_FACTOR = 0.1
+BURST_S = (10.0, 16.0)
+# Peaks of batch work that the exams deployment sees.
+PEAK_S = 6.0
+PEAK_FACTOR = 2.2
 TARGETS = 24
 TARGETS_PER_RACK = 8
 
@@ -82,6 +85,8 @@
         stop_s: time that a target takes to stop a task.
         speeds: relative speeds, assigned to the targets in turn.
         capacity: capacity of each target.
+        targets: number of targets.
+        organisations: relative demand of each organisation.
     """
 
     name: str
@@ -89,6 +94,8 @@
     speeds: tuple[float, ...]
     capacity: dict[str, int]
     kinds: tuple[JobKind, ...]
+    targets: int = TARGETS
+    organisations: tuple[float, ...] = (1.0,)
 
 
 GANG_SHAPES = (1, 2, 4, 8, 8)
@@ -136,7 +143,33 @@
         ),
     ),
 )  # fmt: skip
-SITES = {site.name: site for site in (SMALL, LARGE)}
+# The exams deployment at 48 of its 176 targets, where accelerators are 70 %
+# used on average. The widest gangs need as large a part of the pool as there.
+EXAMS = Site(
+    "exams",
+    0.4,
+    (1.0,),
+    {"cpu": 32_000, "mem_mb": 131_072, "gpu": 8},
+    (
+        JobKind(
+            "quick-check", 0, 0.824, 5.0, 30, 2.5, 0.5, 3_700, 11_000,
+            GANG_SHAPES, 0.9, 1.5, 0.4, 4.0, 0.8, gang=True, one_rack_share=0.6,
+        ),
+        JobKind(
+            "full-scan", 1, 0.194, 13.0, 21, 11.0, 0.3, 13_000, 38_000,
+            GANG_SHAPES, 0.9, 3.0, 1.2, 3.0, 0.9, gang=True, one_rack_share=0.6,
+            checkpoint_share=0.45,
+        ),
+        JobKind(
+            "batch", 2, 0.297, 39.0, 234, 6.1, 0.3, 2_800, 8_200,
+            (1,), 0.2, 3.0, 3.0, 1.0, 0.3, checkpoint_share=0.45,
+            second_step_share=0.3,
+        ),
+    ),
+    targets=48,
+    organisations=(8.0, 5.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0),
+)  # fmt: skip
+SITES = {site.name: site for site in (SMALL, LARGE, EXAMS)}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +181,7 @@
         objective_s: intended time from submission to completion.
         worth: worth if the job meets the objective.
         late_worth: worth if it takes up to three times as long.
+        organisation: the organisation that submits it.
         work_s: run time of each task.
     """
 
@@ -171,6 +205,8 @@
         speeds: relative speeds in place of the site's, assigned in turn.
         estimate_error: replaces that of the kinds of jobs.
         false_share: share of the jobs whose estimates are false.
+        burst_organisation: the organisation that sends all batch jobs between
+            BURST_S; None if all organisations do.
     """
 
     name: str
@@ -179,6 +215,7 @@
     speeds: tuple[float, ...] = ()
     estimate_error: float | None = None
     false_share: float = 0.0
+    burst_organisation: int | None = None
 
 
 def _sine_rate(kind: JobKind, at_s: float) -> float:
@@ -189,14 +226,21 @@
 
 def _burst_rate(name: str, factor: float) -> Callable[[JobKind, float], float]:
     def rate(kind: JobKind, at_s: float) -> float:
-        inside = kind.name == name and 10.0 <= at_s < 16.0
+        inside = kind.name == name and BURST_S[0] <= at_s < BURST_S[1]
         return _sine_rate(kind, at_s) * (factor if inside else 1.0)
 
     return rate
 
 
+def _repeated_peaks(kind: JobKind, at_s: float) -> float:
+    inside = kind.name == "batch" and at_s % DEMAND_PERIOD_S < PEAK_S
+    return _sine_rate(kind, at_s) * (PEAK_FACTOR if inside else 1.0)
+
+
 PATTERNS = (
     Pattern("wave", _sine_rate),
+    Pattern("batch-peaks", _repeated_peaks),
+    Pattern("one-sender", _burst_rate("batch", 2.6), burst_organisation=0),
     Pattern("urgent-burst", _burst_rate("quick-check", 2.4)),
     Pattern("scan-burst", _burst_rate("full-scan", 2.6)),
     Pattern("batch-burst", _burst_rate("batch", 2.6)),
@@ -221,6 +265,9 @@
 ) -> Iterator[Arrival]:
     """Yields the jobs of a pattern in the order of their submission."""
     rng = random.Random(f"{site.name}-{pattern.name}-{seed}")
+    # Drawn apart, so that the workloads of sites with one organisation stay as
+    # they were.
+    organisations = random.Random(f"{site.name}-organisations-{seed}")
     jobs = []
     for kind in site.kinds:
         at_s = 0.0
@@ -232,10 +279,45 @@
                 * pattern.rate(kind, at_s)
                 / peak_rate_per_s
             ):
-                jobs.append(_build_arrival(site, pattern, kind, at_s, rng))
+                arrival = _build_arrival(site, pattern, kind, at_s, rng)
+                sender = _draw_organisation(
+                    site, pattern, arrival, organisations
+                )
+                jobs.append(dataclasses.replace(arrival, organisation=sender))
     yield from sorted(jobs, key=lambda job: job.submit_s)
 
 
+def organisation_name(number: int) -> str:
+    """Returns the name of one of a site's organisations."""
+    return f"o{number}"
+
+
+def organisation_names(site: Site) -> list[str]:
+    """Returns the names of the organisations that submit jobs."""
+    numbers = range(len(site.organisations))
+    return [*map(organisation_name, numbers), LIARS]
+
+
+def key_of(name: str) -> str:
+    """Returns the API key of an organisation."""
+    return f"key-{name}"
+
+
+def _draw_organisation(
+    site: Site, pattern: Pattern, arrival: Arrival, rng: random.Random
+) -> str:
+    (drawn,) = rng.choices(range(len(site.organisations)), site.organisations)
+    if arrival.organisation == LIARS:
+        return LIARS
+    if (
+        pattern.burst_organisation is not None
+        and arrival.kind.name == "batch"
+        and BURST_S[0] <= arrival.submit_s < BURST_S[1]
+    ):
+        drawn = pattern.burst_organisation
+    return organisation_name(drawn)
+
+
 def _build_arrival(
     site: Site,
     pattern: Pattern,
@@ -257,7 +339,7 @@
     if pattern.estimate_error is not None:
         largest_error = pattern.estimate_error
     estimate_s = work_s * (1 + rng.uniform(-largest_error, largest_error))
-    organisation = ORGANISATION
+    organisation = ""
     if pattern.false_share and rng.random() < pattern.false_share:
         organisation = LIARS
         estimate_s = FALSE_FACTOR * work_s
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -110,6 +110,14 @@
     "reliability": Policy(
         _unchanged, features_lib.Features(target_reliability=True)
     ),
+    "fair-shares": Policy(_unchanged, features_lib.Features(fair_shares=True)),
+    "gang-reservations": Policy(
+        _unchanged, features_lib.Features(gang_reservations=True)
+    ),
+    "contention": Policy(
+        _unchanged,
+        features_lib.Features(fair_shares=True, gang_reservations=True),
+    ),
     "learnt": Policy(_unchanged, LEARNING),
     "learnt-before": Policy(_unchanged, LEARNING, has_history=True),
     **{
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -5,10 +5,13 @@
 steps wait.
 """
 
+import copy
 import dataclasses
 from typing import Any
 
 from dandelionpick import ids
+from dandelionpick.batch import capacity_views
+from dandelionpick.batch import contention
 from dandelionpick.batch import evacuations
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
@@ -42,7 +45,9 @@
             not reserved.
         other: what other work may use, by pool. It is derived from `urgent`
             when the first unit asks for it; urgent units come before it. It
-            lacks the targets under observation.
+            lacks the targets under observation and what is reserved for gangs.
+        backfill: the targets with reservations for gangs, with all that is
+            free there.
         probes: targets on probation that only work that loses little may use,
             by pool. Each takes one task.
         single_use: other targets on probation; each takes one task.
@@ -55,6 +60,7 @@
         self.other: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
         self.probes: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
         self.single_use: set[ids.TargetId] = set()
+        self.backfill: dict[ids.PoolName, free_capacity.FreeCapacity] = {}
 
     def of_pool(
         self, pool: ids.PoolName, is_urgent: bool
@@ -70,31 +76,61 @@
                 for candidate in self.urgent[pool].candidates()
                 if candidate.target not in self.schedule.observed_until_s
             ]
-            self.other[pool] = free_capacity.FreeCapacity(
-                headroom.subtract_headroom(
-                    open_candidates, self.schedule.headroom.get(pool, 0)
-                )
+            candidates = headroom.subtract_headroom(
+                open_candidates, self.schedule.headroom.get(pool, 0)
             )
+            self.other[pool] = self._without_reserved(pool, candidates)
         return self.other[pool]
 
+    def _without_reserved(
+        self,
+        pool: ids.PoolName,
+        candidates: list[free_capacity.Candidate],
+    ) -> free_capacity.FreeCapacity:
+        """Returns candidates without the capacity reserved for gangs."""
+        reserved = [
+            item
+            for reservation in self.schedule.contention.reservations.values()
+            for item in reservation.resources.items()
+        ]
+        if not reserved:
+            return free_capacity.FreeCapacity(candidates)
+        names = {target for target, _ in reserved}
+        self.backfill[pool] = free_capacity.FreeCapacity(
+            [candidate for candidate in candidates if candidate.target in names]
+        )
+        capacity = free_capacity.FreeCapacity(
+            [
+                copy.copy(candidate) if candidate.target in names else candidate
+                for candidate in candidates
+            ]
+        )
+        for target, amount in reserved:
+            capacity.take(target, amount)
+        return capacity
+
+    def backfill_racks(self, pool: ids.PoolName) -> free_capacity.Racks:
+        """Returns the targets with reservations, for work that ends before."""
+        capacity = self.backfill.get(pool)
+        return capacity.racks if capacity else {}
+
     def racks_for(self, unit: Any) -> free_capacity.Racks:
         """Returns the candidates of a unit, by rack."""
         pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
-        reservation = self.schedule.reservations.get(unit.key)
+        reservation = self._reservation_of(unit)
         avoided: set[ids.TargetId] = set()
         for task in unit.tasks:
             avoided |= task.avoided_targets
         max_per_target = unit.step_run.spec.max_per_target
         observed = self.schedule.observed_until_s
+        own = reservation.resources if reservation else {}
         if (
-            reservation is None
-            and not avoided
+            not avoided
             and not max_per_target
             and not observed
             and not unit.is_suspected
         ):
-            return self._add_probes(unit, pool.racks)
-        own = reservation.resources if reservation else {}
+            return self._add_probes(unit, pool.racks_with(own))
         running = _count_running(unit) if max_per_target else {}
         candidates = []
         for candidate in pool.candidates():
@@ -141,13 +177,15 @@
 
     def close(self, target: ids.TargetId) -> None:
         """Removes a target that has come under observation for other work."""
-        for pool in self.other.values():
+        for pool in (*self.other.values(), *self.backfill.values()):
             pool.remove(target)
 
     def take(self, unit: Any, target: ids.TargetId) -> None:
         """Records that a task of a unit starts on a target."""
-        pool = self.of_pool(unit.job.record.terms.pool, unit.is_urgent)
-        pool.take(target, unit.needs)
+        name = unit.job.record.terms.pool
+        self.of_pool(name, unit.is_urgent).take(target, unit.needs)
+        if name in self.backfill:
+            self.backfill[name].take(target, unit.needs)
         if target in self.single_use:
             self._close_probation(target)
 
@@ -165,7 +203,7 @@
 
     def _close_probation(self, target: ids.TargetId) -> None:
         """Removes a target on probation that has got its task."""
-        for pools in (self.urgent, self.other, self.probes):
+        for pools in (self.urgent, self.other, self.probes, self.backfill):
             for pool in pools.values():
                 pool.remove(target)
 
@@ -201,9 +239,17 @@
     def _reserved(
         self, unit: Any
     ) -> list[tuple[ids.TargetId, model.Resources]]:
-        reservation = self.schedule.reservations.get(unit.key)
+        reservation = self._reservation_of(unit)
         return list(reservation.resources.items()) if reservation else []
 
+    def _reservation_of(
+        self, unit: Any
+    ) -> capacity_views.Reservation | contention.GangReservation | None:
+        """Returns the reservation of an urgent unit or of a gang."""
+        return self.schedule.reservations.get(
+            unit.key
+        ) or self.schedule.contention.reservations.get(unit.key)
+
 
 def _candidate_of(
     target: schedule_state.Target, now_s: float
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -26,6 +26,7 @@
         one_rack: all tasks must be in one rack, unless `relax_locality`.
         data_rack: tasks must be in this rack, unless `relax_locality`; "" if
             none.
+        backfill: targets with reservations for gangs may be used.
         relax_locality: other racks are accepted, although work is slower there.
         is_sensitive: much is lost if a target is unsound or slow.
     """
@@ -40,6 +41,7 @@
     label: str = ""
     max_per_target: int = 0
     is_sensitive: bool = False
+    backfill: bool = False
 
 
 def choose_targets(
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -8,7 +8,9 @@
 from dandelionpick import ids
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import evacuations
+from dandelionpick.batch import fair_shares
 from dandelionpick.batch import free_capacity
+from dandelionpick.batch import gang_reservations
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
@@ -131,7 +133,8 @@
         pass_capacity.PassCapacity(schedule, now_s),
         preemption.VictimIndex(schedule, now_s),
     )
-    units = sorted(_pending_units(state, step), key=lambda unit: unit.urgency)
+    units = fair_shares.order(schedule, step, _pending_units(state, step))
+    gang_reservations.update(schedule, step, units)
     schedule.waiting_units = len(units)
     window = schedule.starts
     window.exhausted = False
@@ -141,10 +144,11 @@
             break
         demand = demand_of(schedule, unit, now_s)
         # Free resources only shrink during a pass, so a demand that did not fit
-        # earlier in the pass doesn't fit now.
-        if demand in current.unplaceable or place(
-            state, step, current, unit, demand
-        ):
+        # earlier in the pass doesn't fit now, unless capacity is kept for it.
+        if (
+            demand in current.unplaceable
+            and unit.key not in schedule.contention.reservations
+        ) or place(state, step, current, unit, demand):
             continue
         # With a limit per target, the result also depends on where tasks of the
         # step already run, so it doesn't hold for other steps.
@@ -278,6 +282,9 @@
     capacity = current.capacity
     racks = capacity.racks_for(unit)
     chosen = placement.choose_targets(demand, racks)
+    if not chosen and demand.backfill:
+        racks = capacity.backfill_racks(demand.pool)
+        chosen = placement.choose_targets(demand, racks)
     if not chosen:
         if unit.is_urgent:
             _preempt(state, step, current, unit, demand, racks)
@@ -285,6 +292,7 @@
         return False
     capacity.release(unit)
     schedule.reservations.pop(unit.key, None)
+    schedule.contention.reservations.pop(unit.key, None)
     attempt = runs.next_attempt(schedule, unit.step_run)
     waited_s = step.moment.unix_ms / 1_000 - unit.urgency[2]
     if not unit.job.placed:
@@ -369,4 +377,5 @@
         ),
         is_sensitive=schedule.features.target_reliability
         and target_preference.is_sensitive(unit),
+        backfill=gang_reservations.may_backfill(schedule, unit, now_s),
     )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,6 +16,7 @@
 import hypothesis
 
 from tests import batch_mutants
+from tests import contention_mutants
 from tests import fuzzing
 from tests import mutant as mutant_lib
 from tests import mutant_list
@@ -34,6 +35,7 @@
         *mutant_list.MUTANTS,
         *batch_mutants.MUTANTS,
         *reliability_mutants.MUTANTS,
+        *contention_mutants.MUTANTS,
     )
 }
 
