--- a/dandelionpick/batch/target_preference.py
+++ b/dandelionpick/batch/target_preference.py
@@ -2,7 +2,7 @@
 
 Targets that are out of use get no work. One on probation gets one task at a
 time, at first only work that loses little if it fails. Slow targets come last
-for work that loses much, and first for other work.
+for work that loses much.
 """
 
 from typing import Any
@@ -69,7 +69,6 @@
             and target_speeds.is_known(evidence, self.now_s)
         ):
             candidate.sensitive_penalty += SLOW_PENALTY
-            candidate.other_penalty -= SLOW_PENALTY
 
 
 def is_sensitive(unit: Any) -> bool:
