Let an early failure tell on a step's fault for 10 s only

A target that failed a step, was out of use and has recovered would otherwise show later that the step is at fault when it meets another failing target.

--- a/dandelionpick/batch/target_reliability.py
+++ b/dandelionpick/batch/target_reliability.py
@@ -32,6 +32,9 @@
 # Targets that one step may take out of use while nothing shows whether the
 # step or the targets are at fault.
 MAX_TARGETS_PER_STEP = 2
+# An earlier failure of a step says nothing about a later one elsewhere: its
+# target may have been faulty then and sound since.
+STEP_MEMORY_S = 10.0
 
 
 def record_end(
@@ -113,7 +116,11 @@
 ) -> bool:
     """Returns whether the target is at fault and was taken out of use."""
     now_s = step.moment.now_s
-    others = [name for name in step_evidence.failed_on if name != target.id]
+    others = [
+        name
+        for name, failed_s in step_evidence.failed_on.items()
+        if name != target.id and now_s - failed_s < STEP_MEMORY_S
+    ]
     if any(
         _was_sound(schedule, name, step_evidence.failed_on[name])
         for name in others
