--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -67,6 +67,10 @@
             self.counts[key] = count
         return count
 
+    def free_accelerators(self) -> int:
+        """Returns how many accelerators are free in the rack."""
+        return sum(candidate.free.accelerators for candidate in self.candidates)
+
 
 Racks = dict[ids.Rack, Rack]
 
--- a/dandelionpick/batch/placement.py
+++ b/dandelionpick/batch/placement.py
@@ -1,7 +1,10 @@
 """Chooses targets for the tasks of a step.
 
 Limits fragmentation with a best-fit policy: a task goes to the target that has
-the least free resources, and a gang to the rack that it fills best.
+the least free resources, and a gang to the rack that it fills best. Tasks that
+need no rack of their own can be made to fill racks one after the other, so that
+whole racks stay free for gangs while batch work of single tasks takes most of
+the pool.
 """
 
 import dataclasses
@@ -26,6 +29,8 @@
         one_rack: all tasks must be in one rack, unless `relax_locality`.
         data_rack: tasks must be in this rack, unless `relax_locality`; "" if
             none.
+        fill_racks: targets in the rack with the fewest free accelerators come
+            first.
         backfill: targets with reservations for gangs may be used.
         relax_locality: other racks are accepted, although work is slower there.
     """
@@ -39,6 +44,7 @@
     pool: ids.PoolName = ids.PoolName("")
     label: str = ""
     max_per_target: int = 0
+    fill_racks: bool = False
     backfill: bool = False
 
 
@@ -86,23 +92,25 @@
     total = sum(rack.count_fitting(needs, label) for rack in racks)
     if total < (demand.count if demand.all_or_nothing else 1):
         return []
-    fitting = [
-        (count, candidate)
-        for rack in racks
-        if rack.count_fitting(needs, label)
-        for candidate in rack.candidates
-        if (count := candidate.count_fitting(needs, label))
-    ]
+    fitting = []
+    for rack in racks:
+        if not rack.count_fitting(needs, label):
+            continue
+        rack_free = rack.free_accelerators() if demand.fill_racks else 0
+        for candidate in rack.candidates:
+            if count := candidate.count_fitting(needs, label):
+                fitting.append((rack_free, count, candidate))
     fitting.sort(
-        key=lambda pair: (
-            pair[1].penalty,
-            pair[1].free.accelerators,
-            pair[1].free.cpu_millis,
-            pair[1].target,
+        key=lambda entry: (
+            entry[2].penalty,
+            entry[0],
+            entry[2].free.accelerators,
+            entry[2].free.cpu_millis,
+            entry[2].target,
         )
     )
     placed: list[ids.TargetId] = []
-    for count, candidate in fitting:
+    for _, count, candidate in fitting:
         placed.extend(
             [candidate.target] * min(count, demand.count - len(placed))
         )
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -367,5 +367,6 @@
         relax_locality=locality.may_relax_locality(
             schedule, terms, unit.step_run, now_s
         ),
+        fill_racks=schedule.features.gang_reservations and not spec.gang,
         backfill=gang_reservations.may_backfill(schedule, unit, now_s),
     )
--- a/tests/contention_mutants.py
+++ b/tests/contention_mutants.py
@@ -1,6 +1,7 @@
 """Mutants that disable the rules for work that waits for capacity."""
 
 from dandelionpick.batch import fair_shares
+from dandelionpick.batch import free_capacity
 from dandelionpick.batch import gang_reservations
 from dandelionpick.batch import pass_capacity
 from tests import mutant
@@ -39,10 +40,18 @@
     gang_reservations._may_hold = lambda *arguments: True
 
 
+def break_into_racks() -> None:
+    """Lets single tasks go to the fullest target, in whatever rack."""
+    free_capacity.Rack.free_accelerators = lambda rack: 0
+
+
 MUTANTS = (
     mutant.Mutant("a peak comes after other work", ignore_use, SHARES),
     mutant.Mutant("no organisation waits for ever", hold_back_for_ever, SHARES),
     mutant.Mutant("wide gangs get reservations", reserve_nothing, RESERVATIONS),
+    mutant.Mutant(
+        "single tasks leave whole racks free", break_into_racks, RESERVATIONS
+    ),
     mutant.Mutant(
         "reserved capacity is kept free", give_reserved_away, RESERVATIONS
     ),
--- a/tests/test_batch_gang_reservations.py
+++ b/tests/test_batch_gang_reservations.py
@@ -1,9 +1,15 @@
 """Capacity that is kept for gangs that have waited for long."""
 
+import unittest
+
 from dandelionpick import ids
 from dandelionpick.batch import features as features_lib
+from dandelionpick.batch import free_capacity
+from dandelionpick.batch import model
+from dandelionpick.batch import placement
 from tests import batch_builders as builders
 from tests import batch_fabric
+from tests import test_batch_headroom
 from tests import test_batch_jobs
 
 GANG = 1
@@ -12,6 +18,26 @@
 )
 
 
+class FillRacksTest(unittest.TestCase):
+    """Single tasks go to racks that are already broken into."""
+
+    def test_single_tasks_leave_whole_racks_free(self):
+        """Guards against batch work that breaks into each rack."""
+        racks = free_capacity.group(
+            test_batch_headroom.make_candidate(name, rack, free)
+            for name, rack, free in (
+                ("a", "r1", 8),
+                ("b", "r1", 0),
+                ("c", "r2", 7),
+                ("d", "r2", 8),
+            )
+        )
+        needs = model.Resources(accelerators=1)
+        for fill_racks, chosen in ((False, "c"), (True, "a")):
+            demand = placement.Demand(needs, 1, False, fill_racks=fill_racks)
+            self.assertEqual(placement.choose_targets(demand, racks), [chosen])
+
+
 class BatchStreamTest(test_batch_jobs.BatchTest):
     """Batch tasks take each accelerator that becomes free, one at a time."""
 
