--- a/dandelionpick/batch/free_capacity.py
+++ b/dandelionpick/batch/free_capacity.py
@@ -48,6 +48,12 @@
             return 0
         return min(self.max_tasks, needs.count_fitting_in(self.free))
 
+    def total_penalty(self, is_sensitive: bool) -> float:
+        """Returns the penalty for work that loses much, or for other work."""
+        if is_sensitive:
+            return self.penalty + self.sensitive_penalty
+        return self.penalty + self.other_penalty
+
 
 class Rack:
     """The candidates of one rack.
@@ -110,6 +116,10 @@
         self.counts.clear()
         self.preferred_counts.clear()
 
+    def free_accelerators(self) -> int:
+        """Returns how many accelerators are free in the rack."""
+        return sum(candidate.free.accelerators for candidate in self.candidates)
+
 
 Racks = dict[ids.Rack, Rack]
 
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -377,5 +377,6 @@
         ),
         is_sensitive=schedule.features.target_reliability
         and target_preference.is_sensitive(unit),
+        fill_racks=schedule.features.gang_reservations and not spec.gang,
         backfill=gang_reservations.may_backfill(schedule, unit, now_s),
     )
