Tests that flood each listener with eight hostile clients

Cause: bounds on inbound bytes end where the body begins, and no test starts a real process against clients that don't keep to the protocol.

The product is unchanged.

Floods are cut short when the bound is broken, so the true growth is larger. A first run of all tests of schedule in one process hung after the test of unread answers, because clients that were still sending were not cancelled before their sockets were closed; that is mended here.

--- /dev/null
+++ b/tests/flood.py
@@ -0,0 +1,205 @@
+"""Starts one process of the system and floods it with hostile clients."""
+
+import asyncio
+import configparser
+import dataclasses
+import pathlib
+import re
+import resource
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+from tests import program
+
+CLIENTS = 8
+FAR_LIMIT_S = 60.0
+POLL_S = 0.05
+KIB = 1_024
+PIECE_BYTES = 64 * KIB
+# Small, so that the kernel holds little of what a client does not read.
+RECEIVE_BUFFER_BYTES = 4 * KIB
+ADDRESS = re.compile(r"[\d.]+:\d+")
+SERVER = {"header_timeout_s": 3, "body_timeout_s": 5, "keep_alive_s": 2}
+BOUNDS = {
+    "revoke_ms": 5_000,
+    "run_lease_ms": 10_000,
+    "restore_ms": 600,
+    "stop_ms": 400,
+    "early_ms": 250,
+    "retention_s": 120,
+    "drain_s": 6,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Input:
+    """What a client sends: a beginning, and a part that is repeated.
+
+    Attributes:
+        size: bytes of all repetitions.
+        piece_bytes: bytes of one write.
+    """
+
+    beginning: bytes
+    repeated: bytes
+    size: int
+    end: bytes = b""
+    piece_bytes: int = PIECE_BYTES
+
+    def pieces(self):
+        """Yields the bytes of each write."""
+        yield self.beginning
+        piece = self.repeated * max(1, self.piece_bytes // len(self.repeated))
+        for _ in range(self.size // len(piece)):
+            yield piece
+        yield self.end
+
+
+def settings_of(command: str) -> dict[str, dict[str, Any]]:
+    """Returns the settings of a process without store and targets."""
+    instance = {"name": "entry-1", "failure_domain": "a", "region": "r"}
+    nowhere = program.unused_address()
+    if command == "run":
+        return {
+            "instance": {**instance, "listen": "127.0.0.1:0"},
+            "platform": {"store": nowhere, "instance_list": nowhere},
+            "limits": {"max_body_bytes": 64 * KIB},
+            "server": SERVER,
+        }
+    listen = dict.fromkeys(("callers", "health", "peers"), "127.0.0.1:0")
+    return {
+        "instance": instance,
+        "listen": listen,
+        "store": {"address": nowhere},
+        "bounds": BOUNDS,
+        "server": SERVER,
+    }
+
+
+class Program:
+    """A process of the system, and what it holds.
+
+    Attributes:
+        addresses: where it listens.
+    """
+
+    def __init__(
+        self, command: str, folder: pathlib.Path, descriptors: int = 1_024
+    ):
+        self.log = folder / "process.log"
+        path = folder / "settings.ini"
+        parser = configparser.ConfigParser()
+        parser.read_dict(settings_of(command))
+        with path.open("w") as file:
+            parser.write(file)
+
+        def limit_descriptors() -> None:
+            _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, hard))
+
+        with self.log.open("wb") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "dandelionpick", command, str(path)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                preexec_fn=limit_descriptors,
+            )
+        self.addresses: list[str] = []
+
+    async def wait_until_listening(self) -> None:
+        """Waits until the process has printed its addresses."""
+        while not self.addresses:
+            text = self.log.read_text().partition("listening on ")[2]
+            if "\n" in text:
+                self.addresses = ADDRESS.findall(text.splitlines()[0])
+            if self.child.poll() is not None:
+                raise AssertionError(self.log.read_text())
+            await asyncio.sleep(POLL_S)
+
+    def peak_memory_mb(self) -> float:
+        """Returns the largest resident set so far."""
+        text = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+)", text).group(1)) / KIB
+
+    def open_descriptors(self) -> int:
+        """Returns the number of open descriptors."""
+        return len(list(pathlib.Path(f"/proc/{self.child.pid}/fd").iterdir()))
+
+    def stop(self) -> None:
+        """Ends the process."""
+        self.child.kill()
+        self.child.wait()
+
+
+async def connect(address: str) -> socket.socket:
+    """Opens a connection whose kernel buffers for input are small."""
+    host, port = address.rsplit(":", 1)
+    client = socket.socket()
+    client.setblocking(False)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    await asyncio.get_running_loop().sock_connect(client, (host, int(port)))
+    return client
+
+
+async def send(client: socket.socket, sent: Input) -> None:
+    """Sends all input, or until the connection is closed; reads nothing."""
+    loop = asyncio.get_running_loop()
+    try:
+        for piece in sent.pieces():
+            await loop.sock_sendall(client, piece)
+            await asyncio.sleep(0)
+    except OSError:
+        # The process has closed the connection.
+        return
+
+
+async def is_closed_while_sending(client: socket.socket, part: bytes) -> bool:
+    """Sends a part now and then; returns whether the other side closes."""
+    loop = asyncio.get_running_loop()
+    end_s = time.monotonic() + FAR_LIMIT_S / 2
+    reading = asyncio.ensure_future(read_to_end(client))
+    try:
+        while not reading.done() and time.monotonic() < end_s:
+            await loop.sock_sendall(client, part)
+            await asyncio.sleep(POLL_S)
+    except OSError:
+        return True
+    finally:
+        closed = reading.done()
+        await cancel(reading)
+    return closed
+
+
+async def cancel(*futures: asyncio.Future) -> None:
+    """Cancels futures and waits until they no longer use their sockets."""
+    for future in futures:
+        future.cancel()
+    await asyncio.gather(*futures, return_exceptions=True)
+
+
+async def read_to_end(client: socket.socket) -> bytes:
+    """Returns all that the other side sends until it closes."""
+    loop = asyncio.get_running_loop()
+    parts = []
+    try:
+        while data := await loop.sock_recv(client, PIECE_BYTES):
+            parts.append(data)
+    except ConnectionError:
+        pass
+    return b"".join(parts)
+
+
+async def status_of(address: str, path: str) -> int:
+    """Returns the status of the answer to one ordinary request."""
+    reader, writer = await asyncio.open_connection(*address.rsplit(":", 1))
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nhost: test\r\n\r\n".encode())
+        line = await reader.readline()
+        return int(line.split()[1])
+    finally:
+        writer.transport.abort()
