Bound what one inbound connection may send and leave unread

Cause: the limits on inbound bytes ended with the headers. Trailers were appended to the request's headers or joined by the parser, pipelined requests were parsed before earlier ones had answers, the peers' listener had no limit on the body, unread answers were waited for without limit, any byte extended the keep-alive, and max_connections could exceed the descriptors. Refusals were also sent while an earlier request on the connection had no answer.

Change: the parser is fed in parts of 2 KiB, and what it does not pass on as body is counted. New settings of [server]: max_framing_bytes, write_timeout_s, descriptor_share. New metric: connections_cut_total. Bodies of requests are read by one function, with a limit on the peers' listener, too. Trailers are discarded.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -16,6 +16,7 @@
 
 from dandelionpick import caller_messages
 from dandelionpick import errors
+from dandelionpick import http_bodies
 from dandelionpick import http_middleware
 from dandelionpick import metrics
 from dandelionpick import operator_messages
@@ -118,18 +119,6 @@
     return response
 
 
-async def read_body(request: http.Request, limit_bytes: int) -> bytes | None:
-    """Returns the body, or None if it exceeds the limit."""
-    chunks = []
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > limit_bytes:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 async def exchange(
     runtime: runtime_lib.Runtime, request: http.Request, message: Any
 ) -> responses.Response:
@@ -155,7 +144,7 @@
         limit_bytes = runtime.state.limits.max_body_bytes * 4 // 3 + 65_536
         try:
             async with asyncio.timeout(body_timeout_s):
-                body = await read_body(request, limit_bytes)
+                body = await http_bodies.read(request, limit_bytes)
         except TimeoutError:
             return too_slow_response(body_timeout_s)
         if body is None:
--- a/dandelionpick/batch/peer_api.py
+++ b/dandelionpick/batch/peer_api.py
@@ -14,6 +14,7 @@
 from starlette import routing
 
 from dandelionpick import effects
+from dandelionpick import http_bodies
 from dandelionpick import http_pools
 from dandelionpick import http_requests
 from dandelionpick import kinds
@@ -22,10 +23,15 @@
 from dandelionpick.batch import messages
 
 PEER_PATH = "/v1/peer"
+DEFAULT_MAX_BODY_BYTES = 262_144
 HTTP_OK = 200
 # Peers are on the same network, so that a body that takes longer than this is
 # abandoned.
 BODY_TIMEOUT_S = 2.0
+# A relayed job names every field, some of which are longer than the caller's.
+# The allowance is for the other fields of the message.
+RELAY_GROWTH = 4
+RELAY_ALLOWANCE_BYTES = 65_536
 
 _message_decoder = msgspec.json.Decoder(messages.PeerMessage)
 _reply_decoder = msgspec.json.Decoder(messages.PeerReply)
@@ -63,12 +69,25 @@
         return Failure(kinds.CallFailure.LOST)
 
 
+def _limit_bytes(runtime: runtime_lib.Runtime) -> int:
+    catalog = runtime.state.catalog.current
+    # Without a configuration, the peer's may allow more than the default, but
+    # this instance can't be the scheduler that it looks for.
+    limit = catalog.max_body_bytes if catalog else DEFAULT_MAX_BODY_BYTES
+    return limit * RELAY_GROWTH + RELAY_ALLOWANCE_BYTES
+
+
 async def _receive(
     runtime: runtime_lib.Runtime, request: http.Request
 ) -> responses.Response:
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
-            message = _message_decoder.decode(await request.body())
+            body = await http_bodies.read(request, _limit_bytes(runtime))
+        if body is None:
+            return responses.PlainTextResponse(
+                "too large\n", 413, {"connection": "close"}
+            )
+        message = _message_decoder.decode(body)
     except (TimeoutError, msgspec.DecodeError, RecursionError) as error:
         return responses.PlainTextResponse(f"{error}\n", status_code=400)
     name = type(getattr(message, "request", message)).__name__
--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -1,24 +1,30 @@
-"""Inbound HTTP connections: limits and orderly closing."""
+"""Inbound HTTP connections: limits and refusals."""
 
 import asyncio
 import dataclasses
+import enum
 import http
+import resource
 
+import httptools
 from absl import logging
 from uvicorn.protocols.http import httptools_impl
 
 from dandelionpick import errors
+from dandelionpick import inbound_counts
+from dandelionpick import inbound_transport
 from dandelionpick import metrics
 from dandelionpick import peer_messages
 from dandelionpick import wire
 
-# How long input is discarded before the socket is closed. A client that has not
-# yet seen the end of the connection may still be sending; closing the socket
-# then would reset the connection, and the client could lose a response that it
-# has not read.
-LINGER_TIMEOUT_S = 1.0
-# A connection whose pending output is not read within this time is aborted.
-FLUSH_TIMEOUT_S = 30.0
+# The parser can't be stopped within what it is fed with. A smaller part limits
+# how many pipelined requests (18 bytes at least) can begin in it.
+PART_BYTES = 2_048
+# Refused connections that may wait for their close at a time. Each uses a
+# descriptor; further ones are closed without a response.
+MAX_LINGERING_REFUSALS = 16
+# A client that reads more slowly than this in each write timeout is cut off.
+MIN_READ_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +39,12 @@
         body_timeout_s: from the end of the headers to the end of the body.
         keep_alive_s: how long an idle connection stays open; clients should
             close theirs earlier.
+        max_framing_bytes: maximum size of chunk sizes, chunk extensions and
+            trailers of a body, beyond 16 bytes for each byte of the body.
+        write_timeout_s: how long pending output may exceed 64 KiB without 64
+            KiB being read.
+        descriptor_share: inbound connections use at most this share of the
+            process's descriptors, whatever `max_connections` is.
     """
 
     max_connections: int = 2_000
@@ -40,6 +52,18 @@
     header_timeout_s: float = 10.0
     body_timeout_s: float = 10.0
     keep_alive_s: float = 60.0
+    max_framing_bytes: int = 16_384
+    write_timeout_s: float = 30.0
+    descriptor_share: float = 0.5
+
+    def connection_limit(self) -> int:
+        """Returns how many connections may be open in this process."""
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            return self.max_connections
+        return min(
+            self.max_connections, int(descriptors * self.descriptor_share)
+        )
 
 
 def problem_response_bytes(
@@ -56,57 +80,19 @@
     return head.encode() + body
 
 
-class LingeringTransport:
-    """A transport whose close() shuts down writing before reading.
-
-    Attributes:
-        lingering: writing has been shut down; further input is discarded.
-    """
-
-    def __init__(self, transport: asyncio.Transport):
-        self.transport = transport
-        self.lingering = False
-
-    def __getattr__(self, name: str):
-        return getattr(self.transport, name)
+class CutReason(enum.Enum):
+    """Why a connection was closed without a response that says so."""
 
-    def is_closing(self) -> bool:
-        """Returns whether the transport no longer accepts writes."""
-        return self.lingering or self.transport.is_closing()
+    EMPTY_LINES = "empty_lines"
+    FRAMING = "framing"
+    HANDED_OVER = "handed_over"
+    OVERLOADED = "overloaded"
+    UNREAD_ANSWERS = "unread_answers"
 
-    def write(self, data: bytes) -> None:
-        """Writes data unless writing has been shut down."""
-        if not self.is_closing():
-            self.transport.write(data)
 
-    def close(self) -> None:
-        """Shuts down writing; the socket is closed after LINGER_TIMEOUT_S.
-
-        It is closed earlier if the client closes its side, and later, up to
-        FLUSH_TIMEOUT_S, while output is still unsent.
-        """
-        if self.is_closing():
-            return
-        self.lingering = True
-        try:
-            self.transport.write_eof()
-        except OSError:
-            # The client has reset the connection, so no EOF can be sent.
-            self.transport.abort()
-            return
-        self.transport.resume_reading()
-        self._schedule_abort(LINGER_TIMEOUT_S)
-
-    def _schedule_abort(self, elapsed_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_TIMEOUT_S, self._abort_if_flushed, elapsed_s)
-
-    def _abort_if_flushed(self, elapsed_s: float) -> None:
-        unsent = self.transport.get_write_buffer_size()
-        if unsent and elapsed_s < FLUSH_TIMEOUT_S:
-            self._schedule_abort(elapsed_s + LINGER_TIMEOUT_S)
-            return
-        self.transport.abort()
+def count_cut(reason: CutReason) -> None:
+    """Counts a connection that was closed without a response."""
+    metrics.add("connections_cut_total", (reason.value,), 1.0)
 
 
 class InboundProtocol(httptools_impl.HttpToolsProtocol):
@@ -114,81 +100,181 @@
 
     Attributes:
         limits: set on a subclass by `protocol_class`.
-        reading_headers: whether a request line and headers have been received
-            only in part.
-        header_bytes: bytes received of them, not counting the chunk in which
-            the request began.
+        max_connections: set on a subclass by `protocol_class`.
+        counts: bytes received by what they belong to.
+        held: received bytes that wait until earlier requests have their
+            answers.
     """
 
     limits = InboundLimits()
+    max_connections = limits.max_connections
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
-        self.reading_headers = False
-        self.header_bytes = 0
+        self.counts = inbound_counts.ByteCounts()
+        self.held = memoryview(b"")
         self.shutting_down = False
         self.header_timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accepts a connection, or refuses it if too many are open."""
-        super().connection_made(LingeringTransport(transport))
-        if len(self.connections) > self.limits.max_connections:
-            self.refuse(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                errors.ProblemKind.OVERLOADED,
-                f"More than {self.limits.max_connections} connections are"
-                " open.",
-                "Send the request again later, or to another instance.",
+        super().connection_made(
+            inbound_transport.LingeringTransport(
+                transport, self.limits.write_timeout_s
             )
+        )
+        self.flow = inbound_transport.InboundFlow(self.transport)
+        if len(self.connections) > self.max_connections:
+            self._refuse_connection()
             return
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the header timeout and removes the connection."""
+        """Cancels the timers and removes the connection."""
         self._cancel_header_timer()
+        self._cancel_write_timer()
+        self.held = memoryview(b"")
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser, within the size limit of the headers."""
+        """Feeds the parser, unless earlier requests wait for their answers."""
         if self.transport.is_closing():
             return
-        was_reading_headers = self.reading_headers
-        super().data_received(data)
-        if not (was_reading_headers and self.reading_headers):
+        if self.held:
+            self.held = memoryview(bytes(self.held) + data)
+            return
+        self._feed(memoryview(data))
+
+    def _feed(self, data: memoryview) -> None:
+        while data and not self.transport.is_closing():
+            if self._answers_are_pending():
+                self.held = data
+                self.flow.holds_input = True
+                self.flow.pause_reading()
+                return
+            data = data[self._feed_part(data[:PART_BYTES]) :]
+
+    def _feed_part(self, part: memoryview) -> int:
+        """Feeds the parser; returns how many bytes it has taken."""
+        self.counts.begin_part()
+        size = len(part)
+        try:
+            self.parser.feed_data(part)
+        except httptools.HttpParserError:
+            if not self.transport.is_closing():
+                self.send_400_response("Invalid HTTP request received.")
+            return size
+        except httptools.HttpParserUpgrade as upgrade:
+            # No upgrade is supported; what follows is the next request.
+            size = upgrade.args[0] or size
+        if self.transport.is_closing():
+            return size
+        self.counts.end_part(size)
+        if self.counts.exceeds(
+            self.limits.max_header_bytes, self.limits.max_framing_bytes
+        ):
+            self._end_oversized()
+        return size
+
+    def _answers_are_pending(self) -> bool:
+        """Returns whether complete requests wait for their answers."""
+        if self.pipeline:
+            return True
+        return self.counts.phase is inbound_counts.Phase.BETWEEN and (
+            self._is_unanswered()
+        )
+
+    def _is_unanswered(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _feed_held(self) -> None:
+        held, self.held = self.held, memoryview(b"")
+        self.flow.holds_input = False
+        self._feed(held)
+        self.flow.resume_reading()
+
+    def on_response_complete(self) -> None:
+        """Starts the next request, or waits for one."""
+        super().on_response_complete()
+        if self.transport.is_closing():
             return
-        self.header_bytes += len(data)
-        if self.header_bytes > self.limits.max_header_bytes:
-            self._refuse_large_headers()
+        if self.counts.phase is inbound_counts.Phase.HEADERS:
+            # The timeout of the headers applies.
+            self._unset_keepalive_if_required()
+        if self.held:
+            self.loop.call_soon(self._feed_held)
 
     def on_message_begin(self) -> None:
         """Starts the size count and the timeout of a request's headers."""
         super().on_message_begin()
-        self.reading_headers = True
-        self.header_bytes = 0
+        self.counts.enter(inbound_counts.Phase.HEADERS)
+        # Bytes that belong to no request don't extend the keep-alive.
+        self._unset_keepalive_if_required()
         self._start_header_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header; trailers are discarded."""
+        if self.counts.phase is inbound_counts.Phase.HEADERS:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Starts the request unless its headers are too large."""
-        self.reading_headers = False
         self._cancel_header_timer()
+        if self.transport.is_closing():
+            return
         size = len(self.url) + sum(len(n) + len(v) for n, v in self.headers)
         if size > self.limits.max_header_bytes:
-            self._refuse_large_headers()
+            self._end_oversized()
             return
+        self.counts.enter(inbound_counts.Phase.BODY)
         super().on_headers_complete()
         if self.shutting_down:
             self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body, unless the request was refused."""
+        self.counts.body += len(body)
         if not self.transport.is_closing():
             super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Completes the body, unless the request was refused."""
+        self.counts.enter(inbound_counts.Phase.BETWEEN)
         if not self.transport.is_closing():
             super().on_message_complete()
 
+    def pause_writing(self) -> None:
+        """Limits the time in which the client must read."""
+        super().pause_writing()
+        self._start_write_timer()
+
+    def resume_writing(self) -> None:
+        """Cancels the limit on reading."""
+        self._cancel_write_timer()
+        super().resume_writing()
+
+    def _start_write_timer(self) -> None:
+        self._cancel_write_timer()
+        unread = self.transport.get_write_buffer_size()
+        self.write_timer = self.loop.call_later(
+            self.limits.write_timeout_s, self._on_write_timeout, unread
+        )
+
+    def _cancel_write_timer(self) -> None:
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+            self.write_timer = None
+
+    def _on_write_timeout(self, unread_before: int) -> None:
+        self.write_timer = None
+        unread = self.transport.get_write_buffer_size()
+        if unread_before - unread >= MIN_READ_BYTES:
+            self._start_write_timer()
+            return
+        count_cut(CutReason.UNREAD_ANSWERS)
+        self.transport.abort()
+
     def send_400_response(self, msg: str) -> None:
         """Responds to data that is not valid HTTP."""
         self.refuse(
@@ -201,7 +287,7 @@
     def shutdown(self) -> None:
         """Closes the connection after the request in progress, if any."""
         self.shutting_down = True
-        if self.reading_headers:
+        if self.counts.phase is inbound_counts.Phase.HEADERS:
             return
         super().shutdown()
 
@@ -212,13 +298,44 @@
         message: str,
         remedy: str,
     ) -> None:
-        """Sends a problem response and closes the connection."""
+        """Sends a problem response and closes the connection.
+
+        Nothing is sent once a request was handed over that may have run: the
+        client would take the response for the one to that request.
+        """
+        in_body = self.counts.phase is inbound_counts.Phase.BODY
+        if in_body or self._is_unanswered():
+            self._cut(CutReason.HANDED_OVER)
+            return
         metrics.add("connections_refused_total", (kind.value,), 1.0)
         problem = errors.Problem(kind, message, remedy)
         self.transport.write(problem_response_bytes(status, problem))
         self.transport.close()
 
-    def _refuse_large_headers(self) -> None:
+    def _cut(self, reason: CutReason) -> None:
+        count_cut(reason)
+        self.transport.close()
+
+    def _refuse_connection(self) -> None:
+        excess = len(self.connections) - self.max_connections
+        if excess > MAX_LINGERING_REFUSALS:
+            count_cut(CutReason.OVERLOADED)
+            self.transport.abort()
+            return
+        self.refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            errors.ProblemKind.OVERLOADED,
+            f"More than {self.max_connections} connections are open.",
+            "Send the request again later, or to another instance.",
+        )
+
+    def _end_oversized(self) -> None:
+        if self.counts.phase is inbound_counts.Phase.BODY:
+            self._cut(CutReason.FRAMING)
+            return
+        if self.counts.phase is inbound_counts.Phase.BETWEEN:
+            self._cut(CutReason.EMPTY_LINES)
+            return
         self.refuse(
             http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             errors.ProblemKind.MALFORMED,
@@ -242,7 +359,7 @@
         self.header_timer = None
         if self.transport.is_closing():
             return
-        if not self.reading_headers:
+        if self.counts.phase is not inbound_counts.Phase.HEADERS:
             # The client has sent no request, so it expects no response.
             self.transport.close()
             return
@@ -258,4 +375,8 @@
 
 def protocol_class(limits: InboundLimits) -> type[InboundProtocol]:
     """Returns a protocol class that applies the given limits."""
-    return type("LimitedProtocol", (InboundProtocol,), {"limits": limits})
+    attributes = {
+        "limits": limits,
+        "max_connections": limits.connection_limit(),
+    }
+    return type("LimitedProtocol", (InboundProtocol,), attributes)
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -28,6 +28,11 @@
         "Inbound connections ended because of a limit, by problem.",
         ["problem"],
     ),
+    "connections_cut_total": prometheus_client.Counter(
+        "dandelionpick_connections_cut_total",
+        "Inbound connections closed without a response because of a limit.",
+        ["reason"],
+    ),
     "faults_total": prometheus_client.Counter(
         "dandelionpick_faults_total",
         "Unexpected exceptions in event handlers, effects and calls.",
--- a/dandelionpick/platform/ingress.py
+++ b/dandelionpick/platform/ingress.py
@@ -14,6 +14,7 @@
 from starlette import routing
 
 from dandelionpick import errors
+from dandelionpick import http_bodies
 from dandelionpick import http_middleware
 from dandelionpick import runtime as runtime_lib
 from dandelionpick.batch import admission
@@ -75,7 +76,7 @@
     limit = catalog.max_body_bytes if catalog else DEFAULT_MAX_BODY_BYTES
     try:
         async with asyncio.timeout(body_timeout_s):
-            body = await _read_body(request, limit)
+            body = await http_bodies.read(request, limit)
     except TimeoutError:
         return admission.refuse(
             errors.ProblemKind.TOO_SLOW,
@@ -109,17 +110,6 @@
     return deadline_ms / 1_000
 
 
-async def _read_body(request: http.Request, limit: int) -> bytes | None:
-    chunks = []
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def respond(reply: Any) -> responses.Response:
     """Builds the HTTP response for a reply."""
     headers = {}
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -22,7 +22,12 @@
 # Small, so that the kernel holds little of what a client does not read.
 RECEIVE_BUFFER_BYTES = 4 * KIB
 ADDRESS = re.compile(r"[\d.]+:\d+")
-SERVER = {"header_timeout_s": 3, "body_timeout_s": 5, "keep_alive_s": 2}
+SERVER = {
+    "header_timeout_s": 3,
+    "body_timeout_s": 5,
+    "keep_alive_s": 2,
+    "write_timeout_s": 2,
+}
 BOUNDS = {
     "revoke_ms": 5_000,
     "run_lease_ms": 10_000,
--- /dev/null
+++ b/tests/inbound_mutants.py
@@ -0,0 +1,54 @@
+"""Mutants that disable the limits on inbound connections."""
+
+from dandelionpick import http_protocol
+from dandelionpick import inbound_counts
+from tests import mutant
+
+INBOUND = ("tests.test_inbound_limits",)
+
+
+def count_no_framing() -> None:
+    """Limits only what the headers of a request hold."""
+    inbound_counts.ByteCounts.exceeds = lambda *arguments: False
+
+
+def parse_all_input() -> None:
+    """Parses pipelined requests before earlier ones have answers."""
+    protocol = http_protocol.InboundProtocol
+    protocol._answers_are_pending = lambda connection: False
+
+
+def refuse_handed_over() -> None:
+    """Sends refusals while an earlier request waits for its answer."""
+    protocol = http_protocol.InboundProtocol
+    protocol._is_unanswered = lambda connection: False
+
+
+def wait_for_readers() -> None:
+    """Lets clients leave their answers unread."""
+    protocol = http_protocol.InboundProtocol
+    protocol._start_write_timer = lambda connection: None
+
+
+MUTANTS = (
+    mutant.Mutant(
+        "trailers, chunk extensions and empty lines are limited",
+        count_no_framing,
+        INBOUND,
+    ),
+    mutant.Mutant(
+        "pipelined requests wait outside the process",
+        parse_all_input,
+        INBOUND,
+    ),
+    mutant.Mutant(
+        "a refusal is never sent in place of an earlier answer",
+        refuse_handed_over,
+        INBOUND,
+    ),
+    mutant.Mutant(
+        "answers that are not read end the connection",
+        wait_for_readers,
+        INBOUND,
+    ),
+)
--- a/tests/mutant_list.py
+++ b/tests/mutant_list.py
@@ -27,6 +27,7 @@
 from dandelionpick import schedule
 from dandelionpick import stalls
 from dandelionpick import store_messages
+from tests import inbound_mutants
 from tests import mutant
 
 # Fast and specific modules come first, because a run ends at the first failing
@@ -377,4 +378,5 @@
         borrow_for_any_job,
         PLACEMENT,
     ),
+    *inbound_mutants.MUTANTS,
 )
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,7 +11,7 @@
 from dandelionpick import dispatch
 from dandelionpick import drain
 from dandelionpick import events
-from dandelionpick import http_protocol
+from dandelionpick import inbound_transport
 from dandelionpick import reducer
 from dandelionpick import reduction
 from dandelionpick import runtime as runtime_lib
@@ -294,7 +294,7 @@
         transport = mock.Mock(asyncio.Transport)
         transport.is_closing.return_value = False
         transport.write_eof.side_effect = OSError(errno.ENOTCONN, "reset")
-        http_protocol.LingeringTransport(transport).close()
+        inbound_transport.LingeringTransport(transport).close()
         transport.abort.assert_called_once_with()
 
     async def test_slow_client_receives_a_large_response_completely(self):
