--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -102,6 +102,7 @@
         limits: set on a subclass by `protocol_class`.
         max_connections: set on a subclass by `protocol_class`.
         counts: bytes received by what they belong to.
+        body_bytes: declared length of the current body; 0 if none is declared.
         held: received bytes that wait until earlier requests have their
             answers.
     """
@@ -112,6 +113,7 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.counts = inbound_counts.ByteCounts()
+        self.body_bytes = 0
         self.held = memoryview(b"")
         self.shutting_down = False
         self.header_timer: asyncio.TimerHandle | None = None
@@ -153,7 +155,14 @@
                 self.flow.holds_input = True
                 self.flow.pause_reading()
                 return
-            data = data[self._feed_part(data[:PART_BYTES]) :]
+            data = data[self._feed_part(data[: self._part_bytes()]) :]
+
+    def _part_bytes(self) -> int:
+        """Returns how many bytes the parser may be fed with at once."""
+        if self.counts.phase is not inbound_counts.Phase.BODY:
+            return PART_BYTES
+        # In the rest of a body of declared length, no other request begins.
+        return max(PART_BYTES, self.body_bytes - self.counts.body)
 
     def _feed_part(self, part: memoryview) -> int:
         """Feeds the parser; returns how many bytes it has taken."""
@@ -217,6 +226,8 @@
         """Adds a header; trailers are discarded."""
         if self.counts.phase is inbound_counts.Phase.HEADERS:
             super().on_header(name, value)
+            if name.lower() == b"content-length":
+                self.body_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Starts the request unless its headers are too large."""
@@ -240,6 +251,7 @@
 
     def on_message_complete(self) -> None:
         """Completes the body, unless the request was refused."""
+        self.body_bytes = 0
         self.counts.enter(inbound_counts.Phase.BETWEEN)
         if not self.transport.is_closing():
             super().on_message_complete()
