Test unfinished bodies on many connections

Each body is inside its limit, and the process holds all of them: 68 MB more with 192 connections, where the bound is 40 MB.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -16,6 +16,8 @@
 # Descriptors that a process may use for other things than the clients.
 SPARE_DESCRIPTORS = 16
 DESCRIPTORS = 96
+# Connections of each client that leave their bodies unfinished.
+CONNECTIONS_EACH = 24
 REQUEST = b"GET /readyz HTTP/1.1\r\nhost: t\r\n"
 METRICS = b"GET /metrics HTTP/1.1\r\nhost: t\r\n\r\n"
 POST = b"POST /v1/peer HTTP/1.1\r\nhost: t\r\n"
@@ -145,6 +147,31 @@
         head = POST + b"content-length: 60000\r\n\r\n"
         await self.run_flood(flood.Input(head, b"x", 10_000, piece_bytes=1))
 
+    async def test_unfinished_bodies_on_many_connections(self):
+        """Each body is inside its limit; all of them together are not."""
+        head = POST + b"content-length: 60000\r\n\r\n"
+        if self.command == "schedule":
+            head = POST + b"content-length: 262000\r\n\r\n"
+        await self.start()
+        for address, probe in self.listeners():
+            with self.subTest(address=address, path=probe[0]):
+                clients = [
+                    await flood.connect(address)
+                    for _ in range(flood.CLIENTS * CONNECTIONS_EACH)
+                ]
+                try:
+                    await self.send_all(
+                        clients, flood.Input(head, b"x", 250 * 1_024)
+                    )
+                    async with asyncio.timeout(flood.FAR_LIMIT_S):
+                        status = await flood.status_of(address, probe[0])
+                    self.assertEqual(status, probe[1])
+                    self.check_memory()
+                finally:
+                    for client in clients:
+                        client.close()
+                self.assertIsNone(self.program.child.poll())
+
     async def test_pipelined_requests(self):
         await self.run_flood(flood.Input(b"", REQUEST + b"\r\n", MIB))
 
