Bound what unfinished bodies of all connections hold together

Cause: each body had a limit, and their sum had none: 192 connections that leave bodies of 250 KiB unfinished raised a process of 53 MB by 68 MB.

Change: a budget of 16 MiB ([server] max_unfinished_bytes) for what they hold beyond 16 KiB each. A request that finds no room is refused before it runs. Connections are read 16 KiB at a time, which also bounds what is held back behind an unanswered request.

--- a/dandelionpick/api.py
+++ b/dandelionpick/api.py
@@ -108,6 +108,17 @@
     return response
 
 
+def overloaded_response() -> responses.Response:
+    """Builds the response to a body that unfinished ones leave no room for."""
+    response = problem_response(
+        errors.ProblemKind.OVERLOADED,
+        "Unfinished messages of other callers use up the memory for them.",
+        "Send the message again later, or to another instance.",
+    )
+    response.headers["connection"] = "close"
+    return response
+
+
 def too_slow_response(timeout_s: float) -> responses.Response:
     """Builds the response to a body that was not received in time."""
     response = problem_response(
@@ -133,6 +144,7 @@
 def post_route(
     runtime: runtime_lib.Runtime,
     body_timeout_s: float,
+    budget: http_bodies.Budget,
     path: str,
     decoder: msgspec.json.Decoder,
 ) -> routing.Route:
@@ -144,9 +156,11 @@
         limit_bytes = runtime.state.limits.max_body_bytes * 4 // 3 + 65_536
         try:
             async with asyncio.timeout(body_timeout_s):
-                body = await http_bodies.read(request, limit_bytes)
+                body = await http_bodies.read(request, limit_bytes, budget)
         except TimeoutError:
             return too_slow_response(body_timeout_s)
+        except http_bodies.BudgetExceededError:
+            return overloaded_response()
         if body is None:
             return too_large_response(limit_bytes)
         try:
@@ -250,17 +264,20 @@
 
 
 def build_app(
-    runtime: runtime_lib.Runtime, body_timeout_s: float
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    budget: http_bodies.Budget,
 ) -> applications.Starlette:
     """Builds the HTTP application of one instance.
 
     Args:
         runtime: drives the instance's reducer.
         body_timeout_s: seconds in which the body of a message must be received.
+        budget: limits what unfinished bodies hold together.
     """
     caller = caller_messages
     operator = operator_messages
-    post = functools.partial(post_route, runtime, body_timeout_s)
+    post = functools.partial(post_route, runtime, body_timeout_s, budget)
     by_path = functools.partial(parameter_route, runtime)
     request_path = "/v1/requests/{organisation}/{key:path}"
     job_path = "/v1/jobs/{organisation}/{key:path}"
--- a/dandelionpick/batch/peer_api.py
+++ b/dandelionpick/batch/peer_api.py
@@ -78,16 +78,24 @@
 
 
 async def _receive(
-    runtime: runtime_lib.Runtime, request: http.Request
+    runtime: runtime_lib.Runtime,
+    budget: http_bodies.Budget,
+    request: http.Request,
 ) -> responses.Response:
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
-            body = await http_bodies.read(request, _limit_bytes(runtime))
+            body = await http_bodies.read(
+                request, _limit_bytes(runtime), budget
+            )
         if body is None:
             return responses.PlainTextResponse(
                 "too large\n", 413, {"connection": "close"}
             )
         message = _message_decoder.decode(body)
+    except http_bodies.BudgetExceededError:
+        return responses.PlainTextResponse(
+            "too many unfinished messages\n", 503, {"connection": "close"}
+        )
     except (TimeoutError, msgspec.DecodeError, RecursionError) as error:
         return responses.PlainTextResponse(f"{error}\n", status_code=400)
     name = type(getattr(message, "request", message)).__name__
@@ -106,13 +114,15 @@
     return responses.Response(text, media_type=content_type)
 
 
-def build(runtime: runtime_lib.Runtime) -> applications.Starlette:
+def build(
+    runtime: runtime_lib.Runtime, budget: http_bodies.Budget
+) -> applications.Starlette:
     """Builds the ASGI application for peers and for metrics scrapers."""
     return applications.Starlette(
         routes=[
             routing.Route(
                 PEER_PATH,
-                functools.partial(_receive, runtime),
+                functools.partial(_receive, runtime, budget),
                 methods=["POST"],
             ),
             routing.Route("/metrics", _show_metrics),
--- a/dandelionpick/batch/wiring.py
+++ b/dandelionpick/batch/wiring.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from dandelionpick import events
+from dandelionpick import http_bodies
 from dandelionpick import http_pools
 from dandelionpick import ids
 from dandelionpick import loop_lag
@@ -81,10 +82,13 @@
             tracer,
             lag,
         )
+        budget = http_bodies.Budget(inbound.max_unfinished_bytes)
         apps = {
-            callers: ingress.build_caller_app(runtime, inbound.body_timeout_s),
+            callers: ingress.build_caller_app(
+                runtime, inbound.body_timeout_s, budget
+            ),
             health: ingress.build_health_app(runtime),
-            peers: peer_api.build(runtime),
+            peers: peer_api.build(runtime, budget),
         }
         ticks = asyncio.ensure_future(runtime.run_ticks())
         logging.info(
--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -20,6 +20,9 @@
 # The parser can't be stopped within what it is fed with. A smaller part limits
 # how many pipelined requests (18 bytes at least) can begin in it.
 PART_BYTES = 2_048
+# The most that is read from a connection at a time, and so held back behind an
+# unanswered request.
+READ_BYTES = 16_384
 # Refused connections that may wait for their close at a time. Each uses a
 # descriptor; further ones are closed without a response.
 MAX_LINGERING_REFUSALS = 16
@@ -41,6 +44,8 @@
             close theirs earlier.
         max_framing_bytes: maximum size of chunk sizes, chunk extensions and
             trailers of a body, beyond 16 bytes for each byte of the body.
+        max_unfinished_bytes: what unfinished bodies of all connections may hold
+            together, beyond 16 KiB of each.
         write_timeout_s: how long pending output may exceed 64 KiB without 64
             KiB being read.
         descriptor_share: inbound connections use at most this share of the
@@ -53,6 +58,7 @@
     body_timeout_s: float = 10.0
     keep_alive_s: float = 60.0
     max_framing_bytes: int = 16_384
+    max_unfinished_bytes: int = 16_777_216
     write_timeout_s: float = 30.0
     descriptor_share: float = 0.5
 
@@ -121,6 +127,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accepts a connection, or refuses it if too many are open."""
+        transport.max_size = READ_BYTES
         super().connection_made(
             inbound_transport.LingeringTransport(
                 transport, self.limits.write_timeout_s
@@ -387,8 +394,6 @@
 
 def protocol_class(limits: InboundLimits) -> type[InboundProtocol]:
     """Returns a protocol class that applies the given limits."""
-    attributes = {
-        "limits": limits,
-        "max_connections": limits.connection_limit(),
-    }
+    most = limits.connection_limit()
+    attributes = {"limits": limits, "max_connections": most}
     return type("LimitedProtocol", (InboundProtocol,), attributes)
--- a/dandelionpick/platform/ingress.py
+++ b/dandelionpick/platform/ingress.py
@@ -44,10 +44,13 @@
 
 
 async def handle(
-    runtime: runtime_lib.Runtime, body_timeout_s: float, request: http.Request
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    budget: http_bodies.Budget,
+    request: http.Request,
 ) -> responses.Response:
     """Handles a caller's request."""
-    message = await _decode_request(runtime, body_timeout_s, request)
+    message = await _decode_request(runtime, body_timeout_s, budget, request)
     if isinstance(message, messages.Refused):
         return respond(message)
     traceparent = request.headers.get("traceparent", "")
@@ -58,7 +61,10 @@
 
 
 async def _decode_request(
-    runtime: runtime_lib.Runtime, body_timeout_s: float, request: http.Request
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    budget: http_bodies.Budget,
+    request: http.Request,
 ) -> Any:
     common_fields = {
         "host": request.headers.get("host", ""),
@@ -72,31 +78,51 @@
         return messages.Inspect(**common_fields)
     if request.method == "DELETE":
         return messages.Cancel(**common_fields)
+    body = await _read_body(runtime, body_timeout_s, budget, request)
+    if isinstance(body, messages.Refused):
+        return body
+    decoded = jobs.decode(body)
+    if not pipeline.is_successful(decoded):
+        return admission.refuse(
+            errors.ProblemKind.MALFORMED,
+            f"The job is not valid: {decoded.failure()}.",
+            "Correct the field that is named and send the job again.",
+        )
+    return messages.Submit(spec=decoded.unwrap(), **common_fields)
+
+
+async def _read_body(
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    budget: http_bodies.Budget,
+    request: http.Request,
+) -> bytes | messages.Refused:
+    """Returns the body of a submission, or why it can't be read."""
     catalog = runtime.state.catalog.current
     limit = catalog.max_body_bytes if catalog else DEFAULT_MAX_BODY_BYTES
     try:
         async with asyncio.timeout(body_timeout_s):
-            body = await http_bodies.read(request, limit)
+            body = await http_bodies.read(request, limit, budget)
     except TimeoutError:
         return admission.refuse(
             errors.ProblemKind.TOO_SLOW,
             f"The body was not received within {body_timeout_s} s.",
             "Send the request again on a new connection.",
         )
+    except http_bodies.BudgetExceededError:
+        return admission.refuse(
+            errors.ProblemKind.OVERLOADED,
+            "Unfinished requests of other callers use up the memory for them.",
+            "Send the request again later, or to another instance.",
+            admission.RETRY_AFTER_S,
+        )
     if body is None:
         return admission.refuse(
             errors.ProblemKind.BODY_TOO_LARGE,
             f"The body is larger than {limit} bytes.",
             "Send a smaller job.",
         )
-    decoded = jobs.decode(body)
-    if not pipeline.is_successful(decoded):
-        return admission.refuse(
-            errors.ProblemKind.MALFORMED,
-            f"The job is not valid: {decoded.failure()}.",
-            "Correct the field that is named and send the job again.",
-        )
-    return messages.Submit(spec=decoded.unwrap(), **common_fields)
+    return body
 
 
 def _deadline_s(request: http.Request) -> float:
@@ -149,14 +175,16 @@
 
 
 def build_caller_app(
-    runtime: runtime_lib.Runtime, body_timeout_s: float
+    runtime: runtime_lib.Runtime,
+    body_timeout_s: float,
+    budget: http_bodies.Budget,
 ) -> applications.Starlette:
     """Builds the application that serves callers."""
     return applications.Starlette(
         routes=[
             routing.Route(
                 "/{path:path}",
-                functools.partial(handle, runtime, body_timeout_s),
+                functools.partial(handle, runtime, body_timeout_s, budget),
                 methods=["GET", "POST", "DELETE"],
             )
         ],
--- a/dandelionpick/wiring.py
+++ b/dandelionpick/wiring.py
@@ -9,6 +9,7 @@
 
 from dandelionpick import api
 from dandelionpick import events
+from dandelionpick import http_bodies
 from dandelionpick import http_client
 from dandelionpick import http_pools
 from dandelionpick import ids
@@ -63,7 +64,11 @@
         host, port = listener.getsockname()
         logging.info("server: listening on %s:%d", host, port)
         finished = await server.serve_until(
-            api.build_app(runtime, inbound.body_timeout_s),
+            api.build_app(
+                runtime,
+                inbound.body_timeout_s,
+                http_bodies.Budget(inbound.max_unfinished_bytes),
+            ),
             [listener],
             runtime.exit_requested,
             lambda: runtime.deliver(events.StopRequested(runtime.moment())),
--- a/tests/http_instance.py
+++ b/tests/http_instance.py
@@ -14,6 +14,7 @@
 from dandelionpick import api
 from dandelionpick import effects
 from dandelionpick import events
+from dandelionpick import http_bodies
 from dandelionpick import http_protocol
 from dandelionpick import ids
 from dandelionpick import kinds
@@ -155,7 +156,9 @@
     host, port = listener.getsockname()
     server_task = asyncio.ensure_future(
         server.serve_until(
-            api.build_app(runtime, inbound.body_timeout_s),
+            api.build_app(
+                runtime, inbound.body_timeout_s, http_bodies.Budget()
+            ),
             [listener],
             runtime.exit_requested,
             lambda: None,
--- a/tests/test_batch_operator_reports.py
+++ b/tests/test_batch_operator_reports.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from dandelionpick import errors
+from dandelionpick import http_bodies
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick import runtime as runtime_lib
@@ -118,7 +119,7 @@
             http_instance.send_unreachable,
             tracing.Tracer("e0", 0.0),
         )
-        app = peer_api.build(runtime)
+        app = peer_api.build(runtime, http_bodies.Budget())
         for frame in self.FRAMES:
             with self.subTest(frame[:40]):
                 self.assertEqual((await self.post(app, frame))[0], 400)
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -7,6 +7,7 @@
 
 from dandelionpick import errors
 from dandelionpick import events
+from dandelionpick import http_bodies
 from dandelionpick import tracing
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
@@ -49,7 +50,8 @@
         **headers: str,
     ) -> tuple[int, dict[str, str], bytes]:
         build = ingress.build_health_app if health else ingress.build_caller_app
-        app = build(runtime) if health else build(runtime, 0.05)
+        budget = http_bodies.Budget()
+        app = build(runtime) if health else build(runtime, 0.05, budget)
         scope = {
             "type": "http",
             "method": method,
