--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -17,11 +17,13 @@
 from dandelionpick import events
 from dandelionpick import ids
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import polling
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import scheduling
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from tests import crest_builders
@@ -60,7 +62,7 @@
     state.election.role = state_lib.Role.LEADING
     state.election.acquired_s = float("inf")
     schedule = schedule_state.Schedule(ids.Epoch(1), 0.0)
-    schedule.stage = schedule_state.Stage.READY
+    schedule.stage = stages.Stage.READY
     state.schedule = schedule
     for number in range(targets):
         add_target(schedule, number)
@@ -105,7 +107,7 @@
 
 def add_job(
     schedule: schedule_state.Schedule, number: int, spec: model.StepSpec
-) -> schedule_state.Job:
+) -> job_state.Job:
     """Adds an accepted job with one step and returns it."""
     record = model.JobRecord(
         ids.QueueName("q"),
@@ -125,12 +127,12 @@
     """Adds a job with one task that runs on a target."""
     job = add_job(schedule, number, model.StepSpec(tasks=1))
     task = job.steps[0, 0].tasks[0]
-    run = schedule_state.Run(
+    run = job_state.Run(
         task.key,
         ids.Attempt(1),
         ids.TargetId(f"t{target}"),
         model.Resources(),
-        schedule_state.RunState.RUNNING,
+        job_state.RunState.RUNNING,
         0.0,
         confirmed_s=0.0,
     )
--- a/dandelionpick/batch/abandoned_starts.py
+++ b/dandelionpick/batch/abandoned_starts.py
@@ -14,6 +14,7 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
+from dandelionpick.batch import job_state
 from dandelionpick.batch import orders
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
@@ -35,15 +36,13 @@
     target: ids.TargetId
 
 
-def record(target: schedule_state.Target, run: schedule_state.Run) -> None:
+def record(target: schedule_state.Target, run: job_state.Run) -> None:
     """Records a run that is given up, if its start got no reply."""
     if run.unresolved_s < float("inf") and run.confirmed_s == float("inf"):
         record_order(target, run)
 
 
-def record_order(
-    target: schedule_state.Target, run: schedule_state.Run
-) -> None:
+def record_order(target: schedule_state.Target, run: job_state.Run) -> None:
     """Records that an order to start a run may still be carried out."""
     target.abandoned_starts[run.task, run.attempt] = run.ordered_s
 
--- a/dandelionpick/batch/crash_budget.py
+++ b/dandelionpick/batch/crash_budget.py
@@ -13,6 +13,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import job_ends
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
@@ -34,7 +35,7 @@
 
 
 def record_crash(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State, step: dispatch.Step, run: job_state.Run
 ) -> None:
     """Counts the crash of a run's target."""
     schedule = state.schedule
@@ -61,8 +62,8 @@
 def end_if_exhausted(
     state: state_lib.State,
     step: dispatch.Step,
-    job: schedule_state.Job,
-    tasks: Iterable[schedule_state.Task],
+    job: job_state.Job,
+    tasks: Iterable[job_state.Task],
 ) -> bool:
     """Ends a job as failed if too many targets crashed under one of its tasks.
 
--- a/dandelionpick/batch/departures.py
+++ b/dandelionpick/batch/departures.py
@@ -12,9 +12,11 @@
 
 from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick.batch import job_state
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 
@@ -58,7 +60,7 @@
         schedule is None
         or not schedule.departures
         or not schedule.features.departures
-        or schedule.stage is not schedule_state.Stage.READY
+        or schedule.stage is not stages.Stage.READY
     ):
         return
     now_s = step.moment.now_s
@@ -77,7 +79,7 @@
     leaves_s: float,
     now_s: float,
     limits: state_lib.Limits,
-) -> Iterator[schedule_state.Run]:
+) -> Iterator[job_state.Run]:
     """Returns the runs of a target that have to be stopped now."""
     for run in list(target.runs.values()):
         job = schedule.jobs.get(run.task.job_id)
@@ -86,7 +88,7 @@
             job is None
             or not step_run
             or job.ended
-            or run.state is not schedule_state.RunState.RUNNING
+            or run.state is not job_state.RunState.RUNNING
         ):
             continue
         rest_s = run_times.remaining_s(schedule, run, now_s)
@@ -125,7 +127,7 @@
 def _move(
     state: state_lib.State,
     step: dispatch.Step,
-    run: schedule_state.Run,
+    run: job_state.Run,
     leaves_s: float,
 ) -> None:
     """Stops a run and its gang, so that they start again elsewhere."""
--- a/dandelionpick/batch/evacuations.py
+++ b/dandelionpick/batch/evacuations.py
@@ -12,6 +12,7 @@
 from dandelionpick.batch import evacuation_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 from dandelionpick.batch import watches
@@ -139,7 +140,7 @@
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
     """Counts what still runs in evacuated domains, and logs their progress."""
     schedule = state.schedule
-    if schedule is None or schedule.stage is not schedule_state.Stage.READY:
+    if schedule is None or schedule.stage is not stages.Stage.READY:
         return
     for domain, evacuation in schedule.evacuations.by_domain.items():
         _count_runs(schedule, domain, evacuation)
--- a/dandelionpick/batch/gang_reservations.py
+++ b/dandelionpick/batch/gang_reservations.py
@@ -21,6 +21,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import contention
 from dandelionpick.batch import headroom
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import pass_capacity
 from dandelionpick.batch import preemption_gain
@@ -53,10 +54,10 @@
 
 
 def remaining_s(
-    schedule: schedule_state.Schedule, run: schedule_state.Run, now_s: float
+    schedule: schedule_state.Schedule, run: job_state.Run, now_s: float
 ) -> float:
     """Returns how long a run is expected to last."""
-    if run.state is schedule_state.RunState.STOPPING:
+    if run.state is job_state.RunState.STOPPING:
         return 0.0
     rest_s = run_times.remaining_s(schedule, run, now_s)
     job = schedule.jobs.get(run.task.job_id)
--- a/dandelionpick/batch/guarantees.py
+++ b/dandelionpick/batch/guarantees.py
@@ -9,6 +9,7 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import catalog as catalog_lib
+from dandelionpick.batch import job_state
 from dandelionpick.batch import schedule_state
 
 URGENT_PRIORITY = 0
@@ -45,14 +46,14 @@
     return frozenset(exceeding)
 
 
-def peak_accelerators(job: schedule_state.Job) -> int:
+def peak_accelerators(job: job_state.Job) -> int:
     """Returns the accelerators of the job's step that needs the most."""
     return max(
         step.tasks * step.needs.accelerators for step in job.record.spec.steps
     )
 
 
-def rank(schedule: schedule_state.Schedule, job: schedule_state.Job) -> float:
+def rank(schedule: schedule_state.Schedule, job: job_state.Job) -> float:
     """Returns a job's rank; jobs of a lower rank go first and may preempt."""
     priority = job.record.terms.priority
     return priority + OVER_GUARANTEE_RANK_OFFSET * (
--- a/dandelionpick/batch/headroom.py
+++ b/dandelionpick/batch/headroom.py
@@ -14,6 +14,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
@@ -46,9 +47,7 @@
     return {pool: int(count * factor) for pool, count in requested.items()}
 
 
-def slack_s(
-    schedule: schedule_state.Schedule, job: schedule_state.Job
-) -> float:
+def slack_s(schedule: schedule_state.Schedule, job: job_state.Job) -> float:
     """Returns how long a job can wait before it misses its objective."""
     terms = job.record.terms
     expected_s = run_times.job_expected_s(schedule, job)
--- a/dandelionpick/batch/incarnations.py
+++ b/dandelionpick/batch/incarnations.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import schedule_state
 
@@ -125,7 +126,7 @@
     return target.entry.started_ms
 
 
-def start_ms_of(run: schedule_state.Run) -> int:
+def start_ms_of(run: job_state.Run) -> int:
     """Returns the start of the incarnation that has a run, or may have it.
 
     Returns:
@@ -135,20 +136,18 @@
     return run.confirmed_by_ms or run.sent_to_ms
 
 
-def has_ended_with(run: schedule_state.Run, started_ms: int) -> bool:
+def has_ended_with(run: job_state.Run, started_ms: int) -> bool:
     """Returns whether a run is gone when a later incarnation has started.
 
     The later one may have carried out a start that the earlier one has not
     confirmed, or may still do so.
     """
-    if run.state is schedule_state.RunState.PLANNED:
+    if run.state is job_state.RunState.PLANNED:
         return True
     return 0 < run.confirmed_by_ms < started_ms
 
 
-def precedes_restart(
-    target: schedule_state.Target, run: schedule_state.Run
-) -> bool:
+def precedes_restart(target: schedule_state.Target, run: job_state.Run) -> bool:
     """Returns whether a run was sent to, or ran on, an earlier incarnation."""
     return 0 < start_ms_of(run) < target.started_ms
 
--- a/dandelionpick/batch/inspection.py
+++ b/dandelionpick/batch/inspection.py
@@ -20,7 +20,7 @@
 from dandelionpick.batch import open_requests
 from dandelionpick.batch import relaying
 from dandelionpick.batch import saving
-from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 
@@ -51,7 +51,7 @@
 def is_ready_scheduler(state: state_lib.State) -> bool:
     """Returns whether this instance knows the state of all jobs."""
     schedule = state.schedule
-    return schedule is not None and schedule.stage is schedule_state.Stage.READY
+    return schedule is not None and schedule.stage is stages.Stage.READY
 
 
 def inspect(
--- a/dandelionpick/batch/job_ends.py
+++ b/dandelionpick/batch/job_ends.py
@@ -3,16 +3,16 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
-from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
 
 def end(
     state: state_lib.State,
     step: dispatch.Step,
-    job: schedule_state.Job,
+    job: job_state.Job,
     job_state: model.JobState,
 ) -> None:
     """Ends a job and stops its remaining runs."""
@@ -39,7 +39,7 @@
 
 
 def cancel(
-    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+    state: state_lib.State, step: dispatch.Step, job: job_state.Job
 ) -> None:
     """Cancels a job that has not ended."""
     job.cancelled = True
@@ -47,7 +47,7 @@
 
 
 def end_if_complete(
-    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+    state: state_lib.State, step: dispatch.Step, job: job_state.Job
 ) -> None:
     """Ends a job whose last task is done."""
     if not job.ended and job_progress.is_complete(job):
--- a/dandelionpick/batch/job_progress.py
+++ b/dandelionpick/batch/job_progress.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection
 
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
-from dandelionpick.batch import schedule_state
 
 
 def build_job(
@@ -12,9 +12,9 @@
     record: model.JobRecord,
     accepted_revision: int,
     progress: model.Progress | None,
-) -> schedule_state.Job:
+) -> job_state.Job:
     """Builds a job from its stored record and progress."""
-    job = schedule_state.Job(job_id, record, accepted_revision)
+    job = job_state.Job(job_id, record, accepted_revision)
     if progress is not None:
         job.progress = progress
         job.shown = progress.state
@@ -27,24 +27,24 @@
 
 
 def _build_step(
-    job: schedule_state.Job,
+    job: job_state.Job,
     occurrence: int,
     number: int,
     spec: model.StepSpec,
-) -> schedule_state.StepRun:
+) -> job_state.StepRun:
     done = set(job.progress.done.get(f"{occurrence}.{number}", ()))
     tasks = []
     for index in range(spec.tasks):
         key = model.TaskKey(job.id, occurrence, number, index)
-        task = schedule_state.Task(key, index in done)
+        task = job_state.Task(key, index in done)
         task.failures = len(job.progress.failures.get(key.task_name(), ()))
         task.records = job.progress.runs.get(key.task_name(), [])
         tasks.append(task)
     left = spec.tasks - len(done)
-    return schedule_state.StepRun(spec, occurrence, number, tasks, left)
+    return job_state.StepRun(spec, occurrence, number, tasks, left)
 
 
-def due_ms(job: schedule_state.Job, occurrence: int) -> int:
+def due_ms(job: job_state.Job, occurrence: int) -> int:
     """Returns when an occurrence is due, in Unix ms; 0 if the job has none."""
     spec = job.record.spec
     if not spec.occurrences:
@@ -53,7 +53,7 @@
 
 
 def open_steps(
-    job: schedule_state.Job, now_s: float, unix_ms: int, early_s: float
+    job: job_state.Job, now_s: float, unix_ms: int, early_s: float
 ) -> bool:
     """Opens the steps that are ready; returns whether there are any.
 
@@ -77,7 +77,7 @@
 
 
 def record_done(
-    job: schedule_state.Job, step: schedule_state.StepRun, task_index: int
+    job: job_state.Job, step: job_state.StepRun, task_index: int
 ) -> None:
     """Records that a task is done."""
     task = step.tasks[task_index]
@@ -90,7 +90,7 @@
 
 
 def record_failure(
-    job: schedule_state.Job, task: schedule_state.Task, attempt: ids.Attempt
+    job: job_state.Job, task: job_state.Task, attempt: ids.Attempt
 ) -> None:
     """Counts a failed attempt of a task, once."""
     attempts = job.progress.failures.setdefault(task.key.task_name(), [])
@@ -101,8 +101,8 @@
 
 
 def record_run(
-    job: schedule_state.Job,
-    task: schedule_state.Task,
+    job: job_state.Job,
+    task: job_state.Task,
     record: model.RunRecord,
 ) -> bool:
     """Adds a run that has not ended, or replaces its record.
@@ -118,8 +118,8 @@
 
 
 def remove_runs(
-    job: schedule_state.Job,
-    task: schedule_state.Task,
+    job: job_state.Job,
+    task: job_state.Task,
     attempts: Collection[ids.Attempt],
 ) -> bool:
     """Removes the records of attempts.
@@ -135,8 +135,8 @@
 
 
 def _set_records(
-    job: schedule_state.Job,
-    task: schedule_state.Task,
+    job: job_state.Job,
+    task: job_state.Task,
     records: list[model.RunRecord],
 ) -> None:
     task.records = records
@@ -149,14 +149,12 @@
     task.records_version = job.version
 
 
-def is_complete(job: schedule_state.Job) -> bool:
+def is_complete(job: job_state.Job) -> bool:
     """Returns whether all tasks are done."""
     return all(step.tasks_left == 0 for step in job.steps.values())
 
 
-def record_end(
-    job: schedule_state.Job, state: model.JobState, unix_ms: int
-) -> None:
+def record_end(job: job_state.Job, state: model.JobState, unix_ms: int) -> None:
     """Records that a job has ended; callers see it once it is stored."""
     job.progress.state = state
     job.progress.ended_ms = unix_ms
--- a/dandelionpick/batch/locality.py
+++ b/dandelionpick/batch/locality.py
@@ -10,6 +10,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import capacity_views
 from dandelionpick.batch import evacuations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_times
 from dandelionpick.batch import schedule_state
@@ -32,8 +33,8 @@
 
 def may_relax_locality(
     schedule: schedule_state.Schedule,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
     now_s: float,
 ) -> bool:
     """Returns whether a step may start in another rack, or in several."""
--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -9,6 +9,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import fencing
 from dandelionpick.batch import incarnations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import run_records
 from dandelionpick.batch import runs
@@ -35,7 +36,7 @@
     """Context of a call that starts a run."""
 
     epoch: ids.Epoch
-    run: schedule_state.Run
+    run: job_state.Run
     snapshot: incarnations.Snapshot
 
 
@@ -44,7 +45,7 @@
     """Context of a call that stops a run."""
 
     epoch: ids.Epoch
-    run: schedule_state.Run
+    run: job_state.Run
     snapshot: incarnations.Snapshot
 
 
@@ -82,19 +83,19 @@
 
 def add_run(
     schedule: schedule_state.Schedule,
-    task: schedule_state.Task,
-    step_run: schedule_state.StepRun,
+    task: job_state.Task,
+    step_run: job_state.StepRun,
     target_id: ids.TargetId,
     attempt: ids.Attempt,
     now_s: float,
-) -> schedule_state.Run:
+) -> job_state.Run:
     """Adds a run of a task, whose start is to be sent to a target."""
-    run = schedule_state.Run(
+    run = job_state.Run(
         task.key,
         attempt,
         target_id,
         runs.occupied_resources(step_run.spec),
-        schedule_state.RunState.ORDERED,
+        job_state.RunState.ORDERED,
         now_s,
         sent_to_ms=incarnations.known_start_ms(schedule.targets[target_id]),
         progressed_s=now_s,
@@ -107,7 +108,7 @@
 
 
 def send_start(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State, step: dispatch.Step, run: job_state.Run
 ) -> None:
     """Orders a target to start a run, without waiting for the reply."""
     schedule = state.schedule
@@ -136,13 +137,13 @@
 
 
 def stop(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State, step: dispatch.Step, run: job_state.Run
 ) -> None:
     """Stops a run; its resources are freed once its end is listed."""
     schedule = state.schedule
     assert schedule is not None
-    if run.state is not schedule_state.RunState.UNRESOLVED:
-        run.state = schedule_state.RunState.STOPPING
+    if run.state is not job_state.RunState.UNRESOLVED:
+        run.state = job_state.RunState.STOPPING
     if run.stop_pending or run.stopped_s < step.moment.now_s:
         return
     target = schedule.targets.get(run.target)
@@ -161,7 +162,7 @@
 
 
 def stop_job(
-    state: state_lib.State, step: dispatch.Step, job: schedule_state.Job
+    state: state_lib.State, step: dispatch.Step, job: job_state.Job
 ) -> None:
     """Stops all runs of a job."""
     for step_run in job.steps.values():
@@ -171,7 +172,7 @@
 def stop_step(
     state: state_lib.State,
     step: dispatch.Step,
-    step_run: schedule_state.StepRun,
+    step_run: job_state.StepRun,
 ) -> None:
     """Stops all runs of a step."""
     for task in step_run.tasks:
@@ -180,7 +181,7 @@
 
 
 def stop_other_gang_members(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State, step: dispatch.Step, run: job_state.Run
 ) -> None:
     """Stops the other members of a run's gang, which can't work without it."""
     schedule = state.schedule
@@ -198,7 +199,7 @@
 def _target_if_current(
     state: state_lib.State,
     epoch: ids.Epoch,
-    run: schedule_state.Run,
+    run: job_state.Run,
 ) -> schedule_state.Target | None:
     """Returns the run's target, or None if the run or epoch is obsolete."""
     schedule = state.schedule
@@ -244,10 +245,10 @@
         return
     if isinstance(reply, target_api.Obeyed):
         if run.state in (
-            schedule_state.RunState.ORDERED,
-            schedule_state.RunState.UNRESOLVED,
+            job_state.RunState.ORDERED,
+            job_state.RunState.UNRESOLVED,
         ):
-            run.state = schedule_state.RunState.RUNNING
+            run.state = job_state.RunState.RUNNING
         _record_started(state, step, context, target, reply)
         return
     _handle_not_started(state, step, run, target, str(reply.problem.value))
@@ -299,8 +300,8 @@
         _handle_not_started(state, step, run, target, failure.value)
         return
     target.backoff_until_s = step.moment.now_s + BACKOFF_S
-    if run.state is schedule_state.RunState.ORDERED:
-        run.state = schedule_state.RunState.UNRESOLVED
+    if run.state is job_state.RunState.ORDERED:
+        run.state = job_state.RunState.UNRESOLVED
         run.unresolved_s = step.moment.now_s
         # A listing in progress may still wait for an end; a new one returns at
         # once.
@@ -311,7 +312,7 @@
 def _handle_not_started(
     state: state_lib.State,
     step: dispatch.Step,
-    run: schedule_state.Run,
+    run: job_state.Run,
     target: schedule_state.Target,
     reason: str,
 ) -> None:
--- a/dandelionpick/batch/planned_starts.py
+++ b/dandelionpick/batch/planned_starts.py
@@ -17,6 +17,7 @@
 from dandelionpick.batch import crash_budget
 from dandelionpick.batch import evacuations
 from dandelionpick.batch import incarnations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import polling
@@ -40,13 +41,13 @@
 def plan(
     state: state_lib.State,
     step: dispatch.Step,
-    planned: Sequence[schedule_state.Run],
+    planned: Sequence[job_state.Run],
 ) -> None:
     """Records the starts of a unit and lists the targets that are to run it."""
     schedule = state.schedule
     assert schedule is not None
     for run in planned:
-        run.state = schedule_state.RunState.PLANNED
+        run.state = job_state.RunState.PLANNED
         run_records.record_planned(schedule, run)
     schedule.planned_starts.append(list(planned))
     for target_id in {run.target for run in planned}:
@@ -71,28 +72,22 @@
             schedule.planned_starts.append(planned)
 
 
-def _is_planned(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
-) -> bool:
+def _is_planned(schedule: schedule_state.Schedule, run: job_state.Run) -> bool:
     target = schedule.targets.get(run.target)
     return (
-        run.state is schedule_state.RunState.PLANNED
+        run.state is job_state.RunState.PLANNED
         and target is not None
         and target.runs.get((run.task, run.attempt)) is run
     )
 
 
-def _is_ready(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
-) -> bool:
+def _is_ready(schedule: schedule_state.Schedule, run: job_state.Run) -> bool:
     """Returns whether a start is stored, and its target has answered."""
     target = schedule.targets[run.target]
     return _has_answered(target, run) and run_records.is_stored(schedule, run)
 
 
-def _has_answered(
-    target: schedule_state.Target, run: schedule_state.Run
-) -> bool:
+def _has_answered(target: schedule_state.Target, run: job_state.Run) -> bool:
     """Returns whether a target has answered since a start was planned."""
     return target.clock_s >= run.ordered_s
 
@@ -100,7 +95,7 @@
 def _find_problem(
     state: state_lib.State,
     step: dispatch.Step,
-    planned: Sequence[schedule_state.Run],
+    planned: Sequence[job_state.Run],
 ) -> str:
     """Returns why planned starts can't be sent any more, or ""."""
     schedule = state.schedule
@@ -122,7 +117,7 @@
 
 
 def _describe_delay(
-    schedule: schedule_state.Schedule, planned: Sequence[schedule_state.Run]
+    schedule: schedule_state.Schedule, planned: Sequence[job_state.Run]
 ) -> str:
     """Returns what planned starts are still waiting for."""
     for run in planned:
@@ -150,12 +145,12 @@
 def _send(
     state: state_lib.State,
     step: dispatch.Step,
-    planned: Sequence[schedule_state.Run],
+    planned: Sequence[job_state.Run],
 ) -> None:
     schedule = state.schedule
     assert schedule is not None
     for run in planned:
-        run.state = schedule_state.RunState.ORDERED
+        run.state = job_state.RunState.ORDERED
         run.ordered_s = run.progressed_s = step.moment.now_s
         orders.send_start(state, step, run)
         crash_budget.observe(schedule, run.target, step.moment.now_s)
@@ -164,7 +159,7 @@
 def _drop(
     state: state_lib.State,
     step: dispatch.Step,
-    planned: Sequence[schedule_state.Run],
+    planned: Sequence[job_state.Run],
     reason: str,
 ) -> None:
     """Gives up planned starts; none of them was sent."""
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -1,5 +1,6 @@
 """Lists the runs of each target, which also extends their lease."""
 
+import collections
 import dataclasses
 from typing import Any
 
@@ -10,6 +11,7 @@
 from dandelionpick.batch import abandoned_starts
 from dandelionpick.batch import fencing
 from dandelionpick.batch import incarnations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import listing_order
 from dandelionpick.batch import model
@@ -20,6 +22,7 @@
 from dandelionpick.batch import run_resolution
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
@@ -57,7 +60,7 @@
     now_s = step.moment.now_s
     if schedule is None or not leadership_bounds.may_list(state, now_s):
         return
-    if schedule.stage is schedule_state.Stage.READING:
+    if schedule.stage is stages.Stage.READING:
         return
     leadership_bounds.record_obedience(schedule)
     if leadership_bounds.may_send_orders(state, now_s):
@@ -116,17 +119,13 @@
 
 
 def _wait_s(target: schedule_state.Target) -> float:
-    if not target.runs or any(
-        run.state is schedule_state.RunState.PLANNED
-        and target.clock_s < run.ordered_s
-        for run in target.runs.values()
-    ):
+    in_state = collections.defaultdict(list)
+    for run in target.runs.values():
+        in_state[run.state].append(run)
+    planned = in_state[job_state.RunState.PLANNED]
+    if not target.runs or any(target.clock_s < it.ordered_s for it in planned):
         return 0.0
-    unresolved = [
-        run
-        for run in target.runs.values()
-        if run.state is schedule_state.RunState.UNRESOLVED
-    ]
+    unresolved = in_state[job_state.RunState.UNRESOLVED]
     if not unresolved:
         return WAIT_S
     stopped = all(run.stop_sent_s > float("-inf") for run in unresolved)
@@ -263,7 +262,7 @@
     run_resolution.stop_missing_unresolved(state, step, target, context.sent_s)
     target_health.reschedule_stalled_runs(state, step, target)
     has_stored_ends = _drop_stored_ends(schedule, target) > target.acknowledged
-    if schedule.stage is schedule_state.Stage.FENCING:
+    if schedule.stage is stages.Stage.FENCING:
         # The next targets are listed without waiting for a tick.
         tick(state, step)
     if target.ends and not has_stored_ends:
@@ -345,10 +344,10 @@
     if run is None:
         run = _adopt(state, step, target, running)
     if run.state in (
-        schedule_state.RunState.ORDERED,
-        schedule_state.RunState.UNRESOLVED,
+        job_state.RunState.ORDERED,
+        job_state.RunState.UNRESOLVED,
     ):
-        run.state = schedule_state.RunState.RUNNING
+        run.state = job_state.RunState.RUNNING
     run_records.record_running(schedule, run, now_s, target.started_ms)
     if running.percent > run.percent:
         run.progressed_s = now_s
@@ -363,7 +362,7 @@
     step: dispatch.Step,
     target: schedule_state.Target,
     running: target_api.Running,
-) -> schedule_state.Run:
+) -> job_state.Run:
     """Takes over a run that an earlier scheduler started."""
     schedule = state.schedule
     assert schedule is not None
@@ -374,12 +373,12 @@
     if task is not None and job is not None:
         spec = job.steps[running.task.occurrence, running.task.step].spec
         needs = runs.occupied_resources(spec)
-    run = schedule_state.Run(
+    run = job_state.Run(
         running.task,
         running.attempt,
         target.id,
         needs,
-        schedule_state.RunState.RUNNING,
+        job_state.RunState.RUNNING,
         now_s,
         job_known=task is not None,
         progressed_s=now_s,
--- a/dandelionpick/batch/preemption.py
+++ b/dandelionpick/batch/preemption.py
@@ -20,6 +20,7 @@
 from dandelionpick.batch import capacity_views
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import guarantees
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import placement
@@ -36,8 +37,8 @@
 # A start without a reply may still take effect, and stops of its gang are on
 # their way.
 PREEMPTIBLE_STATES = (
-    schedule_state.RunState.RUNNING,
-    schedule_state.RunState.STOPPING,
+    job_state.RunState.RUNNING,
+    job_state.RunState.STOPPING,
 )
 # Cost factor between work of one priority and the next higher one.
 PRIORITY_WEIGHT = 4.0
@@ -87,10 +88,10 @@
     return victim.remaining_s
 
 
-def _is_stopping(runs: Sequence[schedule_state.Run]) -> bool:
+def _is_stopping(runs: Sequence[job_state.Run]) -> bool:
     """Returns whether all runs are being stopped already."""
     return bool(runs) and all(
-        run.state is schedule_state.RunState.STOPPING for run in runs
+        run.state is job_state.RunState.STOPPING for run in runs
     )
 
 
@@ -201,8 +202,8 @@
 
 
 def _preemption_groups(
-    step_run: schedule_state.StepRun,
-) -> list[list[schedule_state.Task]]:
+    step_run: job_state.StepRun,
+) -> list[list[job_state.Task]]:
     if step_run.spec.gang:
         return [step_run.tasks]
     return [[task] for task in step_run.tasks]
@@ -210,8 +211,8 @@
 
 def _make_victim(
     schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    tasks: Sequence[schedule_state.Task],
+    step_run: job_state.StepRun,
+    tasks: Sequence[job_state.Task],
     rank_gap: float,
     now_s: float,
 ) -> victim_choice.Victim | None:
@@ -236,7 +237,7 @@
 
 
 def _occupied(
-    runs: Sequence[schedule_state.Run],
+    runs: Sequence[job_state.Run],
 ) -> dict[ids.TargetId, model.Resources]:
     """Returns what runs occupy, by target."""
     resources: dict[ids.TargetId, model.Resources] = {}
@@ -247,7 +248,7 @@
 
 
 def _lost_core_seconds(
-    spec: model.StepSpec, run: schedule_state.Run, now_s: float
+    spec: model.StepSpec, run: job_state.Run, now_s: float
 ) -> float:
     """Returns the core seconds of work that are lost if a run is stopped."""
     worked_s = 0.0 if spec.checkpoints else now_s - run.ordered_s
--- a/dandelionpick/batch/preemption_gain.py
+++ b/dandelionpick/batch/preemption_gain.py
@@ -5,8 +5,8 @@
 stop what is worth much more than itself.
 """
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
-from dandelionpick.batch import schedule_state
 
 # Stopping a run that is expected to end within this time gains nothing.
 NEAR_END_S = 0.3
@@ -23,7 +23,7 @@
     return needs.cpu_millis / 1_000 + needs.accelerators * CORES_PER_ACCELERATOR
 
 
-def remaining_s(run: schedule_state.Run, now_s: float) -> float:
+def remaining_s(run: job_state.Run, now_s: float) -> float:
     """Returns how long a run is expected to last; inf if that is unknown."""
     done = run.percent - run.first_percent
     if done <= 0:
--- a/dandelionpick/batch/retention.py
+++ b/dandelionpick/batch/retention.py
@@ -7,7 +7,8 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick import kinds
-from dandelionpick.batch import schedule_state
+from dandelionpick.batch import job_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 from dandelionpick.batch import target_registry
@@ -25,7 +26,7 @@
     """Context of a commit that removes ended jobs."""
 
     epoch: ids.Epoch
-    jobs: tuple[schedule_state.Job, ...]
+    jobs: tuple[job_state.Job, ...]
 
 
 def tick(state: state_lib.State, step: dispatch.Step) -> None:
@@ -34,7 +35,7 @@
     now_s = step.moment.now_s
     if (
         schedule is None
-        or schedule.stage is not schedule_state.Stage.READY
+        or schedule.stage is not stages.Stage.READY
         or now_s < schedule.sweep_at_s
     ):
         return
@@ -76,7 +77,7 @@
     state_lib.call_store(state, step, commit, context)
 
 
-def _key_of(job: schedule_state.Job) -> str:
+def _key_of(job: job_state.Job) -> str:
     return state_lib.JOBS_PREFIX + job.id
 
 
@@ -90,7 +91,7 @@
     schedule = state.schedule
     if schedule is None or schedule.epoch != context.epoch:
         return
-    removed: list[schedule_state.Job] = []
+    removed: list[job_state.Job] = []
     if isinstance(reply, store_api.Committed):
         removed += context.jobs
     elif isinstance(reply, store_api.Conflict):
--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -23,6 +23,7 @@
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 from dandelionpick.batch import target_registry
@@ -106,7 +107,7 @@
     """
     schedule = state.schedule
     if schedule is not None and (
-        schedule.stage is not schedule_state.Stage.READY
+        schedule.stage is not stages.Stage.READY
         or len(schedule.targets) > len(schedule.roster.addresses)
     ):
         tick(state, step)
@@ -246,7 +247,7 @@
         return
     for target_id, address in schedule.roster.addresses.items():
         target_registry.add_unregistered(schedule, target_id, address)
-    if schedule.stage is schedule_state.Stage.READING:
+    if schedule.stage is stages.Stage.READING:
         _set_unlisted_deadlines(schedule, state, step)
 
 
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -10,6 +10,7 @@
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import job_ends
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_records
@@ -130,7 +131,7 @@
 def mark_lost(
     state: state_lib.State,
     step: dispatch.Step,
-    run: schedule_state.Run,
+    run: job_state.Run,
     loss: Loss,
 ) -> None:
     """Removes a run that is gone without having ended."""
@@ -154,7 +155,7 @@
     runs.keep_checkpoint(schedule, run, run.checkpoint, run.percent)
     orders.stop_other_gang_members(state, step, run)
     runs.remove(schedule, run)
-    if loss in CRASHES and run.state is not schedule_state.RunState.PLANNED:
+    if loss in CRASHES and run.state is not job_state.RunState.PLANNED:
         crash_budget.record_crash(state, step, run)
     else:
         run_records.forget_run(schedule, run.task, run.attempt)
@@ -194,7 +195,7 @@
     state: state_lib.State,
     step: dispatch.Step,
     target: schedule_state.Target,
-    job: schedule_state.Job,
+    job: job_state.Job,
     ended: target_api.Ended,
 ) -> None:
     schedule = state.schedule
@@ -235,8 +236,8 @@
 def _record_failed(
     state: state_lib.State,
     step: dispatch.Step,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
     ended: target_api.Ended,
 ) -> None:
     """Counts a failed run; failures of a gang are counted on its first task."""
@@ -259,8 +260,8 @@
 
 
 def _record_done(
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
     ended: target_api.Ended,
 ) -> None:
     """Records that a task is done; one member of a gang stands for all."""
@@ -274,7 +275,7 @@
 def _stop_other_attempts(
     state: state_lib.State,
     step: dispatch.Step,
-    step_run: schedule_state.StepRun,
+    step_run: job_state.StepRun,
     ended: target_api.Ended,
 ) -> None:
     """Stops the other attempts of a task that is done.
--- a/dandelionpick/batch/run_records.py
+++ b/dandelionpick/batch/run_records.py
@@ -8,6 +8,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import incarnations
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 
@@ -27,7 +28,7 @@
 
 def record_running(
     schedule: schedule_state.Schedule,
-    run: schedule_state.Run,
+    run: job_state.Run,
     now_s: float,
     started_ms: int,
 ) -> None:
@@ -56,15 +57,13 @@
 
 
 def record_planned(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
+    schedule: schedule_state.Schedule, run: job_state.Run
 ) -> None:
     """Records a start before it is sent."""
     _record_start(schedule, run, model.CrashEvidence.UNCONFIRMED)
 
 
-def is_stored(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
-) -> bool:
+def is_stored(schedule: schedule_state.Schedule, run: job_state.Run) -> bool:
     """Returns whether the store has the present records of a run's task."""
     found = _find_unfinished(schedule, run.task)
     if found is None:
@@ -88,7 +87,7 @@
 
 def _record_start(
     schedule: schedule_state.Schedule,
-    run: schedule_state.Run,
+    run: job_state.Run,
     evidence: model.CrashEvidence,
 ) -> None:
     found = _find_unfinished(schedule, run.task)
@@ -112,7 +111,7 @@
 
 
 def _forget_earlier_runs(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
+    schedule: schedule_state.Schedule, run: job_state.Run
 ) -> None:
     found = _find_unfinished(schedule, run.task)
     if found is None:
@@ -131,7 +130,7 @@
 
 def record_crash(
     schedule: schedule_state.Schedule,
-    run: schedule_state.Run,
+    run: job_state.Run,
     now_s: float,
 ) -> None:
     """Records that a run was lost in a crash of its target."""
@@ -157,7 +156,7 @@
 
 
 def _judge(
-    target: schedule_state.Target, run: schedule_state.Run
+    target: schedule_state.Target, run: job_state.Run
 ) -> model.CrashEvidence:
     if run.confirmed_s == float("inf"):
         return model.CrashEvidence.UNCONFIRMED
@@ -181,7 +180,7 @@
 
 def _find_unfinished(
     schedule: schedule_state.Schedule, key: model.TaskKey
-) -> tuple[schedule_state.Job, schedule_state.Task] | None:
+) -> tuple[job_state.Job, job_state.Task] | None:
     """Returns a task and its job, or None if either has ended."""
     job = schedule.jobs.get(key.job_id)
     task = schedule.task_of(key)
@@ -191,7 +190,7 @@
 
 
 def crashes(
-    schedule: schedule_state.Schedule, task: schedule_state.Task
+    schedule: schedule_state.Schedule, task: job_state.Task
 ) -> list[model.RunRecord]:
     """Returns the runs of a task that were lost in crashes of their targets."""
     return [
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -10,6 +10,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import incarnations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import run_endings
@@ -53,10 +54,10 @@
     if target.failed and lapsed and target.runs:
         _drop_lost_runs(state, step, target)
     for run in list(target.runs.values()):
-        unresolved = run.state is schedule_state.RunState.UNRESOLVED
+        unresolved = run.state is job_state.RunState.UNRESOLVED
         if unresolved and not _should_stop_unresolved(run, now_s):
             continue
-        stopping = unresolved or run.state is schedule_state.RunState.STOPPING
+        stopping = unresolved or run.state is job_state.RunState.STOPPING
         if stopping and now_s - run.stop_sent_s >= orders.STOP_RETRY_S:
             if unresolved:
                 orders.stop_other_gang_members(state, step, run)
@@ -105,7 +106,7 @@
         run_endings.mark_lost(state, step, run, loss)
 
 
-def _should_stop_unresolved(run: schedule_state.Run, now_s: float) -> bool:
+def _should_stop_unresolved(run: job_state.Run, now_s: float) -> bool:
     """Returns whether to stop a start without a reply, or repeat its stop."""
     return (
         run.stop_sent_s > float("-inf")
@@ -147,7 +148,7 @@
     """
     for run in list(target.runs.values()):
         if (
-            run.state is schedule_state.RunState.UNRESOLVED
+            run.state is job_state.RunState.UNRESOLVED
             and run.unresolved_s <= sent_s
             and run.stop_sent_s == float("-inf")
             and not start_repetition.repeat(state, step, target, run)
--- a/dandelionpick/batch/run_time_records.py
+++ b/dandelionpick/batch/run_time_records.py
@@ -5,6 +5,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_time_groups
 from dandelionpick.batch import run_times
@@ -54,14 +55,14 @@
 
     All runs of a step count as its first one found.
     """
-    first: dict[tuple[ids.JobId, int, int], schedule_state.Run] = {}
+    first: dict[tuple[ids.JobId, int, int], job_state.Run] = {}
     counts: collections.Counter[tuple[ids.JobId, int, int]] = (
         collections.Counter()
     )
     for target in schedule.targets.values():
         for run in target.runs.values():
             if (
-                run.state is schedule_state.RunState.RUNNING
+                run.state is job_state.RunState.RUNNING
                 and run.first_percent <= 0
             ):
                 step_key = run.task[:3]
@@ -93,9 +94,7 @@
     return min(1.0, MAX_WEIGHT_PER_STEP / spec.tasks)
 
 
-def _began_s(
-    step_run: schedule_state.StepRun, run: schedule_state.Run
-) -> float:
+def _began_s(step_run: job_state.StepRun, run: job_state.Run) -> float:
     """Returns when a run began to work; a gang begins when all are there."""
     if not step_run.spec.gang:
         return run.ordered_s
@@ -112,7 +111,7 @@
 def record_end(
     state: state_lib.State,
     step: dispatch.Step,
-    run: schedule_state.Run,
+    run: job_state.Run,
     ending: model.Ending,
 ) -> None:
     """Records how long a run took, or that it lasted at least that long.
@@ -160,8 +159,8 @@
 
 def _is_slowed(
     schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
+    step_run: job_state.StepRun,
+    run: job_state.Run,
 ) -> bool:
     """Returns whether a run was away from its data, or its gang spread out."""
     spec = step_run.spec
@@ -207,8 +206,8 @@
 def note_step_end(
     state: state_lib.State,
     step: dispatch.Step,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
 ) -> None:
     """Compares what was expected with what a step took, if it has ended."""
     schedule = state.schedule
--- a/dandelionpick/batch/run_time_store.py
+++ b/dandelionpick/batch/run_time_store.py
@@ -17,6 +17,7 @@
 from dandelionpick import kinds
 from dandelionpick.batch import run_time_groups
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 
@@ -95,7 +96,7 @@
     if (
         schedule is None
         or not schedule.features.learn_run_times
-        or schedule.stage is not schedule_state.Stage.READY
+        or schedule.stage is not stages.Stage.READY
     ):
         return
     learnt = schedule.run_times
--- a/dandelionpick/batch/run_times.py
+++ b/dandelionpick/batch/run_times.py
@@ -10,6 +10,7 @@
 is all that is known.
 """
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import preemption_gain
 from dandelionpick.batch import run_time_groups
@@ -31,8 +32,8 @@
 
 def expected_s(
     schedule: schedule_state.Schedule,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
 ) -> float:
     """Returns the run time that is expected of a task."""
     if not schedule.features.learn_run_times:
@@ -42,15 +43,15 @@
 
 def cautious_s(
     schedule: schedule_state.Schedule,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
 ) -> float:
     """Returns a run time that about one task in ten exceeds."""
     return predict(schedule, job, step_run.number).cautious_s
 
 
 def job_expected_s(
-    schedule: schedule_state.Schedule, job: schedule_state.Job
+    schedule: schedule_state.Schedule, job: job_state.Job
 ) -> float:
     """Returns the sum of the run times that are expected of a job's steps."""
     return sum(
@@ -60,7 +61,7 @@
 
 
 def remaining_s(
-    schedule: schedule_state.Schedule, run: schedule_state.Run, now_s: float
+    schedule: schedule_state.Schedule, run: job_state.Run, now_s: float
 ) -> float:
     """Returns how long a run is expected to last; inf if that is unknown."""
     by_progress_s = preemption_gain.remaining_s(run, now_s)
@@ -82,7 +83,7 @@
 
 
 def predict(
-    schedule: schedule_state.Schedule, job: schedule_state.Job, number: int
+    schedule: schedule_state.Schedule, job: job_state.Job, number: int
 ) -> run_time_groups.Prediction:
     """Returns what is expected of the tasks of a step; cached."""
     spec = job.record.spec.steps[number]
--- a/dandelionpick/batch/runs.py
+++ b/dandelionpick/batch/runs.py
@@ -1,6 +1,7 @@
 """Keeps the runs of tasks and targets and the used resources consistent."""
 
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 
@@ -22,8 +23,8 @@
 
 def add(
     schedule: schedule_state.Schedule,
-    run: schedule_state.Run,
-    task: schedule_state.Task | None,
+    run: job_state.Run,
+    task: job_state.Task | None,
 ) -> None:
     """Adds a run to its task and its target."""
     target = schedule.targets[run.target]
@@ -33,7 +34,7 @@
         task.runs[run.attempt] = run
 
 
-def remove(schedule: schedule_state.Schedule, run: schedule_state.Run) -> None:
+def remove(schedule: schedule_state.Schedule, run: job_state.Run) -> None:
     """Removes a run that is gone and frees its resources."""
     target = schedule.targets.get(run.target)
     if target is not None and target.runs.pop((run.task, run.attempt), None):
@@ -46,7 +47,7 @@
 
 def keep_checkpoint(
     schedule: schedule_state.Schedule,
-    run: schedule_state.Run,
+    run: job_state.Run,
     checkpoint: str,
     percent: float,
 ) -> None:
@@ -64,7 +65,7 @@
 
 
 def next_attempt(
-    schedule: schedule_state.Schedule, step: schedule_state.StepRun
+    schedule: schedule_state.Schedule, step: job_state.StepRun
 ) -> ids.Attempt:
     """Returns an attempt number above all earlier ones, in any epoch."""
     step.attempts = min(step.attempts + 1, ATTEMPT_MASK)
--- a/dandelionpick/batch/saving.py
+++ b/dandelionpick/batch/saving.py
@@ -11,6 +11,7 @@
 from dandelionpick.batch import polling
 from dandelionpick.batch import run_records
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
 
@@ -45,7 +46,7 @@
     if (
         schedule.saving
         or not schedule.unsaved
-        or schedule.stage is schedule_state.Stage.READING
+        or schedule.stage is stages.Stage.READING
         or step.moment.now_s < schedule.save_at_s
     ):
         return
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -14,6 +14,7 @@
 from dandelionpick.batch import guarantees
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import locality
 from dandelionpick.batch import model
@@ -26,6 +27,7 @@
 from dandelionpick.batch import run_times
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_preference
@@ -57,9 +59,9 @@
         urgency: sort key; lower is placed first.
     """
 
-    job: schedule_state.Job
-    step_run: schedule_state.StepRun
-    tasks: list[schedule_state.Task]
+    job: job_state.Job
+    step_run: job_state.StepRun
+    tasks: list[job_state.Task]
     urgency: tuple[float, ...]
 
     @property
@@ -109,7 +111,7 @@
     now_s = step.moment.now_s
     if (
         schedule is None
-        or schedule.stage is not schedule_state.Stage.READY
+        or schedule.stage is not stages.Stage.READY
         or not leadership_bounds.may_start(state, now_s)
         or not evacuations.is_view_current(state, now_s)
         or state.drain.requested_s is not None
@@ -204,7 +206,7 @@
 def _stop_incomplete_gang(
     state: state_lib.State,
     step: dispatch.Step,
-    step_run: schedule_state.StepRun,
+    step_run: job_state.StepRun,
 ) -> None:
     """Stops the members of a gang that has lost others before a takeover.
 
@@ -216,9 +218,7 @@
     if not members or all(task.runs for task in step_run.tasks):
         return
     latest_s = max(run.ordered_s for run in members)
-    waiting = all(
-        run.state is schedule_state.RunState.RUNNING for run in members
-    )
+    waiting = all(run.state is job_state.RunState.RUNNING for run in members)
     if waiting and step.moment.now_s - latest_s >= INCOMPLETE_GANG_S:
         step.note(
             effects.Component.SCHEDULER,
@@ -230,8 +230,8 @@
 
 
 def _startable_tasks(
-    step_run: schedule_state.StepRun,
-) -> list[schedule_state.Task]:
+    step_run: job_state.StepRun,
+) -> list[job_state.Task]:
     if not step_run.open or not step_run.tasks_left:
         return []
     tasks = [task for task in step_run.tasks if not task.done and not task.runs]
@@ -242,8 +242,8 @@
 
 def urgency(
     schedule: schedule_state.Schedule,
-    job: schedule_state.Job,
-    step_run: schedule_state.StepRun,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
     rank: float,
 ) -> tuple[float, ...]:
     """Returns the sort key of a step: its job's rank, then its objective.
--- a/dandelionpick/batch/start_repetition.py
+++ b/dandelionpick/batch/start_repetition.py
@@ -12,6 +12,7 @@
 from dandelionpick import effects
 from dandelionpick.batch import abandoned_starts
 from dandelionpick.batch import evacuations
+from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
@@ -30,7 +31,7 @@
     state: state_lib.State,
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
 ) -> bool:
     """Sends a start again that a later listing lacks.
 
@@ -58,7 +59,7 @@
     )
     run.first_ordered_s = min(run.first_ordered_s, run.ordered_s)
     run.repetitions += 1
-    run.state = schedule_state.RunState.ORDERED
+    run.state = job_state.RunState.ORDERED
     run.ordered_s = run.progressed_s = now_s
     run.unresolved_s = float("inf")
     # The earlier order may be carried out by the next incarnation, after the
@@ -71,7 +72,7 @@
 def _may_repeat(
     state: state_lib.State,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
     now_s: float,
 ) -> bool:
     schedule = state.schedule
@@ -108,16 +109,14 @@
     )
 
 
-def _gang_is_whole(
-    step_run: schedule_state.StepRun, run: schedule_state.Run
-) -> bool:
+def _gang_is_whole(step_run: job_state.StepRun, run: job_state.Run) -> bool:
     """Returns whether all members of the gang are still meant to run."""
     if not step_run.spec.gang:
         return True
     members = [task.runs.get(run.attempt) for task in step_run.tasks]
     return all(
         member is not None
-        and member.state is not schedule_state.RunState.STOPPING
+        and member.state is not job_state.RunState.STOPPING
         and member.stop_sent_s == float("-inf")
         for member in members
     )
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -14,7 +14,6 @@
 from dandelionpick import ids
 from dandelionpick import kinds
 from dandelionpick.batch import catalog as catalog_lib
-from dandelionpick.batch import evacuation_state
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
 from dandelionpick.batch import schedule_state
@@ -376,17 +375,15 @@
     def gauges(self) -> dict[str, float]:
         """Returns the gauges that are derived from the state, by metric."""
         current = self.catalog.current
-        schedule = self.schedule
-        evacuations = (
-            schedule.evacuations if schedule else evacuation_state.Evacuations()
-        )
+        # Without a schedule, the gauges are those of an empty one.
+        schedule = self.schedule or schedule_state.Schedule(ids.Epoch(0), 0.0)
         return {
             "revision": current.version if current else 0,
             "leaving": float(self.drain.requested_s is not None),
             "scheduler": float(self.election.role is Role.LEADING),
-            "jobs": len(schedule.jobs) if schedule else 0,
-            **evacuations.gauges(),
-            "slow_targets": schedule.evidence.slow_targets() if schedule else 0,
+            "jobs": len(schedule.jobs),
+            **schedule.evacuations.gauges(),
+            "slow_targets": schedule.evidence.slow_targets(),
         }
 
 
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -17,6 +17,7 @@
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_time_store
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
@@ -81,9 +82,9 @@
     schedule = state.schedule
     if schedule is None:
         return
-    if schedule.stage is schedule_state.Stage.READING:
+    if schedule.stage is stages.Stage.READING:
         _finish_reading(schedule, state, step)
-    elif schedule.stage is schedule_state.Stage.FENCING:
+    elif schedule.stage is stages.Stage.FENCING:
         _finish_fencing(schedule, state, step)
 
 
@@ -104,7 +105,7 @@
     )
     if not (listed and schedule.roster_read):
         return
-    schedule.stage = schedule_state.Stage.FENCING
+    schedule.stage = stages.Stage.FENCING
     schedule.fencing_started_s = step.moment.now_s
     job_intake.end_completed_jobs(state, step)
     polling.tick(state, step)
@@ -123,7 +124,7 @@
     ]
     if unlisted and now_s - schedule.fencing_started_s < FENCING_TIMEOUT_S:
         return
-    schedule.stage = schedule_state.Stage.READY
+    schedule.stage = stages.Stage.READY
     schedule.dirty = True
     step.note(
         effects.Component.SCHEDULER,
--- a/dandelionpick/batch/target_health.py
+++ b/dandelionpick/batch/target_health.py
@@ -7,6 +7,7 @@
 
 from dandelionpick import dispatch
 from dandelionpick import effects
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import schedule_state
@@ -83,18 +84,18 @@
 
 
 def _working_step(
-    schedule: schedule_state.Schedule, run: schedule_state.Run
-) -> schedule_state.StepRun | None:
+    schedule: schedule_state.Schedule, run: job_state.Run
+) -> job_state.StepRun | None:
     """Returns a run's step if the run should be making progress, or None."""
     job = schedule.jobs.get(run.task.job_id)
-    if job is None or run.state is not schedule_state.RunState.RUNNING:
+    if job is None or run.state is not job_state.RunState.RUNNING:
         return None
     step_run = job.steps.get((run.task.occurrence, run.task.step))
     if step_run is None or step_run.spec.until_cancelled:
         return None
     if step_run.spec.gang and not all(
         run.attempt in task.runs
-        and task.runs[run.attempt].state is schedule_state.RunState.RUNNING
+        and task.runs[run.attempt].state is job_state.RunState.RUNNING
         for task in step_run.tasks
     ):
         return None
@@ -103,8 +104,8 @@
 
 def _is_stalled(
     state: state_lib.State,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
+    step_run: job_state.StepRun,
+    run: job_state.Run,
     now_s: float,
 ) -> bool:
     """Returns whether waiting longer costs more than starting again."""
@@ -121,7 +122,7 @@
 
 
 def _patience_s(
-    step_run: schedule_state.StepRun, run: schedule_state.Run, worked_s: float
+    step_run: job_state.StepRun, run: job_state.Run, worked_s: float
 ) -> float:
     """Returns how long the next percent may take."""
     gained = run.percent - run.first_percent
@@ -133,7 +134,7 @@
 
 
 def _reschedule(
-    state: state_lib.State, step: dispatch.Step, run: schedule_state.Run
+    state: state_lib.State, step: dispatch.Step, run: job_state.Run
 ) -> None:
     """Stops a run and its gang, so that they start again elsewhere."""
     schedule = state.schedule
--- a/dandelionpick/batch/target_reliability.py
+++ b/dandelionpick/batch/target_reliability.py
@@ -10,6 +10,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_times
 from dandelionpick.batch import runs
@@ -71,12 +72,12 @@
     schedule: schedule_state.Schedule,
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
 ) -> None:
     """Records what a listing shows about a run that goes on."""
     if (
         not schedule.features.target_reliability
-        or run.state is not schedule_state.RunState.RUNNING
+        or run.state is not job_state.RunState.RUNNING
     ):
         return
     step_run = _step_run_of(schedule, run.task)
@@ -94,8 +95,8 @@
     schedule: schedule_state.Schedule,
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
-    step_run: schedule_state.StepRun,
+    run: job_state.Run,
+    step_run: job_state.StepRun,
 ) -> bool:
     """Records a failed run; returns whether it is left to `target_health`."""
     evidence = target_speeds.step_evidence(schedule, _step_key(run.task))
@@ -113,7 +114,7 @@
     schedule: schedule_state.Schedule,
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
     step_evidence: target_evidence.StepEvidence,
 ) -> bool:
     """Returns whether the target is at fault and was taken out of use."""
@@ -207,7 +208,7 @@
 def _record_survival(
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
     evidence: target_evidence.TargetEvidence,
 ) -> None:
     """Records that a start on a target has outlived the early time."""
@@ -225,8 +226,8 @@
 
 def _is_early(
     schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
+    step_run: job_state.StepRun,
+    run: job_state.Run,
     now_s: float,
 ) -> bool:
     """Returns whether a run that failed can't have done anything."""
@@ -242,8 +243,8 @@
 
 def _has_survived(
     schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
+    step_run: job_state.StepRun,
+    run: job_state.Run,
     now_s: float,
 ) -> bool:
     """Returns whether a run has outlived the time in which runs fail early."""
@@ -255,9 +256,7 @@
     return not step_run.spec.gang and now_s - run.ordered_s >= EARLY_S
 
 
-def _began_s(
-    step_run: schedule_state.StepRun, run: schedule_state.Run
-) -> float:
+def _began_s(step_run: job_state.StepRun, run: job_state.Run) -> float:
     """Returns when a run began to work; a gang waits for its last member."""
     began_s = run.ordered_s
     if step_run.spec.gang:
@@ -268,7 +267,7 @@
     return began_s
 
 
-def _is_own(schedule: schedule_state.Schedule, run: schedule_state.Run) -> bool:
+def _is_own(schedule: schedule_state.Schedule, run: job_state.Run) -> bool:
     """Returns whether this scheduler started a run, so that it knows when."""
     return run.attempt >> runs.ATTEMPT_BITS == schedule.epoch
 
@@ -285,6 +284,6 @@
 
 def _step_run_of(
     schedule: schedule_state.Schedule, task: model.TaskKey
-) -> schedule_state.StepRun | None:
+) -> job_state.StepRun | None:
     job = schedule.jobs.get(task.job_id)
     return job and job.steps.get((task.occurrence, task.step))
--- a/dandelionpick/batch/target_speeds.py
+++ b/dandelionpick/batch/target_speeds.py
@@ -12,6 +12,7 @@
 from dandelionpick import dispatch
 from dandelionpick import effects
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_evidence
 
@@ -37,8 +38,8 @@
     schedule: schedule_state.Schedule,
     step: dispatch.Step,
     target: schedule_state.Target,
-    run: schedule_state.Run,
-    step_run: schedule_state.StepRun,
+    run: job_state.Run,
+    step_run: job_state.StepRun,
     percent: float,
 ) -> None:
     """Compares the progress of a run since its last sample."""
@@ -71,7 +72,7 @@
 
 def forget_run(
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
     evidence: target_evidence.TargetEvidence,
 ) -> None:
     """Drops what is only needed while a run goes on."""
@@ -123,7 +124,7 @@
 
 
 def _is_comparable(
-    target: schedule_state.Target, step_run: schedule_state.StepRun
+    target: schedule_state.Target, step_run: job_state.StepRun
 ) -> bool:
     """Returns whether runs of a step depend on the target's speed only."""
     spec = step_run.spec
--- a/dandelionpick/batch/unheard_runs.py
+++ b/dandelionpick/batch/unheard_runs.py
@@ -6,6 +6,7 @@
 answers, or until the store has forgotten its entry because it has crashed.
 """
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import preemption_gain
 from dandelionpick.batch import schedule_state
 
@@ -17,7 +18,7 @@
 def is_lost(
     schedule: schedule_state.Schedule,
     target: schedule_state.Target,
-    run: schedule_state.Run,
+    run: job_state.Run,
 ) -> bool:
     """Returns whether a run on a target without leases can be started again."""
     if target.entry is None:
@@ -36,8 +37,8 @@
 
 def _has_reachable_member(
     schedule: schedule_state.Schedule,
-    step_run: schedule_state.StepRun,
-    run: schedule_state.Run,
+    step_run: job_state.StepRun,
+    run: job_state.Run,
 ) -> bool:
     """Returns whether another target tells how the run's gang ended.
 
@@ -58,9 +59,7 @@
     return False
 
 
-def _may_have_ended(
-    target: schedule_state.Target, run: schedule_state.Run
-) -> bool:
+def _may_have_ended(target: schedule_state.Target, run: job_state.Run) -> bool:
     """Returns whether a run may have ended as done before its lease ended."""
     if target.has_more_ends:
         return True
--- a/dandelionpick/batch/victim_choice.py
+++ b/dandelionpick/batch/victim_choice.py
@@ -7,9 +7,9 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import free_capacity
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import placement
-from dandelionpick.batch import schedule_state
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
         remaining_s: how long they are expected to last.
     """
 
-    runs: tuple[schedule_state.Run, ...]
+    runs: tuple[job_state.Run, ...]
     resources: dict[ids.TargetId, model.Resources]
     cost: float
     lost_core_s: float = 0.0
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -22,7 +22,7 @@
 from dandelionpick.batch import messages
 from dandelionpick.batch import model
 from dandelionpick.batch import reducer
-from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.platform import jobs
 from dandelionpick.platform import keys
@@ -221,7 +221,7 @@
                 instance.up
                 and not instance.frozen
                 and schedule is not None
-                and schedule.stage is schedule_state.Stage.READY
+                and schedule.stage is stages.Stage.READY
             ):
                 return instance
         return None
--- a/tests/contention_builders.py
+++ b/tests/contention_builders.py
@@ -5,9 +5,9 @@
 from dandelionpick import ids
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import runs
-from dandelionpick.batch import schedule_state
 from dandelionpick.batch import scheduling
 from tests import batch_builders
 from tests import crest_builders
@@ -43,7 +43,7 @@
         )
         self.schedule.starts.limit = float("inf")
         self.now_s = 1.0
-        self.jobs: list[schedule_state.Job] = []
+        self.jobs: list[job_state.Job] = []
         self.waits: dict[str, list[float]] = {}
 
     def submit(self, organisation: str) -> None:
@@ -69,7 +69,7 @@
         scheduling.tick(self.state, batch_builders.step(moment))
         self.now_s += TICK_S
 
-    def _end_if_over(self, job: schedule_state.Job) -> None:
+    def _end_if_over(self, job: job_state.Job) -> None:
         task = job.steps[0, 0].tasks[0]
         for run in list(task.runs.values()):
             if self.now_s < run.ordered_s + RUN_S:
--- a/tests/crest_builders.py
+++ b/tests/crest_builders.py
@@ -6,9 +6,11 @@
 
 from dandelionpick import ids
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import target_api
 from tests import batch_builders
@@ -66,7 +68,7 @@
     state.election.role = state_lib.Role.LEADING
     state.election.acquired_s = float("inf")
     schedule = schedule_state.Schedule(ids.Epoch(1), 0.0)
-    schedule.stage = schedule_state.Stage.READY
+    schedule.stage = stages.Stage.READY
     state.schedule = schedule
     for number in range(targets):
         _add_target(schedule, number)
@@ -93,7 +95,7 @@
 
 def add_job(
     schedule: schedule_state.Schedule, spec: model.StepSpec, priority: int
-) -> schedule_state.Job:
+) -> job_state.Job:
     """Adds an accepted job with one step and returns it."""
     record = model.JobRecord(
         ids.QueueName(f"q{priority}"),
@@ -122,12 +124,12 @@
         job.steps[0, 0].open = True
         for task in job.steps[0, 0].tasks:
             target = members[task.key.index // tasks_per_target]
-            run = schedule_state.Run(
+            run = job_state.Run(
                 task.key,
                 ids.Attempt(1),
                 target.id,
                 spec.needs,
-                schedule_state.RunState.RUNNING,
+                job_state.RunState.RUNNING,
                 0.0,
                 confirmed_s=0.0,
             )
--- a/tests/run_time_builders.py
+++ b/tests/run_time_builders.py
@@ -5,6 +5,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import job_progress
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
@@ -30,7 +31,7 @@
     organisation: str = "ward",
     tasks: int = 1,
     **fields,
-) -> schedule_state.Job:
+) -> job_state.Job:
     """Adds a job of one step of tasks with one accelerator."""
     spec = model.StepSpec(
         tasks,
@@ -54,18 +55,18 @@
 
 def add_run(
     schedule: schedule_state.Schedule,
-    job: schedule_state.Job,
+    job: job_state.Job,
     began_s: float = 0.0,
     index: int = 0,
     **fields,
-) -> schedule_state.Run:
+) -> job_state.Run:
     """Starts a run of a task at a time."""
-    run = schedule_state.Run(
+    run = job_state.Run(
         job.steps[0, 0].tasks[index].key,
         ids.Attempt(1),
         TARGET,
         model.Resources(),
-        schedule_state.RunState.RUNNING,
+        job_state.RunState.RUNNING,
         began_s,
         confirmed_s=fields.pop("confirmed_s", began_s),
         **fields,
--- a/tests/test_batch_headroom.py
+++ b/tests/test_batch_headroom.py
@@ -5,6 +5,7 @@
 from dandelionpick import ids
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
 from tests import batch_builders as builders
@@ -16,9 +17,7 @@
 FAST_STOP_S = 0.2
 
 
-def urgent_job(
-    accepted_ms: int = NOW_MS, priority: int = 0
-) -> schedule_state.Job:
+def urgent_job(accepted_ms: int = NOW_MS, priority: int = 0) -> job_state.Job:
     """Builds a job of four tasks with two accelerators and 1 s to spare."""
     step = model.StepSpec(4, model.Resources(accelerators=2), 1_000)
     terms = model.QueueTerms(
@@ -31,7 +30,7 @@
         model.JobSpec("", (step,)),
         accepted_ms,
     )
-    return schedule_state.Job(ids.JobId("j"), record, 1)
+    return job_state.Job(ids.JobId("j"), record, 1)
 
 
 def make_candidate(
--- a/tests/test_batch_innocent_tasks.py
+++ b/tests/test_batch_innocent_tasks.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import run_records
-from dandelionpick.batch import schedule_state
 from dandelionpick.platform import keys
 from tests import batch_builders as builders
 from tests import batch_fabric
@@ -106,14 +106,12 @@
         fabric.until_completed(1)
         self.assertEqual(fabric.world.starts[TASK], 1)
 
-    def sent_run(
-        self, fabric: batch_fabric.Fabric
-    ) -> schedule_state.Run | None:
+    def sent_run(self, fabric: batch_fabric.Fabric) -> job_state.Run | None:
         """Returns the run of the task whose start was sent, or None."""
         schedule = fabric.scheduler().state.schedule
         task = schedule.jobs[builders.job_id(1)].steps[0, 0].tasks[0]
         for run in task.runs.values():
-            if run.state is not schedule_state.RunState.PLANNED:
+            if run.state is not job_state.RunState.PLANNED:
                 return run
         return None
 
--- a/tests/test_batch_locality.py
+++ b/tests/test_batch_locality.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import locality
 from dandelionpick.batch import model
 from dandelionpick.batch import schedule_state
@@ -53,8 +54,8 @@
             model.JobSpec("", (spec,)),
             0,
         )
-        job = schedule_state.Job(ids.JobId("j"), record, 1)
-        step_run = schedule_state.StepRun(spec, 0, 0, [], spec.tasks)
+        job = job_state.Job(ids.JobId("j"), record, 1)
+        step_run = job_state.StepRun(spec, 0, 0, [], spec.tasks)
         return locality.may_relax_locality(self.schedule, job, step_run, now_s)
 
     def test_waits_while_the_pool_is_busy(self):
--- a/tests/test_batch_planned_starts.py
+++ b/tests/test_batch_planned_starts.py
@@ -3,10 +3,10 @@
 import math
 import unittest
 
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import planned_starts
 from dandelionpick.batch import run_records
-from dandelionpick.batch import schedule_state
 from standins import platform_store
 from tests import batch_builders as builders
 from tests import batch_fabric
@@ -29,9 +29,7 @@
         fabric.run_until(lambda: fabric.world.crashes.get(TASK))
         fabric.run_for(batch_target_faults.TARGET_RESTART_S - 0.2)
 
-    def planned_run(
-        self, fabric: batch_fabric.Fabric
-    ) -> schedule_state.Run | None:
+    def planned_run(self, fabric: batch_fabric.Fabric) -> job_state.Run | None:
         """Returns the planned run of the task, if there is one."""
         scheduler = fabric.scheduler()
         if scheduler is None:
@@ -42,7 +40,7 @@
                     return run
         return None
 
-    def plan(self, fabric: batch_fabric.Fabric) -> schedule_state.Run:
+    def plan(self, fabric: batch_fabric.Fabric) -> job_state.Run:
         """Returns the task's next run as soon as it is planned.
 
         It takes a while until the store has it.
--- a/tests/test_batch_preemption_gain.py
+++ b/tests/test_batch_preemption_gain.py
@@ -7,23 +7,23 @@
 import unittest
 
 from dandelionpick import ids
+from dandelionpick.batch import job_state
 from dandelionpick.batch import model
 from dandelionpick.batch import preemption_gain
-from dandelionpick.batch import schedule_state
 from tests import batch_builders as builders
 from tests import crest_builders
 from tests import test_batch_jobs
 
 
-def make_run(percent: float, first_percent: float = 0.0) -> schedule_state.Run:
+def make_run(percent: float, first_percent: float = 0.0) -> job_state.Run:
     """Builds a run that was started at 0 s and listed at 4 s."""
     key = model.TaskKey(ids.JobId("j"), 0, 0, 0)
-    return schedule_state.Run(
+    return job_state.Run(
         key,
         ids.Attempt(1),
         ids.TargetId("t"),
         model.Resources(),
-        schedule_state.RunState.RUNNING,
+        job_state.RunState.RUNNING,
         0.0,
         percent=percent,
         first_percent=first_percent,
