Order by expected run times and avoidance of slow targets: parts of their own

Change: order_by_run_times and avoid_slow_targets are settings of their own, off by default. A part that is on without the one that it needs is an error with its remedy.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -100,7 +100,7 @@
     return apply
 
 
-LEARNING = features_lib.Features(learn_run_times=True)
+LEARNING = features_lib.Features(learn_run_times=True, order_by_run_times=True)
 POLICIES: dict[str, Policy] = {
     "product": Policy(_unchanged),
     "no-headroom": Policy(_no_headroom),
@@ -108,7 +108,8 @@
     "first-come": Policy(_first_come_first_served),
     "first-fit": Policy(_first_fit),
     "reliability": Policy(
-        _unchanged, features_lib.Features(target_reliability=True)
+        _unchanged,
+        features_lib.Features(target_reliability=True, avoid_slow_targets=True),
     ),
     "fair-shares": Policy(_unchanged, features_lib.Features(fair_shares=True)),
     "gang-reservations": Policy(
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -256,10 +256,11 @@
     started_ms = max(
         job.record.accepted_ms, job_progress.due_ms(job, step_run.occurrence)
     )
-    objective_s = (
-        terms.objective_factor * run_times.expected_s(schedule, job, step_run)
-        + terms.objective_extra_s
-    )
+    if schedule.features.order_by_run_times:
+        expected_s = run_times.expected_s(schedule, job, step_run)
+    else:
+        expected_s = step_run.spec.estimate_ms / 1_000
+    objective_s = terms.objective_factor * expected_s + terms.objective_extra_s
     due_s = started_ms / 1_000
     return (rank, due_s + objective_s, due_s)
 
--- a/dandelionpick/batch/settings.py
+++ b/dandelionpick/batch/settings.py
@@ -1,10 +1,13 @@
 """Settings of an instance that schedules batch jobs, read from an INI file."""
 
+import functools
 from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
+from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
 from dandelionpick import ids
 from dandelionpick import settings_file
@@ -14,6 +17,12 @@
 # The interval is not among the bounds that every platform fills in.
 HEARTBEAT_ENV_VAR = "DANDELIONPICK_HEARTBEAT_MS"
 
+# Parts of the scheduler that use what another part learns.
+NEEDED_PARTS = {
+    "avoid_slow_targets": "target_reliability",
+    "order_by_run_times": "learn_run_times",
+}
+
 Milliseconds = Annotated[
     float,
     msgspec.Meta(ge=0, description="give milliseconds, 0 or more"),
@@ -96,7 +105,9 @@
 
     target_reliability: settings_file.Boolean = False
     departures: settings_file.Boolean = False
+    avoid_slow_targets: settings_file.Boolean = False
     learn_run_times: settings_file.Boolean = False
+    order_by_run_times: settings_file.Boolean = False
     fair_shares: settings_file.Boolean = False
     gang_reservations: settings_file.Boolean = False
 
@@ -131,9 +142,29 @@
     """
     heartbeat_ms = (env or {}).get(HEARTBEAT_ENV_VAR, "")
     replaced = {("bounds", "heartbeat_ms"): heartbeat_ms}
-    return settings_file.read(
+    settings = settings_file.read(
         path, Settings, {key: text for key, text in replaced.items() if text}
     )
+    return settings.bind(functools.partial(_check_scheduling, path))
+
+
+def _check_scheduling(
+    path: str, settings: Settings
+) -> Result[Settings, list[settings_file.SettingsError]]:
+    """Returns an error for each part that needs another one to be on."""
+    errors = [
+        settings_file.SettingsError(
+            path,
+            "scheduling",
+            part,
+            f"it has no effect without {needed}",
+            f"set {needed} = true, or remove {part}",
+        )
+        for part, needed in NEEDED_PARTS.items()
+        if getattr(settings.scheduling, part)
+        and not getattr(settings.scheduling, needed)
+    ]
+    return Failure(errors) if errors else Success(settings)
 
 
 def identity_of(settings: Settings, peer_address: str) -> state_lib.Identity:
--- a/dandelionpick/batch/target_reliability.py
+++ b/dandelionpick/batch/target_reliability.py
@@ -61,7 +61,7 @@
     evidence = _evidence_of(schedule, target)
     if ended.ending is model.Ending.DONE:
         _record_survival(step, target, run, evidence)
-        target_speeds.sample(schedule, step, target, run, step_run, 100.0)
+        _sample_speed(schedule, step, target, run, step_run, 100.0)
     target_speeds.forget_run(target, run, evidence)
     if ended.ending is not model.Ending.FAILED:
         return True
@@ -88,7 +88,19 @@
         schedule, step_run, run, step.moment.now_s
     ):
         _record_survival(step, target, run, evidence)
-    target_speeds.sample(schedule, step, target, run, step_run, run.percent)
+    _sample_speed(schedule, step, target, run, step_run, run.percent)
+
+
+def _sample_speed(
+    schedule: schedule_state.Schedule,
+    step: dispatch.Step,
+    target: schedule_state.Target,
+    run: job_state.Run,
+    step_run: job_state.StepRun,
+    percent: float,
+) -> None:
+    if schedule.features.avoid_slow_targets:
+        target_speeds.sample(schedule, step, target, run, step_run, percent)
 
 
 def _record_failure(
--- a/tests/run_time_builders.py
+++ b/tests/run_time_builders.py
@@ -13,7 +13,7 @@
 from tests import batch_builders
 from tests import crest_builders
 
-LEARNING = features_lib.Features(learn_run_times=True)
+LEARNING = features_lib.Features(learn_run_times=True, order_by_run_times=True)
 TARGET = ids.TargetId("t000")
 
 
--- a/tests/test_batch_target_reliability.py
+++ b/tests/test_batch_target_reliability.py
@@ -10,7 +10,7 @@
 from tests import batch_fabric
 from tests import test_batch_jobs
 
-FEATURES = features.Features(target_reliability=True)
+FEATURES = features.Features(target_reliability=True, avoid_slow_targets=True)
 # Time from a start on a failing target to its failure, as the users saw it.
 FAILS_AFTER_S = 0.2
 TAKEN_OUT = "a run failed right after its start"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -170,11 +170,12 @@
 
 
 class SchedulerSettingsTest(unittest.TestCase):
-    """The interval of heartbeats comes from the environment or the file."""
+    """Settings of an instance that schedules batch jobs."""
 
-    def load(self, heartbeat_ms: str | None):
+    def load(self, heartbeat_ms: str | None = None, **scheduling: str):
+        sections = SCHEDULER | {"scheduling": scheduling}
         with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
-            file.write(text_of(SCHEDULER))
+            file.write(text_of(sections))
             file.flush()
             env = {batch_settings.HEARTBEAT_ENV_VAR: heartbeat_ms}
             return batch_settings.load(file.name, env if heartbeat_ms else {})
@@ -191,6 +192,19 @@
         (error,) = self.load("soon").failure()
         self.assertEqual((error.section, error.key), ("bounds", "heartbeat_ms"))
 
+    def test_part_without_the_one_that_it_needs_is_reported(self):
+        """Guards against a part that is switched on and does nothing."""
+        for part, needed in batch_settings.NEEDED_PARTS.items():
+            with self.subTest(part):
+                (error,) = self.load(**{part: "true"}).failure()
+                self.assertEqual(
+                    (error.section, error.key), ("scheduling", part)
+                )
+                self.assertIn(needed, error.remedy)
+                both = {part: "true", needed: "true"}
+                scheduling = self.load(**both).unwrap().scheduling
+                self.assertTrue(getattr(scheduling, part))
+
 
 if __name__ == "__main__":
     unittest.main()
