--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -357,8 +357,7 @@
             "worst_windows",
             "small_orgs",
             *(kind.name for kind in load_patterns.SMALL.kinds),
-            "restarts",
-            "false",
+            *("restarts", "false"),
         ]
         table = self.table()
         table.set_headers(["site", "pattern", "policy", *measures])
@@ -383,8 +382,7 @@
     if not text:
         return names
     chosen = text.split(",")
-    unknown = sorted(set(chosen) - set(names))
-    if unknown:
+    if unknown := sorted(set(chosen) - set(names)):
         raise SystemExit(
             f"unknown: {', '.join(unknown)}; choose from {', '.join(names)}"
         )
--- a/dandelionpick/batch/fair_shares.py
+++ b/dandelionpick/batch/fair_shares.py
@@ -1,6 +1,6 @@
 """Orders waiting work so that a peak of one organisation delays others less.
 
-At the exams deployment ten organisations, a few of them large, compete for too
+The load pattern is ten organisations, a few of them large, that compete for too
 little capacity. By objectives alone, a peak of one organisation takes the whole
 pool and the work of small ones waits behind it. Within a rank, the work of an
 organisation that has used much more than an equal share of the pool over the
--- a/dandelionpick/batch/gang_reservations.py
+++ b/dandelionpick/batch/gang_reservations.py
@@ -1,6 +1,6 @@
 """Keeps capacity for gangs that have waited for long.
 
-At the exams deployment batch tasks with one accelerator each take every
+The load pattern is batch tasks with one accelerator each that take every
 accelerator that becomes free, one at a time, so that wide gangs of a higher
 rank wait for up to 30 s: they never find all their accelerators free at once.
 A gang that has waited for a part of its slack gets a reservation of the targets
@@ -41,8 +41,8 @@
 # loses what has become free to other work.
 RESERVED_S = 10.0
 # A gang that is expected to start later than this gets no reservation yet.
-# Without this bound, batch work lost more than gangs gained at 1.5 times the
-# exams deployment's load.
+# Without this bound, batch work lost more than gangs gained in a pool that was
+# over-full all the time.
 MAX_AHEAD_S = 3.0
 # At most one gang is planned for in this time, because a plan looks at all runs
 # of a pool. One that can't get a reservation is looked at again after RETRY_S.
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -27,12 +27,7 @@
 from dandelionpick.batch import target_health
 from dandelionpick.batch import watches
 from dandelionpick.platform import targets
-from tests import crash_mutants
-from tests import evacuation_mutants
 from tests import mutant
-from tests import overload_mutants
-from tests import restart_mutants
-from tests import run_time_mutants
 
 JOBS = (
     "tests.test_batch_jobs",
@@ -396,9 +391,4 @@
         trust_own_roster,
         ("tests.test_batch_unlisted_targets",),
     ),
-    *crash_mutants.MUTANTS,
-    *evacuation_mutants.MUTANTS,
-    *overload_mutants.MUTANTS,
-    *restart_mutants.MUTANTS,
-    *run_time_mutants.MUTANTS,
 )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,10 +17,15 @@
 
 from tests import batch_mutants
 from tests import contention_mutants
+from tests import crash_mutants
+from tests import evacuation_mutants
 from tests import fuzzing
 from tests import mutant as mutant_lib
 from tests import mutant_list
+from tests import overload_mutants
 from tests import reliability_mutants
+from tests import restart_mutants
+from tests import run_time_mutants
 
 MAX_PARALLEL = 5
 MUTANT_TIMEOUT_S = 120
@@ -36,6 +41,11 @@
         *batch_mutants.MUTANTS,
         *reliability_mutants.MUTANTS,
         *contention_mutants.MUTANTS,
+        *crash_mutants.MUTANTS,
+        *evacuation_mutants.MUTANTS,
+        *overload_mutants.MUTANTS,
+        *restart_mutants.MUTANTS,
+        *run_time_mutants.MUTANTS,
     )
 }
 
