Log what a job that stands still waits for

Callers saw a job with nothing running although it could run; the log of the scheduler said nothing about a task that is not started, so that a wait for unlisted targets, for a run on a silent target and for room looked alike.

Once a second the scheduler reviews its open steps. A wait of a second or more gets a line with the job, the number of tasks and the rule that holds them, and one about the targets that take no work. The lines are bounded to 50 a second; those above it follow a second later. A scheduler that hands over, resigns or steps down writes them once more. What decides and what is logged is the same code (start_conditions).

--- a/dandelionpick/batch/leadership.py
+++ b/dandelionpick/batch/leadership.py
@@ -20,6 +20,7 @@
 from dandelionpick.batch import store_api
 from dandelionpick.batch import succession
 from dandelionpick.batch import takeover
+from dandelionpick.batch import waiting
 from dandelionpick.batch import watches
 from dandelionpick.batch import watching
 
@@ -92,6 +93,7 @@
         f"stepped down in epoch {election.epoch}: {reason}",
         warning=True,
     )
+    waiting.note_end(state, step, "stepped down")
     election.role = state_lib.Role.FOLLOWING
     election.lease = ids.LeaseId(0)
     takeover.abandon(state)
@@ -105,6 +107,7 @@
     step.note(
         effects.Component.SCHEDULER, f"handed over in epoch {election.epoch}"
     )
+    waiting.note_end(state, step, "handed over")
     _release_lease(state, step)
     election.role = state_lib.Role.FOLLOWING
     election.lease = ids.LeaseId(0)
@@ -118,6 +121,7 @@
         step.note(
             effects.Component.SCHEDULER, f"resigned in epoch {election.epoch}"
         )
+        waiting.note_end(state, step, "resigned")
         _release_lease(state, step)
     election.role = state_lib.Role.LEFT
 
--- a/dandelionpick/batch/pass_capacity.py
+++ b/dandelionpick/batch/pass_capacity.py
@@ -15,11 +15,10 @@
 from dandelionpick.batch import evacuations
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import headroom
-from dandelionpick.batch import incarnations
 from dandelionpick.batch import model
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
-from dandelionpick.batch import target_api
+from dandelionpick.batch import start_conditions
 from dandelionpick.batch import target_health
 from dandelionpick.batch import target_preference
 
@@ -275,13 +274,7 @@
     return (
         entry is not None
         and entry.pool == pool
-        and entry.state is target_api.TargetState.READY
-        and target.listed
-        and incarnations.is_described(target)
-        and not target.failed
-        and not target.is_exceeded()
-        and now_s >= max(target.backoff_until_s, target.quarantined_until_s)
-        and all(run.job_known for run in target.runs.values())
+        and start_conditions.obstacle_of_target(target, now_s) is None
     )
 
 
--- a/dandelionpick/batch/reducer.py
+++ b/dandelionpick/batch/reducer.py
@@ -29,6 +29,7 @@
 from dandelionpick.batch import store_health
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_registry
+from dandelionpick.batch import waiting
 from dandelionpick.batch import watching
 
 # Imported only because they register message handlers.
@@ -52,6 +53,7 @@
     saving.tick,
     planned_starts.tick,
     run_time_store.tick,
+    waiting.tick,
     retention.tick,
     leaving.tick,
 )
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -16,6 +16,7 @@
 from dandelionpick.batch import start_window
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_evidence
+from dandelionpick.batch import waits as waits_lib
 
 
 @dataclasses.dataclass(slots=True)
@@ -182,6 +183,7 @@
         early_cancels: jobs whose cancellation was read before the job itself.
         early_progress: progress read before its job, with its revision.
         run_times: what was learnt about run times.
+        waits: the steps that wait, and for what.
     """
 
     epoch: ids.Epoch
@@ -251,6 +253,7 @@
     run_times: run_time_groups.RunTimes = dataclasses.field(
         default_factory=run_time_groups.RunTimes
     )
+    waits: waits_lib.Waits = dataclasses.field(default_factory=waits_lib.Waits)
 
     def task_of(self, key: model.TaskKey) -> job_state.Task | None:
         """Returns a task, or None if its job is not known."""
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -7,7 +7,6 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import crash_budget
-from dandelionpick.batch import evacuations
 from dandelionpick.batch import fair_shares
 from dandelionpick.batch import free_capacity
 from dandelionpick.batch import gang_reservations
@@ -15,7 +14,6 @@
 from dandelionpick.batch import headroom
 from dandelionpick.batch import job_progress
 from dandelionpick.batch import job_state
-from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import locality
 from dandelionpick.batch import model
 from dandelionpick.batch import orders
@@ -27,7 +25,7 @@
 from dandelionpick.batch import run_times
 from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
-from dandelionpick.batch import stages
+from dandelionpick.batch import start_conditions
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import takeover
 from dandelionpick.batch import target_preference
@@ -111,10 +109,7 @@
     now_s = step.moment.now_s
     if (
         schedule is None
-        or schedule.stage is not stages.Stage.READY
-        or not leadership_bounds.may_start(state, now_s)
-        or not evacuations.is_view_current(state, now_s)
-        or state.drain.requested_s is not None
+        or start_conditions.obstacle_to_all(state, schedule, now_s) is not None
     ):
         return
     since_s = now_s - schedule.last_pass_s
@@ -192,15 +187,15 @@
             continue
         for step_run in job.steps.values():
             _stop_incomplete_gang(state, step, step_run)
-            tasks = _startable_tasks(step_run)
+            tasks = start_conditions.startable_tasks(step_run)
             if crash_budget.end_if_exhausted(state, step, job, tasks):
                 break
-            if tasks:
+            if tasks and not start_conditions.obstacle_to_step(
+                state, schedule, job, tasks, unlisted
+            ):
                 rank = guarantees.rank(schedule, job)
                 key = urgency(schedule, job, step_run, rank)
-                unit = PlacementUnit(job, step_run, tasks, key)
-                if not unit.is_suspected or planned_starts.may_plan(state):
-                    yield unit
+                yield PlacementUnit(job, step_run, tasks, key)
 
 
 def _stop_incomplete_gang(
@@ -229,17 +224,6 @@
         orders.stop_step(state, step, step_run)
 
 
-def _startable_tasks(
-    step_run: job_state.StepRun,
-) -> list[job_state.Task]:
-    if not step_run.open or not step_run.tasks_left:
-        return []
-    tasks = [task for task in step_run.tasks if not task.done and not task.runs]
-    if step_run.spec.gang and len(tasks) < len(step_run.tasks):
-        return []
-    return tasks
-
-
 def urgency(
     schedule: schedule_state.Schedule,
     job: job_state.Job,
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -383,6 +383,7 @@
             "scheduler": float(self.election.role is Role.LEADING),
             "jobs": len(schedule.jobs),
             **schedule.evacuations.gauges(),
+            **schedule.waits.gauges(),
             "slow_targets": schedule.evidence.slow_targets(),
         }
 
--- a/dandelionpick/metrics.py
+++ b/dandelionpick/metrics.py
@@ -121,6 +121,11 @@
         "dandelionpick_log_lines_dropped_total",
         "Log lines above the limit, or that the reader was too slow for.",
     ),
+    "waits_total": prometheus_client.Counter(
+        "dandelionpick_waits_total",
+        "Times that open tasks of a step waited for long, by obstacle.",
+        ["obstacle"],
+    ),
     "job_refusals_total": prometheus_client.Counter(
         "dandelionpick_job_refusals_total",
         "Requests about jobs that were refused, by problem.",
@@ -187,6 +192,14 @@
         "dandelionpick_slow_targets",
         "Targets on which work progresses much more slowly than elsewhere.",
     ),
+    "waiting_steps": prometheus_client.Gauge(
+        "dandelionpick_waiting_steps",
+        "Steps with open tasks that are not at work.",
+    ),
+    "held_back_steps": prometheus_client.Gauge(
+        "dandelionpick_held_back_steps",
+        "Steps with open tasks that wait for something else than room.",
+    ),
     "open_exchanges": prometheus_client.Gauge(
         "dandelionpick_open_exchanges", "Inbound messages without a response."
     ),
--- a/tests/batch_fabric.py
+++ b/tests/batch_fabric.py
@@ -93,6 +93,7 @@
             there are no evacuations.
         features: the optional parts of the scheduler that are switched on.
         log: log lines of all instances, with time and name.
+        notes: the same as their effects.
         faults: exceptions of the instances' handlers.
     """
 
@@ -132,6 +133,7 @@
         self.evacuate_s = evacuate_s
         self.features = features or builders.FEATURES
         self.log: list[str] = []
+        self.notes: list[effects.Note] = []
         self.faults: list[Exception] = []
         self.reply_callbacks: dict[str, Callable[[Any], None]] = {}
         self.open_exchanges: dict[str, tuple[str, Callable[[], None]]] = {}
@@ -385,6 +387,7 @@
         elif isinstance(effect, effects.Note):
             line = f"{self.now_s:7.2f} {instance.name} {effect.text}"
             self.log.append(line)
+            self.notes.append(effect)
         elif isinstance(effect, effects.Exit):
             instance.exited = True
             instance.up = False
