Don't let silent targets keep others from being listed after a takeover

What callers saw: after all instances had ended while many targets were gone, jobs accepted before stood still for 30.7 s, new jobs did not.

Cause: a new scheduler has at most 64 first listings in progress. A target that does not answer took one of these places for 2 s and was due again at once, in the order of the list, so that 64 silent targets kept all targets behind them from being listed until the wait for unlisted targets was over. Those targets got no work, and earlier jobs waited for them.

Change: a first listing that is without an answer for 0.25 s takes no place any more, and the target that was tried last comes last.

Ruled out: a larger bound, which only moves the number of silent targets.

--- a/dandelionpick/batch/listing_order.py
+++ b/dandelionpick/batch/listing_order.py
@@ -14,6 +14,10 @@
 # The same for targets that a new scheduler lists for the first time, which it
 # waits for.
 MAX_FIRST_LISTINGS = 64
+# A listing that is without an answer for longer takes no place among these, so
+# that silent targets don't keep others from being listed. Reachable targets
+# answer within 30 ms.
+SILENT_LISTING_S = 0.25
 
 
 def list_idle_targets_sooner(schedule: schedule_state.Schedule) -> None:
@@ -29,13 +33,15 @@
 ) -> list[schedule_state.Target]:
     """Returns the targets to list now: those whose runs need a lease first.
 
-    Of the others, which run nothing, at most a few are listed at a time.
+    Of the others, which run nothing, at most a few are listed at a time. Among
+    those that were not listed so far, the one that was tried last comes last.
     """
     busy, first, idle = [], [], []
     listing_first = listing_idle = 0
     for target in schedule.targets.values():
         if target.poll_pending:
-            listing_first += not target.listed
+            is_silent = now_s - target.poll_sent_s > SILENT_LISTING_S
+            listing_first += not (target.listed or is_silent)
             listing_idle += target.listed and not target.runs
         elif now_s < target.poll_at_s:
             continue
@@ -46,6 +52,7 @@
         else:
             first.append(target)
     busy.sort(key=lambda target: target.lease_ends_s)
+    first.sort(key=lambda target: target.poll_sent_s)
     idle.sort(key=lambda target: target.poll_at_s)
     first_room = max(0, MAX_FIRST_LISTINGS - listing_first)
     idle_room = max(0, MAX_IDLE_LISTINGS - listing_idle)
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -83,6 +83,7 @@
         return
     target.poll_pending = True
     target.poll_serial += 1
+    target.poll_sent_s = now_s
     reachable = target.listed and not target.failed
     extend = (
         reachable
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -39,6 +39,7 @@
         poll_pending: a listing is in progress.
         poll_serial: number of the latest listing; replies to others are
             ignored.
+        poll_sent_s: when the last listing was sent.
         poll_at_s: the next listing is not sent before this time.
         obeyed_s: when the last listing that it answered was sent; it had not
             obeyed a later scheduler by then.
@@ -82,6 +83,7 @@
     has_more_ends: bool = False
     poll_pending: bool = False
     poll_serial: int = 0
+    poll_sent_s: float = float("-inf")
     poll_at_s: float = float("-inf")
     obeyed_s: float = float("-inf")
     failed: bool = False
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -26,6 +26,7 @@
 from tests import reliability_mutants
 from tests import restart_mutants
 from tests import run_time_mutants
+from tests import takeover_mutants
 
 MAX_PARALLEL = 5
 MUTANT_TIMEOUT_S = 120
@@ -46,6 +47,7 @@
         *overload_mutants.MUTANTS,
         *restart_mutants.MUTANTS,
         *run_time_mutants.MUTANTS,
+        *takeover_mutants.MUTANTS,
     )
 }
 
--- /dev/null
+++ b/tests/takeover_mutants.py
@@ -0,0 +1,20 @@
+"""Mutants of the mechanisms that keep jobs from standing still."""
+
+from dandelionpick.batch import listing_order
+from tests import mutant
+
+STANDING = ("tests.test_batch_standing_jobs",)
+
+
+def count_silent_listings() -> None:
+    """Lets targets that don't answer keep others from being listed."""
+    listing_order.SILENT_LISTING_S = float("inf")
+
+
+MUTANTS = (
+    mutant.Mutant(
+        "a silent target does not keep others from being listed",
+        count_silent_listings,
+        STANDING,
+    ),
+)
