Let a further takeover wait only for what is left of silent targets' leases

What callers saw: after several takeovers in a row, jobs whose tasks were on a target that is gone stood still for the sum of all waits, 33 s in one trial.

Cause: the roster tells a successor until when a silent target may run something. For a target that was never listed under the present epoch, this was computed once, while the entry was still there (30 s from the takeover). When the entry had gone, the scheduler itself waited 13.4 s only, but the record stayed, and the next scheduler took 13.4 s of its own.

Change: the record of an unlisted target follows the wait that the scheduler itself keeps. It is written again if it changes by more than 1.1 s, so that rounding and the allowance for clocks cause no writes.

The test of silent targets uses three times as many of them, because with fewer a mutant survived.

--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -34,6 +34,9 @@
 SILENT_AFTER_S = 0.5
 # How much the system clocks of two instances may differ.
 MAX_CLOCK_SKEW_S = 1.0
+# A record of when a silent target's leases end is kept if it is off by less. A
+# scheduler adds the skew to the record that it reads, and times are rounded.
+RECORD_TOLERANCE_MS = MAX_CLOCK_SKEW_S * 1_000 + 100
 
 _decoder = msgspec.json.Decoder(model.Roster)
 
@@ -156,8 +159,6 @@
     if target.listed and not target.failed:
         target.silent_until_ms = 0
         return
-    if target.silent_until_ms:
-        return
     if not target.listed:
         # A target that has restarted may have got work before it is listed.
         ends_s = max(
@@ -168,8 +169,16 @@
         ends_s = target.lease_ends_s
     else:
         return
-    left_s = max(0.0, ends_s - now_s)
-    target.silent_until_ms = int(moment.unix_ms + left_s * 1_000)
+    until_ms = int(moment.unix_ms + max(0.0, ends_s - now_s) * 1_000)
+    # The wait for an unlisted target changes with its entry. A successor is to
+    # wait for what is left of it, not for the whole of it once more.
+    has_changed = (
+        not target.listed
+        and ends_s > now_s
+        and abs(until_ms - target.silent_until_ms) > RECORD_TOLERANCE_MS
+    )
+    if not target.silent_until_ms or has_changed:
+        target.silent_until_ms = until_ms
 
 
 @dispatch.on_reply.register
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -31,7 +31,7 @@
 
         Their runs are not extended, and earlier jobs wait for them.
         """
-        silent = listing_order.MAX_FIRST_LISTINGS + 6
+        silent = 3 * listing_order.MAX_FIRST_LISTINGS
         fabric = self.build(target_count=silent + 20)
         names = list(fabric.world.targets)
         for name in names[:silent]:
