Hold back only tasks that may be at work after a takeover

What callers saw: after the scheduler and a target were lost together, jobs accepted before had nothing running for 14 s, or for 30 s if the target still reached the store; jobs accepted afterwards started at once. With real processes (2 instances, 8 targets; the target loses power 0.1 s before the scheduler is killed) a task whose run the new scheduler had found, and which failed there, started again 13.7 s after the kill, and so did the second step of a job whose first step was found and done.

Cause: one flag held all tasks of all earlier jobs until each target had been listed or its leases had surely ended, whatever was known about the task.

Change: the wait is decided for each task (takeover_holds). It ends for a task that a listing shows at work 3 s after the first target was listed, because no earlier scheduler can start another run from then on; for what this scheduler has started; and for a step after one that was found so. Once the leases have ended, only tasks that are recorded on a target that reaches the store wait for the ends that it may hold. A gang needs all of its members.

Ruled out: freeing tasks without a record of a run on the unlisted targets.

--- a/dandelionpick/batch/orders.py
+++ b/dandelionpick/batch/orders.py
@@ -104,6 +104,7 @@
         checkpoint=task.checkpoint,
     )
     runs.add(schedule, run, task)
+    task.accounted = True
     return run
 
 
--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -14,16 +14,16 @@
 from dandelionpick.batch import job_state
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import listing_order
-from dandelionpick.batch import model
 from dandelionpick.batch import orders
 from dandelionpick.batch import roster
+from dandelionpick.batch import run_adoption
 from dandelionpick.batch import run_endings
 from dandelionpick.batch import run_records
 from dandelionpick.batch import run_resolution
-from dandelionpick.batch import runs
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_api
 from dandelionpick.batch import target_health
 from dandelionpick.batch import target_reliability
@@ -254,7 +254,7 @@
     listed_keys = set()
     for running in listed.running:
         listed_keys.add((running.task, running.attempt))
-        _apply_running(state, step, target, running)
+        _apply_running(state, step, target, running, context.sent_s)
     target.has_more_ends = listed.has_more_ends
     if not listed.has_more_ends:
         run_resolution.mark_missing_lost(
@@ -335,6 +335,7 @@
     step: dispatch.Step,
     target: schedule_state.Target,
     running: target_api.Running,
+    sent_s: float,
 ) -> None:
     schedule = state.schedule
     assert schedule is not None
@@ -343,57 +344,17 @@
         return
     run = target.runs.get((running.task, running.attempt))
     if run is None:
-        run = _adopt(state, step, target, running)
+        run = run_adoption.adopt(state, step, target, running)
     if run.state in (
         job_state.RunState.ORDERED,
         job_state.RunState.UNRESOLVED,
     ):
         run.state = job_state.RunState.RUNNING
     run_records.record_running(schedule, run, now_s, target.started_ms)
+    takeover_holds.account(schedule, running.task, sent_s)
     if running.percent > run.percent:
         run.progressed_s = now_s
     run.percent = running.percent
     if running.checkpoint:
         run.checkpoint = running.checkpoint
     target_reliability.record_progress(schedule, step, target, run)
-
-
-def _adopt(
-    state: state_lib.State,
-    step: dispatch.Step,
-    target: schedule_state.Target,
-    running: target_api.Running,
-) -> job_state.Run:
-    """Takes over a run that an earlier scheduler started."""
-    schedule = state.schedule
-    assert schedule is not None
-    now_s = step.moment.now_s
-    task = schedule.task_of(running.task)
-    job = schedule.jobs.get(running.task.job_id)
-    needs = model.Resources()
-    if task is not None and job is not None:
-        spec = job.steps[running.task.occurrence, running.task.step].spec
-        needs = runs.occupied_resources(spec)
-    run = job_state.Run(
-        running.task,
-        running.attempt,
-        target.id,
-        needs,
-        job_state.RunState.RUNNING,
-        now_s,
-        job_known=task is not None,
-        progressed_s=now_s,
-        percent=running.percent,
-        first_percent=running.percent,
-    )
-    runs.add(schedule, run, task)
-    unwanted = task is None or job is None or job.ended or task.done
-    if unwanted or len(task.runs) > 1:
-        step.note(
-            effects.Component.TARGETS,
-            f"{target.id} runs {running.task.job_id}."
-            f"{running.task.task_name()}, which is not needed; stopping it",
-            warning=True,
-        )
-        orders.stop(state, step, run)
-    return run
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -27,7 +27,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import start_conditions
 from dandelionpick.batch import state as state_lib
-from dandelionpick.batch import takeover
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_preference
 
 # Changes that arrive together, such as the ends of a gang's tasks, are
@@ -174,25 +174,22 @@
     schedule = state.schedule
     assert schedule is not None
     moment = step.moment
-    unlisted = takeover.has_unlisted_targets(state, schedule, moment.now_s)
+    holds = takeover_holds.find(state, schedule, moment.now_s)
     for job in schedule.jobs.values():
         if job.ended:
             continue
         job_progress.open_steps(
             job, moment.now_s, moment.unix_ms, state.limits.early_s
         )
-        # Jobs accepted under the current epoch were never seen by an earlier
-        # scheduler, so they can't have runs on unlisted targets.
-        if unlisted and job.accepted_revision <= schedule.epoch:
-            continue
         for step_run in job.steps.values():
-            _stop_incomplete_gang(state, step, step_run)
-            tasks = start_conditions.startable_tasks(step_run)
+            if not (
+                holds.all_tasks and job.accepted_revision <= schedule.epoch
+            ):
+                _stop_incomplete_gang(state, step, step_run)
+            tasks = start_conditions.free_tasks(holds, schedule, job, step_run)
             if crash_budget.end_if_exhausted(state, step, job, tasks):
                 break
-            if tasks and not start_conditions.obstacle_to_step(
-                state, schedule, job, tasks, unlisted
-            ):
+            if tasks and not start_conditions.obstacle_to_placing(state, tasks):
                 rank = guarantees.rank(schedule, job)
                 key = urgency(schedule, job, step_run, rank)
                 yield PlacementUnit(job, step_run, tasks, key)
--- a/dandelionpick/batch/start_conditions.py
+++ b/dandelionpick/batch/start_conditions.py
@@ -12,6 +12,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_api
 
 
@@ -53,27 +54,30 @@
     return tasks
 
 
-def obstacle_to_step(
-    state: state_lib.State,
+def free_tasks(
+    holds: takeover_holds.Holds,
     schedule: schedule_state.Schedule,
     job: job_state.Job,
-    tasks: Iterable[job_state.Task],
-    has_unlisted_targets: bool,
+    step_run: job_state.StepRun,
+) -> list[job_state.Task]:
+    """Returns the startable tasks that the takeover does not hold back."""
+    tasks = startable_tasks(step_run)
+    if not tasks or not holds.any():
+        return tasks
+    free = [
+        task
+        for task in tasks
+        if not takeover_holds.is_held(holds, schedule, job, step_run, task)
+    ]
+    if step_run.spec.gang and len(free) < len(tasks):
+        return []
+    return free
+
+
+def obstacle_to_placing(
+    state: state_lib.State, tasks: Iterable[job_state.Task]
 ) -> obstacles.Obstacle | None:
-    """Returns what keeps tasks of a step from being placed, or None.
-
-    Args:
-        state: the instance's state.
-        schedule: its schedule.
-        job: the job of the tasks.
-        tasks: tasks of one step that could start.
-        has_unlisted_targets: whether earlier tasks may be on targets that were
-            not listed.
-    """
-    # Jobs accepted under the current epoch were never seen by an earlier
-    # scheduler, so they can't have runs on unlisted targets.
-    if has_unlisted_targets and job.accepted_revision <= schedule.epoch:
-        return obstacles.Obstacle.UNLISTED_TARGETS
+    """Returns what keeps free tasks of a step from being placed, or None."""
     is_suspected = any(task.records for task in tasks)
     if is_suspected and not planned_starts.may_plan(state):
         return obstacles.Obstacle.UNSTORED
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -3,8 +3,7 @@
 Nothing is started before every reachable target was listed under the new epoch.
 From then on, no earlier scheduler can start anything there, and what it started
 is known. A task of a job that was accepted earlier and that was not found may
-be running on a target that could not be listed; it waits until the lease there
-must have ended.
+be running on a target that could not be listed; see takeover_holds.
 """
 
 from dandelionpick import dispatch
@@ -12,7 +11,6 @@
 from dandelionpick import ids
 from dandelionpick.batch import evacuations
 from dandelionpick.batch import job_intake
-from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import polling
 from dandelionpick.batch import roster
 from dandelionpick.batch import run_time_store
@@ -132,15 +130,3 @@
         f" {len(schedule.jobs)} jobs and {len(schedule.targets)} targets,"
         f" of which {len(unlisted)} could not be listed",
     )
-
-
-def has_unlisted_targets(
-    state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
-) -> bool:
-    """Returns whether earlier tasks may be on targets not listed as a whole."""
-    return any(
-        target.may_hide_ends()
-        or not (target.listed or target.replaced)
-        and now_s < leadership_bounds.unlisted_until_s(state, schedule, target)
-        for target in schedule.targets.values()
-    )
--- /dev/null
+++ b/dandelionpick/batch/takeover_holds.py
@@ -0,0 +1,124 @@
+"""Decides which tasks a takeover holds back, because they may be at work.
+
+An earlier scheduler may have started tasks on targets that its successor can't
+list. Whatever runs there ends with its lease. Until then, a task waits, unless
+the successor knows that no other run of it exists. Afterwards, a target that
+still reaches the store may hold the ends of work that was done before; for
+these, tasks wait that are recorded there.
+"""
+
+import dataclasses
+
+from dandelionpick import ids
+from dandelionpick.batch import job_state
+from dandelionpick.batch import leadership_bounds
+from dandelionpick.batch import model
+from dandelionpick.batch import run_records
+from dandelionpick.batch import schedule_state
+from dandelionpick.batch import state as state_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holds:
+    """What may be on targets that were not listed since the takeover.
+
+    Attributes:
+        all_tasks: any task of an earlier job may be there.
+        targets: targets that run nothing, but may hold ends of the tasks that
+            are recorded there.
+    """
+
+    all_tasks: bool
+    targets: frozenset[ids.TargetId]
+
+    def any(self) -> bool:
+        """Returns whether any task is held back."""
+        return self.all_tasks or bool(self.targets)
+
+
+def find(
+    state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
+) -> Holds:
+    """Returns what the unlisted targets hold back."""
+    all_tasks = False
+    targets = set()
+    for target in schedule.targets.values():
+        if target.may_hide_ends():
+            all_tasks = True
+        if target.listed or target.replaced:
+            continue
+        if now_s < leadership_bounds.leases_until_s(state, schedule, target):
+            all_tasks = True
+        elif now_s < leadership_bounds.unlisted_until_s(
+            state, schedule, target
+        ):
+            targets.add(target.id)
+    return Holds(all_tasks, frozenset(targets))
+
+
+def is_held(
+    holds: Holds,
+    schedule: schedule_state.Schedule,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
+    task: job_state.Task,
+) -> bool:
+    """Returns whether an earlier scheduler's run of a task may be somewhere."""
+    # Jobs accepted under the current epoch were never seen by an earlier
+    # scheduler.
+    if not holds.any() or job.accepted_revision > schedule.epoch:
+        return False
+    if task.accounted or _opened_under_epoch(job, step_run):
+        return False
+    if holds.all_tasks:
+        return True
+    return _may_lack_records(job) or any(
+        record.target in holds.targets for record in task.records
+    )
+
+
+def _opened_under_epoch(
+    job: job_state.Job, step_run: job_state.StepRun
+) -> bool:
+    """Returns whether no earlier scheduler can have started a step.
+
+    A step that it comes after was not done when this scheduler found its runs.
+    """
+    for number in step_run.spec.after:
+        earlier = job.steps[step_run.occurrence, number]
+        if earlier.spec.duplicates_allowed:
+            continue
+        if any(task.accounted for task in earlier.tasks):
+            return True
+    return False
+
+
+def _may_lack_records(job: job_state.Job) -> bool:
+    """Returns whether some runs of a job may have no record."""
+    tasks = sum(step.spec.tasks for step in job.steps.values())
+    return tasks > run_records.MAX_RECORDED_TASKS
+
+
+def account(
+    schedule: schedule_state.Schedule, key: model.TaskKey, listed_s: float
+) -> None:
+    """Records that a listing shows a task at work.
+
+    An earlier scheduler starts a task again only if it knows that the run is
+    gone. Once it has had no evidence of its leadership for too long, what a
+    target lists is the only run; of a gang, if each member is listed.
+
+    Args:
+        schedule: the schedule.
+        key: the task.
+        listed_s: when the listing was sent.
+    """
+    no_other_orders_s = (
+        schedule.fenced_s + leadership_bounds.UNCONFIRMED_LEADERSHIP_S
+    )
+    if listed_s < no_other_orders_s:
+        return
+    job = schedule.jobs.get(key.job_id)
+    task = schedule.task_of(key)
+    if job is not None and task is not None:
+        task.accounted = not job.step_of(key).spec.duplicates_allowed
--- a/dandelionpick/batch/waiting.py
+++ b/dandelionpick/batch/waiting.py
@@ -19,7 +19,7 @@
 from dandelionpick.batch import stages
 from dandelionpick.batch import start_conditions
 from dandelionpick.batch import state as state_lib
-from dandelionpick.batch import takeover
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_preference
 from dandelionpick.batch import waits as waits_lib
 
@@ -147,16 +147,14 @@
     state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
 ) -> Iterator[tuple[waits_lib.StepKey, waits_lib.Wait]]:
     """Yields the open steps with tasks that are not at work."""
-    has_unlisted = takeover.has_unlisted_targets(state, schedule, now_s)
+    holds = takeover_holds.find(state, schedule, now_s)
     for job in schedule.jobs.values():
         if job.ended:
             continue
         for step_run in job.steps.values():
             if not step_run.open or not step_run.tasks_left:
                 continue
-            counts = _count_obstacles(
-                state, schedule, job, step_run, has_unlisted
-            )
+            counts = _count_obstacles(state, schedule, job, step_run, holds)
             if counts:
                 key = (job.id, step_run.occurrence, step_run.number)
                 targets = _targets_of(schedule, step_run)
@@ -168,7 +166,7 @@
     schedule: schedule_state.Schedule,
     job: job_state.Job,
     step_run: job_state.StepRun,
-    has_unlisted: bool,
+    holds: takeover_holds.Holds,
 ) -> collections.Counter[obstacles.Obstacle]:
     """Returns how many tasks of a step wait, by what they wait for."""
     counts: collections.Counter[obstacles.Obstacle] = collections.Counter()
@@ -179,13 +177,15 @@
         ]
         if found and not task.done and all(found):
             counts[found[0]] += 1
-    if tasks := start_conditions.startable_tasks(step_run):
-        obstacle = start_conditions.obstacle_to_step(
-            state, schedule, job, tasks, has_unlisted
-        )
+    free = start_conditions.free_tasks(holds, schedule, job, step_run)
+    held = len(start_conditions.startable_tasks(step_run)) - len(free)
+    if held:
+        counts[obstacles.Obstacle.UNLISTED_TARGETS] += held
+    if free:
+        obstacle = start_conditions.obstacle_to_placing(state, free)
         if obstacle is None and not schedule.starts.has_room():
             obstacle = obstacles.Obstacle.STARTS_IN_FLIGHT
-        counts[obstacle or obstacles.Obstacle.ROOM] += len(tasks)
+        counts[obstacle or obstacles.Obstacle.ROOM] += len(free)
     return counts
 
 
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -23,7 +23,7 @@
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_health
 from dandelionpick.batch import submission
-from dandelionpick.batch import takeover
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_health
 from dandelionpick.batch import watches
 from dandelionpick.platform import targets
@@ -42,7 +42,9 @@
 
 def start_unread_tasks() -> None:
     """Starts tasks that may be running on a target that was not read."""
-    takeover.has_unlisted_targets = lambda state, schedule, now_s: False
+    takeover_holds.find = lambda state, schedule, now_s: takeover_holds.Holds(
+        False, frozenset()
+    )
 
 
 def ignore_fences() -> None:
@@ -229,9 +231,10 @@
     """Extends leases however long the scheduler can't renew its own lease."""
     leadership_bounds.LEADERSHIP_WITHOUT_STORE_S = 1e6
     leadership_bounds.UNCONFIRMED_LEADERSHIP_S = 1e6
-    takeover.has_unlisted_targets = lambda state, schedule, now_s: (
+    takeover_holds.find = lambda state, schedule, now_s: takeover_holds.Holds(
         now_s < schedule.began_s + 31.0
-        and any(not target.listed for target in schedule.targets.values())
+        and any(not target.listed for target in schedule.targets.values()),
+        frozenset(),
     )
 
 
--- a/tests/takeover_mutants.py
+++ b/tests/takeover_mutants.py
@@ -2,9 +2,12 @@
 
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
+from dandelionpick.batch import start_conditions
+from dandelionpick.batch import takeover_holds
 from tests import mutant
 
 STANDING = ("tests.test_batch_standing_jobs",)
+SAFETY = ("tests.test_batch_unlisted_targets", *STANDING)
 
 
 def repeat_silent_listings() -> None:
@@ -23,6 +26,36 @@
     roster.RECORD_TOLERANCE_MS = float("inf")
 
 
+def hold_accounted_tasks() -> None:
+    """Holds back tasks of which each run is known."""
+    takeover_holds.account = lambda schedule, key, listed_s: None
+
+
+def forget_recorded_tasks() -> None:
+    """Starts tasks whose end a target that is cut off may hold."""
+    find = takeover_holds.find
+
+    def find_running(state, schedule, now_s):
+        holds = find(state, schedule, now_s)
+        return takeover_holds.Holds(holds.all_tasks, frozenset())
+
+    takeover_holds.find = find_running
+
+
+def start_parts_of_gangs() -> None:
+    """Starts the members of a gang that the takeover does not hold back."""
+    free_tasks = start_conditions.free_tasks
+
+    def free_members(holds, schedule, job, step_run):
+        return free_tasks(holds, schedule, job, step_run) or [
+            task
+            for task in start_conditions.startable_tasks(step_run)
+            if step_run.spec.gang and task.accounted
+        ]
+
+    start_conditions.free_tasks = free_members
+
+
 MUTANTS = (
     mutant.Mutant(
         "a silent target does not keep others from being listed",
@@ -34,4 +67,19 @@
         keep_first_records,
         STANDING,
     ),
+    mutant.Mutant(
+        "a takeover holds back only tasks that may be at work",
+        hold_accounted_tasks,
+        STANDING,
+    ),
+    mutant.Mutant(
+        "tasks that are recorded on a target wait for its ends",
+        forget_recorded_tasks,
+        SAFETY,
+    ),
+    mutant.Mutant(
+        "a gang starts again only if each member is accounted for",
+        start_parts_of_gangs,
+        SAFETY,
+    ),
 )
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -63,3 +63,137 @@
             len(it.runs) for it in fabric.world.targets.values() if it.up
         )
         self.assertEqual(running, 8)
+
+
+class AccountedTasksTest(test_batch_jobs.BatchTest):
+    """The scheduler is killed just after an idle target is lost or cut off."""
+
+    def lose_scheduler_and_target(self, fabric, is_cut: bool) -> None:
+        """Kills the scheduler beside the loss of a target that runs nothing.
+
+        Args:
+            fabric: the simulation.
+            is_cut: the target is cut off from the instances and still reaches
+                the store; otherwise it crashes for good.
+        """
+        idle = next(
+            name for name, it in fabric.world.targets.items() if not it.runs
+        )
+        if is_cut:
+            for name in fabric.instances:
+                fabric.part(name, idle)
+        else:
+            fabric.crash_target(idle)
+        fabric.run_for(0.1)
+        fabric.kill(fabric.scheduler().name)
+        fabric.run_until(fabric.scheduler, 5.0)
+
+    def fail_runs(self, fabric, after_s: float) -> None:
+        """Lets the target that is at work fail its runs some time later."""
+        for target in fabric.world.targets.values():
+            target.fails = bool(target.runs)
+            target.fails_after_s = after_s
+
+    def running(self, fabric, number: int) -> int:
+        """Returns how many tasks of a job are at work."""
+        return sum(
+            key.startswith(builders.job_id(number))
+            for target in fabric.world.targets.values()
+            for key in target.runs
+        )
+
+    def longest_standstill_s(self, fabric, number: int, end_s: float) -> float:
+        """Returns for how long a job had nothing running before its end."""
+        stood_since_s = fabric.now_s
+        longest_s = 0.0
+        while fabric.now_s < end_s:
+            fabric.run_for(0.1)
+            if self.running(fabric, number):
+                stood_since_s = fabric.now_s
+            longest_s = max(longest_s, fabric.now_s - stood_since_s)
+            if fabric.state_of(number) is test_batch_jobs.COMPLETED:
+                return longest_s
+        return max(longest_s, MAX_WAIT_FOR_GONE_TARGET_S)
+
+    def test_task_that_was_found_and_fails_starts_again_at_once(self):
+        """Guards against a retry that waits for targets it can't be on."""
+        for is_cut in (False, True):
+            with self.subTest(is_cut=is_cut):
+                fabric = self.build(target_count=6)
+                fabric.submit(1, builders.body(work_s=12.0))
+                fabric.run_for(1.0)
+                self.fail_runs(fabric, after_s=6.0)
+                self.lose_scheduler_and_target(fabric, is_cut)
+                self.assertLess(
+                    self.longest_standstill_s(fabric, 1, 60.0),
+                    MAX_STANDSTILL_S,
+                )
+
+    def test_step_after_one_that_was_found_starts_at_once(self):
+        """Guards against a step that waits for targets it can't be on."""
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                fabric = self.build(target_count=6)
+                body = builders.body(
+                    builders.phase(2, gang=gang),
+                    builders.phase(2, gang=gang, after=[0]),
+                    work_s=6.0,
+                )
+                fabric.submit(1, body)
+                fabric.run_for(1.0)
+                self.lose_scheduler_and_target(fabric, is_cut=False)
+                self.assertLess(
+                    self.longest_standstill_s(fabric, 1, 60.0),
+                    MAX_STANDSTILL_S,
+                )
+
+    def test_target_that_is_cut_off_holds_only_what_is_recorded_there(self):
+        """Guards against one target that holds all jobs for 30 s."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=12.0))
+        fabric.run_for(1.0)
+        self.fail_runs(fabric, after_s=3.0)
+        self.lose_scheduler_and_target(fabric, is_cut=True)
+        self.assertLess(
+            self.longest_standstill_s(fabric, 1, 60.0),
+            MAX_WAIT_FOR_GONE_TARGET_S,
+        )
+
+    def lose_scheduler_and_busy_target(self, fabric) -> str:
+        """Kills the scheduler and cuts off a target; returns the target."""
+        busy = next(
+            name for name, it in fabric.world.targets.items() if it.runs
+        )
+        for name in fabric.instances:
+            fabric.part(name, busy)
+        fabric.run_for(0.1)
+        fabric.kill(fabric.scheduler().name)
+        fabric.run_until(fabric.scheduler, 5.0)
+        return busy
+
+    def test_task_that_is_recorded_on_a_target_waits_for_its_ends(self):
+        """Guards against a second run of work that was done unseen."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=6.0))
+        fabric.run_for(1.0)
+        self.lose_scheduler_and_busy_target(fabric)
+        fabric.run_for(MAX_WAIT_FOR_GONE_TARGET_S + 5.0)
+        fabric.cut.clear()
+        fabric.until_completed(1, limit_s=10.0)
+        self.assertEqual(sum(fabric.world.starts.values()), 1)
+
+    def test_gang_with_a_member_on_a_lost_target_waits(self):
+        """Guards against a gang of which only some members start again."""
+        fabric = self.build(target_count=6)
+        gang = builders.phase(4, gpu=8, gang=True)
+        fabric.submit(1, builders.body(gang, work_s=12.0))
+        fabric.run_for(1.0)
+        lost = self.lose_scheduler_and_busy_target(fabric)
+        fabric.run_for(6.0)
+        self.fail_runs(fabric, after_s=0.0)
+        fabric.crash_target(lost)
+        fabric.run_for(1.0)
+        for target in fabric.world.targets.values():
+            target.fails = False
+        fabric.until_completed(1, limit_s=60.0)
+        self.assertEqual(set(fabric.world.starts.values()), {2})
