Send the stop of an unanswered start again when its target has restarted

Cause: a restart resets when the stop of an unanswered start was sent, but not that a stop is in progress. Each listing without a wait asked for the stop, which was not sent because one was in progress, so that the next listing did not wait either.

Change: after a restart the stop counts as not sent, and is sent again to the new incarnation.

--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -78,6 +78,7 @@
     for run in target.runs.values():
         run.stopped_s = float("inf")
         run.stop_sent_s = float("-inf")
+        run.stop_pending = False
     if target.runs:
         # The end of a lease was set on the clock of the earlier incarnation.
         target.lease_ends_s = max(
--- a/tests/test_batch_lost_starts.py
+++ b/tests/test_batch_lost_starts.py
@@ -101,3 +101,22 @@
         self.lose_first_start(fabric)
         fabric.until_completed(1, limit_s=5.0)
         self.assertEqual(self.repetitions(fabric), 0)
+
+    def test_restart_during_a_stop_does_not_cause_a_storm_of_listings(self):
+        """Guards against a listing every few ms while a stop has no reply."""
+        fabric = self.build(instances=1, target_count=1)
+        fabric.part("e0", "t0")
+        fabric.submit(1, builders.body(work_s=1.0))
+        fabric.run_until(lambda: self.stop_in_progress(fabric))
+        fabric.crash_target("t0", 0.0)
+        fabric.run_for(0.01)
+        fabric.cut.clear()
+        target = fabric.scheduler().state.schedule.targets["t0"]
+        before = target.poll_serial
+        fabric.run_for(0.7)
+        self.assertLess(target.poll_serial - before, 20)
+
+    def stop_in_progress(self, fabric: batch_fabric.Fabric) -> bool:
+        """Returns whether a stop has been sent and has no reply."""
+        target = fabric.scheduler().state.schedule.targets["t0"]
+        return any(run.stop_pending for run in target.runs.values())
