Don't wait for the lease of a run that has obeyed a stop

What callers saw: after a takeover a gang stood still for 11 s, because one of its members was on a target that left right after it had obeyed the stop of the new scheduler (real processes, a notice of 2 s, all instances killed).

Cause: the entry of a draining target that a new scheduler reads may be of any age, so that its end proves no exit, and the runs of a silent target were dropped only when the leases had ended, also those that had been stopped.

Change: a run that has obeyed a stop, and whose target has been silent since, is dropped once the longest time of a stop has passed, unless it may have been done before: then its end decides, as for leases. A gang with a member that answers is judged by that.

--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -29,8 +29,9 @@
     RESTARTED means that the target answers as another incarnation under its
     id, and REPLACED that one with another id answers at its address. EXPIRED
     means that the target has no entry and has not answered since its leases
-    ended, UNHEARD the same for a target with an entry, and UNLISTED that the
-    target answers and does not know the run.
+    ended, UNHEARD the same for a target with an entry, UNLISTED that the target
+    answers and does not know the run, and STOPPED that the target obeyed a stop
+    and has not answered since.
     """
 
     RESTARTED = "the target has restarted"
@@ -39,6 +40,7 @@
     EXPIRED = "the target is gone"
     UNHEARD = "the target did not answer before its leases ended"
     UNLISTED = "the target does not list it"
+    STOPPED = "it was stopped before the target fell silent"
 
 
 # Losses that are due to a crash of the target.
--- a/dandelionpick/batch/run_resolution.py
+++ b/dandelionpick/batch/run_resolution.py
@@ -49,6 +49,8 @@
             state, step, target, run_endings.Loss.SHUT_DOWN
         )
         return
+    if target.failed and target.runs:
+        _drop_stopped_runs(state, step, target)
     # A successor may have extended the leases, unless there was none.
     lapsed = leadership_bounds.key_confirmed_s(state) > target.lease_ends_s
     if target.failed and lapsed and target.runs:
@@ -106,6 +108,19 @@
         run_endings.mark_lost(state, step, run, loss)
 
 
+def _drop_stopped_runs(
+    state: state_lib.State, step: dispatch.Step, target: schedule_state.Target
+) -> None:
+    """Drops the runs of a silent target that have ended by a stop."""
+    schedule = state.schedule
+    assert schedule is not None
+    for run in list(target.runs.values()):
+        if unheard_runs.has_stopped(
+            schedule, target, run, step.moment.now_s, state.limits.stop_s
+        ):
+            run_endings.mark_lost(state, step, run, run_endings.Loss.STOPPED)
+
+
 def _should_stop_unresolved(run: job_state.Run, now_s: float) -> bool:
     """Returns whether to stop a start without a reply, or repeat its stop."""
     return (
--- a/tests/takeover_mutants.py
+++ b/tests/takeover_mutants.py
@@ -4,6 +4,7 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import start_conditions
 from dandelionpick.batch import takeover_holds
+from dandelionpick.batch import unheard_runs
 from tests import mutant
 
 STANDING = ("tests.test_batch_standing_jobs",)
@@ -56,6 +57,16 @@
     start_conditions.free_tasks = free_members
 
 
+def wait_for_stopped_runs() -> None:
+    """Waits for the leases of runs that have obeyed a stop."""
+    unheard_runs.has_stopped = lambda *arguments: False
+
+
+def forget_unlisted_ends() -> None:
+    """Takes each run that has obeyed a stop for one that was not done."""
+    unheard_runs._may_have_ended = lambda *arguments: False
+
+
 MUTANTS = (
     mutant.Mutant(
         "a silent target does not keep others from being listed",
@@ -82,4 +93,14 @@
         start_parts_of_gangs,
         SAFETY,
     ),
+    mutant.Mutant(
+        "a run that has obeyed a stop does not wait for its lease",
+        wait_for_stopped_runs,
+        ("tests.test_batch_departures",),
+    ),
+    mutant.Mutant(
+        "a run that may have been done before its stop waits",
+        forget_unlisted_ends,
+        ("tests.test_batch_unheard",),
+    ),
 )
--- a/tests/test_batch_departures.py
+++ b/tests/test_batch_departures.py
@@ -4,6 +4,7 @@
 
 from dandelionpick.batch import departures
 from dandelionpick.batch import features
+from dandelionpick.platform import keys
 from tests import batch_builders as builders
 from tests import batch_fabric
 from tests import test_batch_jobs
@@ -11,6 +12,8 @@
 NOTICE_S = 1.9
 STOP_S = 0.4
 WORK_S = 6.0
+# A job that could run must not have nothing running for longer.
+MAX_STANDSTILL_S = 3.0
 
 
 class MustStopTest(unittest.TestCase):
@@ -88,3 +91,33 @@
         self.run_gang(fabric)
         fabric.kill(fabric.scheduler().name)
         fabric.until_completed(1, limit_s=WORK_S + 14.0)
+
+    def test_run_that_was_stopped_does_not_wait_for_its_lease(self):
+        """Guards against a gang that waits for a member that has stopped.
+
+        A new scheduler doesn't know how old the entry of a draining target is,
+        so that its end does not prove that the target has left.
+        """
+        fabric = self.build_pool()
+        gang = builders.phase(16, gang=True)
+        fabric.submit(1, builders.body(gang, work_s=30.0))
+        fabric.run_for(4.0)
+        name = next(
+            target.id for target in fabric.world.targets.values() if target.runs
+        )
+        fabric.drain_target(name, NOTICE_S, refuses=False)
+        fabric.kill(fabric.scheduler().name)
+        fabric.run_until(lambda: "before its target" in fabric.log[-1])
+        fabric.run_until(lambda: self.stops_obeyed(fabric, name))
+        fabric.crash_target(name)
+        fabric.store.remove(keys.TARGETS_PREFIX + name)
+        starts = sum(fabric.world.starts.values())
+        fabric.run_until(
+            lambda: sum(fabric.world.starts.values()) > starts,
+            MAX_STANDSTILL_S,
+        )
+
+    def stops_obeyed(self, fabric: batch_fabric.Fabric, name: str) -> bool:
+        """Returns whether a target has obeyed the stops of all its runs."""
+        target = fabric.scheduler().state.schedule.targets[name]
+        return all(run.stopped_s < float("inf") for run in target.runs.values())
--- a/tests/test_batch_unheard.py
+++ b/tests/test_batch_unheard.py
@@ -6,10 +6,12 @@
 
 import unittest
 
+from dandelionpick.batch import unheard_runs
 from tests import batch_builders as builders
 from tests import test_batch_jobs
 
 LEASE_S = 6.0
+STOP_S = 0.4
 
 
 class UnheardTargetTest(test_batch_jobs.BatchTest):
@@ -63,6 +65,32 @@
         task = f"{builders.job_id(1)}.0.0.0"
         fabric.run_until(lambda: fabric.world.starts[task] == 2, 2.5 * LEASE_S)
 
+    def test_stopped_work_that_cannot_have_ended_does_not_wait(self):
+        """Guards against a wait for the lease of a run that was stopped."""
+        self.assertTrue(self.has_stopped(percent=40.0, after_s=1.0))
+
+    def test_stop_takes_its_time(self):
+        """Guards against a second run beside one that is being stopped."""
+        self.assertFalse(self.has_stopped(percent=40.0, after_s=0.3))
+
+    def test_stopped_work_may_have_ended_before(self):
+        """Guards against a done task that runs again after a stop."""
+        for percent in (0.0, 95.0):
+            with self.subTest(percent=percent):
+                self.assertFalse(self.has_stopped(percent, after_s=1.0))
+
+    def has_stopped(self, percent: float, after_s: float) -> bool:
+        """Asks about a run that obeyed a stop some time ago."""
+        fabric = self.start_work(builders.phase(), work_s=40.0)
+        schedule = fabric.scheduler().state.schedule
+        target = schedule.targets["t0"]
+        (run,) = target.runs.values()
+        run.progressed_s = run.ordered_s + 10.0
+        run.first_percent, run.percent = 0.0, percent
+        run.stopped_s = run.progressed_s + 0.1
+        now_s = run.stopped_s + after_s
+        return unheard_runs.has_stopped(schedule, target, run, now_s, STOP_S)
+
 
 if __name__ == "__main__":
     unittest.main()
