Bound leases on lost targets by the end of the previous scheduler's process

Cause: a new scheduler counted the leases of unlisted targets from 3 s after its first listing, because an earlier one may act for that long. One whose process has ended does not, and its instance is often back by then.

Change: a scheduler uses targets only once the stored roster names its own process, so that the roster which its successor reads names the last process that may have started or extended anything. That counts only if the writer of the roster had outlasted the leases of the schedulers before it (settled), because an older one may outlive it: the test of three schedulers runs work twice without.

--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -22,10 +22,12 @@
 from dandelionpick import kinds
 from dandelionpick.batch import leadership_bounds
 from dandelionpick.batch import model
+from dandelionpick.batch import predecessors
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import stages
 from dandelionpick.batch import state as state_lib
 from dandelionpick.batch import store_api
+from dandelionpick.batch import takeover_holds
 from dandelionpick.batch import target_registry
 from dandelionpick.batch import watches
 
@@ -121,10 +123,10 @@
 ) -> bool:
     """Returns whether a successor would list a target, and wait for it.
 
-    The stored roster has the target, and not as silent, whichever of the
-    unsettled writes take effect.
+    The stored roster was written by this scheduler and has the target, and not
+    as silent, whichever of the unsettled writes take effect.
     """
-    return all(
+    return schedule.roster.epoch == schedule.epoch and all(
         target.id in possible.addresses
         and target.id not in possible.silent_until_ms
         for possible in (schedule.roster, *schedule.unsettled_rosters)
@@ -136,7 +138,12 @@
     state: state_lib.State,
     step: dispatch.Step,
 ) -> model.Roster:
-    desired = model.Roster(state.identity.instance)
+    desired = model.Roster(
+        state.identity.instance,
+        state.incarnation,
+        schedule.epoch,
+        _is_settled(schedule, state, step.moment.now_s),
+    )
     for target in schedule.targets.values():
         unregistered = target.entry is None and target.listed
         if (unregistered or target.replaced) and not target.runs:
@@ -148,6 +155,25 @@
     return desired
 
 
+def _is_settled(
+    schedule: schedule_state.Schedule, state: state_lib.State, now_s: float
+) -> bool:
+    """Returns whether all that was started before this epoch is known.
+
+    It stays so: leases that have ended are not extended.
+    """
+    if schedule.roster.epoch == schedule.epoch and schedule.roster.settled:
+        return True
+    inherited = any(
+        target.unlisted_until_s > float("-inf")
+        for target in schedule.targets.values()
+    )
+    return not inherited or (
+        schedule.stage is stages.Stage.READY
+        and not takeover_holds.find(state, schedule, now_s).all_tasks
+    )
+
+
 def _mark_silent(
     state: state_lib.State,
     schedule: schedule_state.Schedule,
@@ -257,6 +283,13 @@
     for target_id, address in schedule.roster.addresses.items():
         target_registry.add_unregistered(schedule, target_id, address)
     if schedule.stage is stages.Stage.READING:
+        schedule.predecessor = predecessors.of_roster(schedule.roster)
+        predecessors.record_process(
+            schedule.predecessor,
+            state.identity.instance,
+            state.incarnation,
+            state.started_s,
+        )
         _set_unlisted_deadlines(schedule, state, step)
 
 
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -11,6 +11,7 @@
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import job_state
 from dandelionpick.batch import model
+from dandelionpick.batch import predecessors
 from dandelionpick.batch import run_time_groups
 from dandelionpick.batch import stages
 from dandelionpick.batch import start_window
@@ -177,6 +178,7 @@
         pool_views: cached view of each pool.
         headroom: accelerators kept free for urgent work in the last pass.
         contention: state of the rules for work that waits for capacity.
+        predecessor: the process of the previous scheduler.
         roster: what the store holds about targets that may run something.
         unsettled_rosters: what it may hold instead, or may come to hold: writes
             on condition of `roster_revision` whose outcome is not known.
@@ -239,6 +241,9 @@
     contention: contention_lib.Contention = dataclasses.field(
         default_factory=contention_lib.Contention
     )
+    predecessor: predecessors.Predecessor = dataclasses.field(
+        default_factory=predecessors.Predecessor
+    )
     roster: model.Roster = dataclasses.field(default_factory=model.Roster)
     unsettled_rosters: list[model.Roster] = dataclasses.field(
         default_factory=list
--- a/dandelionpick/batch/state.py
+++ b/dandelionpick/batch/state.py
@@ -16,6 +16,7 @@
 from dandelionpick.batch import catalog as catalog_lib
 from dandelionpick.batch import features as features_lib
 from dandelionpick.batch import messages
+from dandelionpick.batch import monitoring_state
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import target_api
 from dandelionpick.batch import watches as watches_lib
@@ -172,63 +173,6 @@
     lag_recorded_s: float = float("-inf")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OpenMonitor:
-    """A Monitor call of another instance that waits for its reply.
-
-    Attributes:
-        until_s: the time by which it has to be answered.
-    """
-
-    instance: ids.InstanceId
-    until_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """An instance that may succeed this scheduler.
-
-    Attributes:
-        strength: its processor cores.
-        called_s: when it last called.
-        address: address at which other instances reach it.
-        store_rtt_s: its shortest round trip to the store; 0 if unknown.
-    """
-
-    strength: float
-    called_s: float
-    region: ids.Region = ids.Region("")
-    address: str = ""
-    store_rtt_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Monitoring:
-    """State of the Monitor calls, by which instances detect a failed scheduler.
-
-    Attributes:
-        monitors: open exchanges of the instances that monitor this scheduler.
-        candidates: the instances that may succeed this scheduler.
-        rank: how many instances should succeed the scheduler rather than this
-            one, according to the scheduler.
-        call_pending: whether the call of this instance to the scheduler is in
-            progress.
-        call_at_s: when to send the next call.
-        last_replaced_s: when this instance last replaced a scheduler early.
-    """
-
-    monitors: dict[ids.ExchangeId, OpenMonitor] = dataclasses.field(
-        default_factory=dict
-    )
-    candidates: dict[ids.InstanceId, Candidate] = dataclasses.field(
-        default_factory=dict
-    )
-    rank: int = 0
-    call_pending: bool = False
-    call_at_s: float = float("-inf")
-    last_replaced_s: float = float("-inf")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CatalogReader:
     """An instance that waits for a version later than `after_revision`."""
@@ -336,6 +280,7 @@
     """The whole state of an instance.
 
     Attributes:
+        started_s: when this process handled its first event; inf before.
         schedule: the schedule; None unless this instance is the scheduler.
         open_requests: requests without a response, by exchange.
         delayed_requests: requests that wait for their next attempt.
@@ -355,7 +300,10 @@
     calls_made: int = 0
     catalog: CatalogState = dataclasses.field(default_factory=CatalogState)
     election: Election = dataclasses.field(default_factory=Election)
-    monitoring: Monitoring = dataclasses.field(default_factory=Monitoring)
+    monitoring: monitoring_state.Monitoring = dataclasses.field(
+        default_factory=monitoring_state.Monitoring
+    )
+    started_s: float = float("inf")
     schedule: schedule_state.Schedule | None = None
     open_requests: dict[ids.ExchangeId, OpenRequest] = dataclasses.field(
         default_factory=dict
--- a/dandelionpick/batch/succession.py
+++ b/dandelionpick/batch/succession.py
@@ -11,6 +11,7 @@
 from dandelionpick import effects
 from dandelionpick import ids
 from dandelionpick.batch import messages
+from dandelionpick.batch import monitoring_state
 from dandelionpick.batch import state as state_lib
 
 # Each rank campaigns this much later: a tick, and the difference that the
@@ -37,7 +38,7 @@
     state: state_lib.State, message: messages.Monitor, now_s: float
 ) -> None:
     """Records that another instance monitors this scheduler."""
-    state.monitoring.candidates[message.instance] = state_lib.Candidate(
+    state.monitoring.candidates[message.instance] = monitoring_state.Candidate(
         message.strength,
         now_s,
         message.region,
@@ -63,7 +64,7 @@
 
 def live_candidates(
     state: state_lib.State, now_s: float
-) -> dict[ids.InstanceId, state_lib.Candidate]:
+) -> dict[ids.InstanceId, monitoring_state.Candidate]:
     """Returns the instances that have called recently."""
     candidates = state.monitoring.candidates
     for instance, candidate in list(candidates.items()):
--- a/tests/takeover_mutants.py
+++ b/tests/takeover_mutants.py
@@ -1,5 +1,6 @@
 """Mutants of the mechanisms that keep jobs from standing still."""
 
+from dandelionpick.batch import predecessors
 from dandelionpick.batch import roster
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import start_conditions
@@ -8,6 +9,7 @@
 from tests import mutant
 
 STANDING = ("tests.test_batch_standing_jobs",)
+LATE_WRITES = ("tests.test_batch_late_writes",)
 SAFETY = ("tests.test_batch_unlisted_targets", *STANDING)
 
 
@@ -67,6 +69,30 @@
     unheard_runs._may_have_ended = lambda *arguments: False
 
 
+def forget_ended_processes() -> None:
+    """Doesn't notice that the previous scheduler's process has ended."""
+    predecessors.record_process = lambda *arguments: None
+
+
+def settle_at_once() -> None:
+    """Takes the last scheduler for the only one that can have acted."""
+    roster._is_settled = lambda *arguments: True
+
+
+def use_the_roster_of_others() -> None:
+    """Uses targets before the store names this scheduler."""
+    may_use = roster.may_use
+
+    def may_use_any(schedule, target):
+        epoch, schedule.roster.epoch = schedule.roster.epoch, schedule.epoch
+        try:
+            return may_use(schedule, target)
+        finally:
+            schedule.roster.epoch = epoch
+
+    roster.may_use = may_use_any
+
+
 MUTANTS = (
     mutant.Mutant(
         "a silent target does not keep others from being listed",
@@ -103,4 +129,19 @@
         forget_unlisted_ends,
         ("tests.test_batch_unheard",),
     ),
+    mutant.Mutant(
+        "leases have ended a lease after the previous process has",
+        forget_ended_processes,
+        STANDING,
+    ),
+    mutant.Mutant(
+        "an older scheduler may outlive the previous one",
+        settle_at_once,
+        STANDING,
+    ),
+    mutant.Mutant(
+        "a scheduler uses targets once the store names it",
+        use_the_roster_of_others,
+        (*LATE_WRITES, *STANDING),
+    ),
 )
--- a/tests/test_batch_catalog_copy.py
+++ b/tests/test_batch_catalog_copy.py
@@ -10,8 +10,8 @@
 from dandelionpick import errors
 from dandelionpick.batch import catalog_sources
 from dandelionpick.batch import monitoring
+from dandelionpick.batch import monitoring_state
 from dandelionpick.batch import readiness
-from dandelionpick.batch import state as state_lib
 from dandelionpick.platform import keys
 from standins import platform_store
 from tests import batch_builders as builders
@@ -205,8 +205,14 @@
     def source_for(self, name: str, members: int = 6) -> str:
         state = builders.state("e0")
         for number in range(members):
-            state.monitoring.candidates[f"i{number}"] = state_lib.Candidate(
-                2.0 if number < 2 else 0.5, 0.0, "far", f"i{number}:1", 0.028
+            state.monitoring.candidates[f"i{number}"] = (
+                monitoring_state.Candidate(
+                    2.0 if number < 2 else 0.5,
+                    0.0,
+                    "far",
+                    f"i{number}:1",
+                    0.028,
+                )
             )
         return catalog_sources.source_for(state, name, 1.0)
 
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -1,5 +1,6 @@
 """Jobs that could run don't stand still after a takeover (rule LOST)."""
 
+from dandelionpick.batch import roster
 from tests import batch_builders as builders
 from tests import test_batch_jobs
 
@@ -9,6 +10,8 @@
 # without evidence, and a second each for the takeover and for clocks that
 # differ.
 MAX_WAIT_FOR_GONE_TARGET_S = 10.2 + 3.0 + 2.0
+# At the end of a day, jobs have to run again after this time.
+FINISH_S = 14.0
 # Targets of one of nine failure domains at the size that the users aim at.
 DOMAIN_TARGETS = 3_700 // 9
 DOWN_S = 0.6
@@ -64,6 +67,76 @@
         )
         self.assertEqual(running, 8)
 
+    def test_task_of_a_lost_target_runs_again_in_time(self):
+        """Guards against a wait of a lease and 3 s from the takeover on."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=40.0))
+        fabric.run_for(32.0)
+        lost = next(
+            name for name, it in fabric.world.targets.items() if it.runs
+        )
+        fabric.crash_target(lost)
+        killed_s = fabric.now_s
+        self.restart_all(fabric)
+        fabric.run_until(
+            lambda: any(it.runs for it in fabric.world.targets.values()),
+            killed_s + FINISH_S - fabric.now_s,
+        )
+
+    def test_scheduler_before_the_last_one_may_still_extend_leases(self):
+        """Guards against a second run beside one of an older scheduler.
+
+        The first scheduler is cut off from the store and all instances. The
+        second one reaches no target and is killed soon after.
+        """
+        for target_count in (2, 4, 6):
+            with self.subTest(target_count=target_count):
+                self.play_three_schedulers(target_count)
+
+    def play_three_schedulers(self, target_count: int) -> None:
+        fabric = self.build(instances=3, target_count=target_count)
+        fabric.submit(1, builders.body(work_s=60.0))
+        fabric.run_for(32.0)
+        first = fabric.scheduler().name
+        busy = next(
+            name for name, it in fabric.world.targets.items() if it.runs
+        )
+        others = [name for name in fabric.instances if name != first]
+        for place in ("store", *others):
+            fabric.part(first, place)
+        for name in others:
+            for target in fabric.world.targets:
+                fabric.part(name, target)
+        schedulers = [fabric.instances[name] for name in others]
+        fabric.run_until(lambda: any(it.state.schedule for it in schedulers))
+        second = next(it.name for it in schedulers if it.state.schedule)
+        fabric.cut_from_store(busy)
+        fabric.run_for(5.0)
+        fabric.kill(second)
+        fabric.run_for(0.1)
+        # The third one lists all but the busy target, which the first one
+        # reaches.
+        for target in fabric.world.targets:
+            if target != busy:
+                fabric.part(first, target)
+                for name in others:
+                    fabric.cut.discard(frozenset((name, target)))
+        fabric.start_instance(second)
+        fabric.run_for(30.0)
+        self.assertEqual(fabric.world.broken, [])
+
+    def test_scheduler_that_the_store_does_not_name_uses_no_target(self):
+        """Guards against leases of a scheduler that no successor knows of.
+
+        The store may refuse its write of the roster.
+        """
+        fabric = self.build()
+        schedule = fabric.scheduler().state.schedule
+        (target, *_) = schedule.targets.values()
+        self.assertTrue(roster.may_use(schedule, target))
+        schedule.roster.epoch -= 1
+        self.assertFalse(roster.may_use(schedule, target))
+
 
 class AccountedTasksTest(test_batch_jobs.BatchTest):
     """The scheduler is killed just after an idle target is lost or cut off."""
