Account for a task as soon as no pending listing can tell of its end

What callers saw: tasks that failed, and steps that followed, within 3 to 5 s of a takeover stood still with those that may be on a lost target (real processes: failed 2.5 s after the kill, started again 13.8 s after it).

Cause: a listing counted only if it was sent 3 s after the first one. An earlier scheduler can learn of an end in a listing that was in progress when its successor listed that target, for 1 s on the target's clock.

Change: the bound is that second, for each target, and the time at which a listing was made up: one without ends has waited. If the previous process has ended, there is no bound.

The test of all instances killed failed before.

--- a/dandelionpick/batch/polling.py
+++ b/dandelionpick/batch/polling.py
@@ -251,10 +251,11 @@
         if ended.number > target.processed:
             target.processed = ended.number
             run_endings.apply_end(state, step, target, ended)
+    listed_s = _listed_s(context, listed)
     listed_keys = set()
     for running in listed.running:
         listed_keys.add((running.task, running.attempt))
-        _apply_running(state, step, target, running, context.sent_s)
+        _apply_running(state, step, target, running, listed_s)
     target.has_more_ends = listed.has_more_ends
     if not listed.has_more_ends:
         run_resolution.mark_missing_lost(
@@ -278,6 +279,15 @@
         target.poll_at_s = now_s + listing_order.IDLE_PERIOD_S
 
 
+def _listed_s(context: ListContext, listed: target_api.RunsListed) -> float:
+    """Returns the time after which a target has made up a listing."""
+    if listed.ended:
+        return context.sent_s
+    # It has waited for an end, on a clock that may be fast.
+    waited_s = context.wait_s / leadership_bounds.CLOCK_DRIFT_FACTOR
+    return context.sent_s + waited_s
+
+
 def _record_answer(
     state: state_lib.State,
     step: dispatch.Step,
@@ -309,6 +319,7 @@
     if not target.listed:
         abandoned_starts.stop_all(state, step, target)
         target.listed = True
+        target.first_listed_s = now_s
         schedule.dirty = True
         if target.unlisted_until_s > float("-inf"):
             schedule.fenced_s = min(schedule.fenced_s, now_s)
@@ -335,7 +346,7 @@
     step: dispatch.Step,
     target: schedule_state.Target,
     running: target_api.Running,
-    sent_s: float,
+    listed_s: float,
 ) -> None:
     schedule = state.schedule
     assert schedule is not None
@@ -351,7 +362,7 @@
     ):
         run.state = job_state.RunState.RUNNING
     run_records.record_running(schedule, run, now_s, target.started_ms)
-    takeover_holds.account(schedule, running.task, sent_s)
+    takeover_holds.account(schedule, target, running.task, listed_s)
     if running.percent > run.percent:
         run.progressed_s = now_s
     run.percent = running.percent
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -36,6 +36,7 @@
             is extended.
         listed: it was listed under this epoch, so orders of earlier epochs are
             void.
+        first_listed_s: when it was, the first time since it was not.
         has_more_ends: the last listing may not have shown all ends.
         poll_pending: a listing is in progress.
         poll_serial: number of the latest listing; replies to others are
@@ -81,6 +82,7 @@
     listing_sent_s: float = 0.0
     lease_ends_s: float = float("-inf")
     listed: bool = False
+    first_listed_s: float = float("inf")
     has_more_ends: bool = False
     poll_pending: bool = False
     poll_serial: int = 0
--- a/dandelionpick/batch/takeover_holds.py
+++ b/dandelionpick/batch/takeover_holds.py
@@ -17,6 +17,9 @@
 from dandelionpick.batch import schedule_state
 from dandelionpick.batch import state as state_lib
 
+# Listings wait for an end for 1 s on the target's clock, which may be slow.
+LONGEST_LISTING_S = 1.0 * leadership_bounds.CLOCK_DRIFT_FACTOR
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Holds:
@@ -100,23 +103,26 @@
 
 
 def account(
-    schedule: schedule_state.Schedule, key: model.TaskKey, listed_s: float
+    schedule: schedule_state.Schedule,
+    target: schedule_state.Target,
+    key: model.TaskKey,
+    listed_s: float,
 ) -> None:
     """Records that a listing shows a task at work.
 
     An earlier scheduler starts a task again only if it knows that the run is
-    gone. Once it has had no evidence of its leadership for too long, what a
-    target lists is the only run; of a gang, if each member is listed.
+    gone. It learns that from a listing of the target, at the latest from one
+    that was in progress when its successor listed the target. What is at work
+    afterwards is the only run; of a gang, if each member is listed.
 
     Args:
         schedule: the schedule.
+        target: the target that lists the task.
         key: the task.
-        listed_s: when the listing was sent.
+        listed_s: the target has made up the listing after this time.
     """
-    no_other_orders_s = (
-        schedule.fenced_s + leadership_bounds.UNCONFIRMED_LEADERSHIP_S
-    )
-    if listed_s < no_other_orders_s:
+    last_reply_s = target.first_listed_s + LONGEST_LISTING_S
+    if listed_s < min(last_reply_s, schedule.predecessor.ended_s):
         return
     job = schedule.jobs.get(key.job_id)
     task = schedule.task_of(key)
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -161,6 +161,28 @@
         fabric.kill(fabric.scheduler().name)
         fabric.run_until(fabric.scheduler, 5.0)
 
+    def test_task_that_fails_soon_after_all_were_killed(self):
+        """Guards against a wait for a scheduler whose process has ended."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=40.0))
+        fabric.run_for(32.0)
+        idle = next(
+            name for name, it in fabric.world.targets.items() if not it.runs
+        )
+        fabric.crash_target(idle)
+        for name in fabric.instances:
+            fabric.kill(name)
+        fabric.run_for(DOWN_S)
+        for name in list(fabric.instances):
+            fabric.start_instance(name)
+        fabric.run_until(fabric.scheduler, 5.0)
+        fabric.run_for(1.0)
+        self.fail_runs(fabric, after_s=0.0)
+        fabric.run_for(0.3)
+        for target in fabric.world.targets.values():
+            target.fails = False
+        fabric.run_until(lambda: self.running(fabric, 1) > 0, MAX_STANDSTILL_S)
+
     def fail_runs(self, fabric, after_s: float) -> None:
         """Lets the target that is at work fail its runs some time later."""
         for target in fabric.world.targets.values():
@@ -195,7 +217,7 @@
                 fabric = self.build(target_count=6)
                 fabric.submit(1, builders.body(work_s=12.0))
                 fabric.run_for(1.0)
-                self.fail_runs(fabric, after_s=6.0)
+                self.fail_runs(fabric, after_s=4.0)
                 self.lose_scheduler_and_target(fabric, is_cut)
                 self.assertLess(
                     self.longest_standstill_s(fabric, 1, 60.0),
