Account for tasks that were listed before the end of the previous process is known

Whether a process had ended comes with its successor's first Monitor call, which may be later than the listing that shows a task. The time of that listing is kept, and compared when the task is to start.

--- a/dandelionpick/batch/job_state.py
+++ b/dandelionpick/batch/job_state.py
@@ -88,6 +88,7 @@
         records: its runs that have not ended as far as is known. Those that
             are not in `runs` were lost with their target.
         records_version: version of the job's progress that has the records.
+        listed_s: a target has listed it as at work after this time.
         accounted: no run that an earlier scheduler has started can be on a
             target that was not listed.
     """
@@ -103,6 +104,7 @@
     moves: int = 0
     records: list[model.RunRecord] = dataclasses.field(default_factory=list)
     records_version: int = 0
+    listed_s: float = float("-inf")
     accounted: bool = False
 
 
--- a/dandelionpick/batch/takeover_holds.py
+++ b/dandelionpick/batch/takeover_holds.py
@@ -71,7 +71,9 @@
     # scheduler.
     if not holds.any() or job.accepted_revision > schedule.epoch:
         return False
-    if task.accounted or _opened_under_epoch(job, step_run):
+    if _is_accounted(schedule, task) or _opened_under_epoch(
+        schedule, job, step_run
+    ):
         return False
     if holds.all_tasks:
         return True
@@ -80,8 +82,21 @@
     )
 
 
+def _is_accounted(
+    schedule: schedule_state.Schedule, task: job_state.Task
+) -> bool:
+    """Returns whether all runs of a task by earlier schedulers are known.
+
+    That the previous process has ended may become known only after the task
+    was listed.
+    """
+    return task.accounted or task.listed_s >= schedule.predecessor.ended_s
+
+
 def _opened_under_epoch(
-    job: job_state.Job, step_run: job_state.StepRun
+    schedule: schedule_state.Schedule,
+    job: job_state.Job,
+    step_run: job_state.StepRun,
 ) -> bool:
     """Returns whether no earlier scheduler can have started a step.
 
@@ -91,7 +106,7 @@
         earlier = job.steps[step_run.occurrence, number]
         if earlier.spec.duplicates_allowed:
             continue
-        if any(task.accounted for task in earlier.tasks):
+        if any(_is_accounted(schedule, task) for task in earlier.tasks):
             return True
     return False
 
@@ -121,10 +136,11 @@
         key: the task.
         listed_s: the target has made up the listing after this time.
     """
-    last_reply_s = target.first_listed_s + LONGEST_LISTING_S
-    if listed_s < min(last_reply_s, schedule.predecessor.ended_s):
-        return
     job = schedule.jobs.get(key.job_id)
     task = schedule.task_of(key)
-    if job is not None and task is not None:
-        task.accounted = not job.step_of(key).spec.duplicates_allowed
+    if job is None or task is None:
+        return
+    if not job.step_of(key).spec.duplicates_allowed:
+        task.listed_s = listed_s
+        last_reply_s = target.first_listed_s + LONGEST_LISTING_S
+        task.accounted |= listed_s >= last_reply_s
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -176,7 +176,7 @@
         for name in list(fabric.instances):
             fabric.start_instance(name)
         fabric.run_until(fabric.scheduler, 5.0)
-        fabric.run_for(1.0)
+        fabric.run_for(0.1)
         self.fail_runs(fabric, after_s=0.0)
         fabric.run_for(0.3)
         for target in fabric.world.targets.values():
