--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -1,10 +1,7 @@
-"""Inbound HTTP connections: limits and refusals."""
+"""Inbound HTTP connections: enforces their limits."""
 
 import asyncio
-import dataclasses
-import enum
 import http
-import resource
 
 import httptools
 from absl import logging
@@ -12,10 +9,10 @@
 
 from dandelionpick import errors
 from dandelionpick import inbound_counts
+from dandelionpick import inbound_limits
+from dandelionpick import inbound_refusals
 from dandelionpick import inbound_transport
 from dandelionpick import metrics
-from dandelionpick import peer_messages
-from dandelionpick import wire
 
 # The parser can't be stopped within what it is fed with. A smaller part limits
 # how many pipelined requests (18 bytes at least) can begin in it.
@@ -30,77 +27,6 @@
 MIN_READ_BYTES = 65_536
 
 
-@dataclasses.dataclass(slots=True)
-class InboundLimits:
-    """Limits on inbound connections.
-
-    Attributes:
-        max_connections: further connections are refused with `overloaded`.
-        max_header_bytes: maximum size of the request line and headers.
-        header_timeout_s: from the start of a connection or of a request to
-            the end of the headers.
-        body_timeout_s: from the end of the headers to the end of the body.
-        keep_alive_s: how long an idle connection stays open; clients should
-            close theirs earlier.
-        max_framing_bytes: maximum size of chunk sizes, chunk extensions and
-            trailers of a body, beyond 16 bytes for each byte of the body.
-        max_unfinished_bytes: what unfinished bodies of all connections may hold
-            together, beyond 16 KiB of each.
-        write_timeout_s: how long pending output may exceed 64 KiB without 64
-            KiB being read.
-        descriptor_share: inbound connections use at most this share of the
-            process's descriptors, whatever `max_connections` is.
-    """
-
-    max_connections: int = 2_000
-    max_header_bytes: int = 16_384
-    header_timeout_s: float = 10.0
-    body_timeout_s: float = 10.0
-    keep_alive_s: float = 60.0
-    max_framing_bytes: int = 16_384
-    max_unfinished_bytes: int = 16_777_216
-    write_timeout_s: float = 30.0
-    descriptor_share: float = 0.5
-
-    def connection_limit(self) -> int:
-        """Returns how many connections may be open in this process."""
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if descriptors == resource.RLIM_INFINITY:
-            return self.max_connections
-        return min(
-            self.max_connections, int(descriptors * self.descriptor_share)
-        )
-
-
-def problem_response_bytes(
-    status: http.HTTPStatus, problem: errors.Problem
-) -> bytes:
-    """Builds a complete HTTP response that closes the connection."""
-    body = wire.encode(peer_messages.Refused(problem))
-    head = (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        "content-type: application/json\r\n"
-        f"content-length: {len(body)}\r\n"
-        "connection: close\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-class CutReason(enum.Enum):
-    """Why a connection was closed without a response that says so."""
-
-    EMPTY_LINES = "empty_lines"
-    FRAMING = "framing"
-    HANDED_OVER = "handed_over"
-    OVERLOADED = "overloaded"
-    UNREAD_ANSWERS = "unread_answers"
-
-
-def count_cut(reason: CutReason) -> None:
-    """Counts a connection that was closed without a response."""
-    metrics.add("connections_cut_total", (reason.value,), 1.0)
-
-
 class InboundProtocol(httptools_impl.HttpToolsProtocol):
     """One inbound connection.
 
@@ -113,7 +39,7 @@
             answers.
     """
 
-    limits = InboundLimits()
+    limits = inbound_limits.InboundLimits()
     max_connections = limits.max_connections
 
     def __init__(self, *args, **kwargs):
@@ -291,7 +217,7 @@
         if unread_before - unread >= MIN_READ_BYTES:
             self._start_write_timer()
             return
-        count_cut(CutReason.UNREAD_ANSWERS)
+        inbound_refusals.count_cut(inbound_refusals.CutReason.UNREAD_ANSWERS)
         self.transport.abort()
 
     def send_400_response(self, msg: str) -> None:
@@ -324,21 +250,23 @@
         """
         in_body = self.counts.phase is inbound_counts.Phase.BODY
         if in_body or self._is_unanswered():
-            self._cut(CutReason.HANDED_OVER)
+            self._cut(inbound_refusals.CutReason.HANDED_OVER)
             return
         metrics.add("connections_refused_total", (kind.value,), 1.0)
         problem = errors.Problem(kind, message, remedy)
-        self.transport.write(problem_response_bytes(status, problem))
+        self.transport.write(
+            inbound_refusals.problem_response_bytes(status, problem)
+        )
         self.transport.close()
 
-    def _cut(self, reason: CutReason) -> None:
-        count_cut(reason)
+    def _cut(self, reason: inbound_refusals.CutReason) -> None:
+        inbound_refusals.count_cut(reason)
         self.transport.close()
 
     def _refuse_connection(self) -> None:
         excess = len(self.connections) - self.max_connections
         if excess > MAX_LINGERING_REFUSALS:
-            count_cut(CutReason.OVERLOADED)
+            inbound_refusals.count_cut(inbound_refusals.CutReason.OVERLOADED)
             self.transport.abort()
             return
         self.refuse(
@@ -350,10 +278,10 @@
 
     def _end_oversized(self) -> None:
         if self.counts.phase is inbound_counts.Phase.BODY:
-            self._cut(CutReason.FRAMING)
+            self._cut(inbound_refusals.CutReason.FRAMING)
             return
         if self.counts.phase is inbound_counts.Phase.BETWEEN:
-            self._cut(CutReason.EMPTY_LINES)
+            self._cut(inbound_refusals.CutReason.EMPTY_LINES)
             return
         self.refuse(
             http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -392,7 +320,9 @@
         )
 
 
-def protocol_class(limits: InboundLimits) -> type[InboundProtocol]:
+def protocol_class(
+    limits: inbound_limits.InboundLimits,
+) -> type[InboundProtocol]:
     """Returns a protocol class that applies the given limits."""
     most = limits.connection_limit()
     attributes = {"limits": limits, "max_connections": most}
--- /dev/null
+++ b/dandelionpick/inbound_limits.py
@@ -0,0 +1,46 @@
+"""Limits on inbound connections."""
+
+import dataclasses
+import resource
+
+
+@dataclasses.dataclass(slots=True)
+class InboundLimits:
+    """Limits on inbound connections.
+
+    Attributes:
+        max_connections: further connections are refused with `overloaded`.
+        max_header_bytes: maximum size of the request line and headers.
+        header_timeout_s: from the start of a connection or of a request to
+            the end of the headers.
+        body_timeout_s: from the end of the headers to the end of the body.
+        keep_alive_s: how long an idle connection stays open; clients should
+            close theirs earlier.
+        max_framing_bytes: maximum size of chunk sizes, chunk extensions and
+            trailers of a body, beyond 16 bytes for each byte of the body.
+        max_unfinished_bytes: what unfinished bodies of all connections may hold
+            together, beyond 16 KiB of each.
+        write_timeout_s: how long pending output may exceed 64 KiB without 64
+            KiB being read.
+        descriptor_share: inbound connections use at most this share of the
+            process's descriptors, whatever `max_connections` is.
+    """
+
+    max_connections: int = 2_000
+    max_header_bytes: int = 16_384
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 10.0
+    keep_alive_s: float = 60.0
+    max_framing_bytes: int = 16_384
+    max_unfinished_bytes: int = 16_777_216
+    write_timeout_s: float = 30.0
+    descriptor_share: float = 0.5
+
+    def connection_limit(self) -> int:
+        """Returns how many connections may be open in this process."""
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            return self.max_connections
+        return min(
+            self.max_connections, int(descriptors * self.descriptor_share)
+        )
--- a/dandelionpick/server.py
+++ b/dandelionpick/server.py
@@ -12,6 +12,7 @@
 from starlette import types
 
 from dandelionpick import http_protocol
+from dandelionpick import inbound_limits
 
 LISTEN_BACKLOG = 512
 # Requests in progress have completed before the server is stopped; this covers
@@ -86,7 +87,7 @@
     listeners: Sequence[socket.socket],
     exited: asyncio.Event,
     request_stop: Callable[[], None],
-    limits: http_protocol.InboundLimits,
+    limits: inbound_limits.InboundLimits,
     on_reload: Callable[[], None] | None = None,
     shutdown_limit_s: float = GRACEFUL_SHUTDOWN_TIMEOUT_S,
 ) -> bool:
--- a/dandelionpick/settings_file.py
+++ b/dandelionpick/settings_file.py
@@ -19,7 +19,7 @@
 from returns.result import Success
 
 from dandelionpick import http_pools
-from dandelionpick import http_protocol
+from dandelionpick import inbound_limits
 
 MAX_SECONDS = 365 * 86_400.0
 
@@ -85,7 +85,7 @@
     return msgspec.defstruct(f"{limits.__name__}Section", fields, frozen=True)
 
 
-ServerSection = section_type_of(http_protocol.InboundLimits)
+ServerSection = section_type_of(inbound_limits.InboundLimits)
 ClientSection = section_type_of(http_pools.PoolLimits)
 
 
@@ -247,10 +247,10 @@
 
 def inbound_limits_of(
     section: ServerSection,
-) -> http_protocol.InboundLimits:
+) -> inbound_limits.InboundLimits:
     """Converts the section to the limits on inbound connections."""
     values = msgspec.structs.asdict(section)
-    return http_protocol.InboundLimits(**values)
+    return inbound_limits.InboundLimits(**values)
 
 
 def pool_limits_of(section: ClientSection) -> http_pools.PoolLimits:
--- a/standins/platform_serve.py
+++ b/standins/platform_serve.py
@@ -20,7 +20,7 @@
 from starlette import routing
 from starlette import types
 
-from dandelionpick import http_protocol
+from dandelionpick import inbound_limits
 from dandelionpick import server
 from standins import platform_oracle
 from standins import platform_store
@@ -161,7 +161,7 @@
         list(apps),
         stopped,
         stopped.set,
-        http_protocol.InboundLimits(),
+        inbound_limits.InboundLimits(),
     )
     running.cancel()
 
--- a/tests/http_instance.py
+++ b/tests/http_instance.py
@@ -15,8 +15,8 @@
 from dandelionpick import effects
 from dandelionpick import events
 from dandelionpick import http_bodies
-from dandelionpick import http_protocol
 from dandelionpick import ids
+from dandelionpick import inbound_limits
 from dandelionpick import kinds
 from dandelionpick import list_messages
 from dandelionpick import reducer
@@ -151,7 +151,7 @@
     runtime: runtime_lib.Runtime, **limits: float
 ) -> AsyncIterator[HttpInstance]:
     """Serves a runtime until the context exits."""
-    inbound = http_protocol.InboundLimits(**limits)
+    inbound = inbound_limits.InboundLimits(**limits)
     listener = server.bind("127.0.0.1:0")
     host, port = listener.getsockname()
     server_task = asyncio.ensure_future(
