End the connection with a response that precedes the end of its body

Cause: a body that goes on after its response (408 too_slow, 404, 405, or any response to a GET with a body) was limited by nothing but keep_alive_s, 60 s. body_timeout_s ended the request in time, but not the connection: 2,000 trickling bodies held all of max_connections past it. Only some responses (413, 408 and 429 of run) asked for a close; those of schedule did not.

Ruled out: the timeout itself (it fires; 408 is sent in time); a close header on each of the routes (the next route would lack it again).

Change: a request keeps its connection only if its body has ended when the response begins. The response carries connection: close, so that a client that keeps to the protocol knows. Requests whose bodies are whole and requests without a body keep their connections as before.

A crowd can still use up the connections for body_timeout_s; that is the next cause.

--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -35,6 +35,8 @@
         max_connections: set on a subclass by `protocol_class`.
         counts: bytes received by what they belong to.
         body_bytes: declared length of the current body; 0 if none is declared.
+        keeps_alive: whether the connection stays open after the response to
+            the current request, if its body has ended by then.
         held: received bytes that wait until earlier requests have their
             answers.
     """
@@ -46,6 +48,7 @@
         super().__init__(*args, **kwargs)
         self.counts = inbound_counts.ByteCounts()
         self.body_bytes = 0
+        self.keeps_alive = False
         self.held = memoryview(b"")
         self.shutting_down = False
         self.header_timer: asyncio.TimerHandle | None = None
@@ -173,8 +176,10 @@
             return
         self.counts.enter(inbound_counts.Phase.BODY)
         super().on_headers_complete()
-        if self.shutting_down:
-            self.cycle.keep_alive = False
+        # The connection ends with a response that is sent before the end of
+        # the body: nothing limits the time or size of what would follow.
+        self.keeps_alive = self.cycle.keep_alive
+        self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body, unless the request was refused."""
@@ -186,8 +191,11 @@
         """Completes the body, unless the request was refused."""
         self.body_bytes = 0
         self.counts.enter(inbound_counts.Phase.BETWEEN)
-        if not self.transport.is_closing():
-            super().on_message_complete()
+        if self.transport.is_closing():
+            return
+        if not self.cycle.response_started:
+            self.cycle.keep_alive = self.keeps_alive and not self.shutting_down
+        super().on_message_complete()
 
     def pause_writing(self) -> None:
         """Limits the time in which the client must read."""
--- a/tests/inbound_mutants.py
+++ b/tests/inbound_mutants.py
@@ -12,6 +12,19 @@
     inbound_counts.ByteCounts.exceeds = lambda *arguments: False
 
 
+def keep_after_early_answers() -> None:
+    """Keeps connections whose body goes on after the answer."""
+    protocol = http_protocol.InboundProtocol
+    complete = protocol.on_headers_complete
+
+    def on_headers_complete(connection):
+        complete(connection)
+        if connection.cycle is not None:
+            connection.cycle.keep_alive = connection.keeps_alive
+
+    protocol.on_headers_complete = on_headers_complete
+
+
 def parse_all_input() -> None:
     """Parses pipelined requests before earlier ones have answers."""
     protocol = http_protocol.InboundProtocol
@@ -36,6 +49,11 @@
         count_no_framing,
         INBOUND,
     ),
+    mutant.Mutant(
+        "an answer before the end of its body ends the connection",
+        keep_after_early_answers,
+        INBOUND,
+    ),
     mutant.Mutant(
         "pipelined requests wait outside the process",
         parse_all_input,
--- a/tests/test_inbound_limits.py
+++ b/tests/test_inbound_limits.py
@@ -91,6 +91,40 @@
         answered.set()
         self.assertEqual(reply, b"")
 
+    async def test_answer_before_the_end_of_a_body_ends_the_connection(self):
+        """Such a client could go on sending for as long as it liked."""
+        served = await self.serve(body_timeout_s=0.2)
+        for name, beginning in {
+            "too slow": CHUNKED + CHUNKS[:30],
+            "other method": CHUNKED.replace(b"POST", b"PUT"),
+            "unread body": CHUNKED.replace(b"POST /v1/requests", b"GET /livez"),
+        }.items():
+            with self.subTest(name):
+                reader, writer = await served.connect()
+                writer.write(beginning)
+                _, headers, _ = await http_instance.read_response(reader)
+                self.assertEqual(headers["connection"], "close")
+                self.assertEqual(await reader.read(), b"")
+                writer.transport.abort()
+
+    async def test_answer_after_the_end_of_a_body_keeps_the_connection(self):
+        served = await self.serve()
+        for name, request in {
+            "body": http_instance.post("/v1/requests", BODY),
+            "chunks": CHUNKED + CHUNKS + TRAILERS,
+            "no body": SERVED,
+            "upgrade": SERVED.replace(
+                b"\r\n\r\n", b"\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"
+            ),
+        }.items():
+            with self.subTest(name):
+                reader, writer = await served.connect()
+                for _ in range(2):
+                    writer.write(request)
+                    _, headers, _ = await http_instance.read_response(reader)
+                    self.assertNotIn("connection", headers)
+                writer.transport.abort()
+
     async def test_pipelined_requests_are_answered_a_few_at_a_time(self):
         waiting = []
         protocol_type = http_protocol.InboundProtocol
