Crowd tests: count descriptors before a crowd without ended requests

Cause: the first count could include the connection of the probe before it, which the process still closed.

Crowd and bounds stay; the bound on descriptors becomes stricter by the probe's one.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -79,7 +79,15 @@
         await self.program.wait_until_listening()
         await self.check_answers()
         self.first_memory_mb = self.program.peak_memory_mb()
-        self.first_descriptors = self.program.open_descriptors()
+        self.first_descriptors = await self.fewest_descriptors()
+
+    async def fewest_descriptors(self) -> int:
+        """Returns the number of descriptors without those of ended requests."""
+        counts = []
+        for _ in range(IDLE_POLLS):
+            counts.append(self.program.open_descriptors())
+            await asyncio.sleep(flood.POLL_S)
+        return min(counts)
 
     def listeners(self):
         return zip(self.program.addresses, self.probes, strict=True)
