Close the connection that waits longest when a new one finds no room

Cause: beyond max_connections (2,000 for all listeners together) each new connection was refused, whoever held the others. Clients that begin a request and send it slowly hold one for header_timeout_s plus body_timeout_s each time, idle ones for keep_alive_s, unread responses for write_timeout_s; a crowd that connects again kept all ordinary callers out, also those of the other listeners.

Ruled out: shorter timeouts (slow links need them, and the crowd connects again); a minimum rate of bodies (the same); a limit for each address (callers share the platform's address).

Change: the connection that has waited longest for its client since its last response, or since it was made, is closed for the new one, without a response. A connection of which a whole request has no response is not closed for it, unless the client leaves responses unread. If no connection waits for its client, the new one is refused as before.

--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -12,6 +12,7 @@
 from dandelionpick import inbound_limits
 from dandelionpick import inbound_refusals
 from dandelionpick import inbound_transport
+from dandelionpick import inbound_waiting
 from dandelionpick import metrics
 
 # The parser can't be stopped within what it is fed with. A smaller part limits
@@ -33,6 +34,7 @@
     Attributes:
         limits: set on a subclass by `protocol_class`.
         max_connections: set on a subclass by `protocol_class`.
+        waiting: set on a subclass by `protocol_class`.
         counts: bytes received by what they belong to.
         body_bytes: declared length of the current body; 0 if none is declared.
         keeps_alive: whether the connection stays open after the response to
@@ -43,6 +45,7 @@
 
     limits = inbound_limits.InboundLimits()
     max_connections = limits.max_connections
+    waiting = inbound_waiting.WaitingConnections()
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -55,7 +58,7 @@
         self.write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Accepts a connection, or refuses it if too many are open."""
+        """Accepts a connection, or refuses it if there is no room for it."""
         transport.max_size = READ_BYTES
         super().connection_made(
             inbound_transport.LingeringTransport(
@@ -63,15 +66,32 @@
             )
         )
         self.flow = inbound_transport.InboundFlow(self.transport)
-        if len(self.connections) > self.max_connections:
+        if not self._has_room():
             self._refuse_connection()
             return
+        self.waiting.add(self)
         self._start_header_timer()
 
+    def _has_room(self) -> bool:
+        """Returns whether there is room, for which another one may be closed.
+
+        A connection of which a whole request has no response is never closed
+        for it.
+        """
+        if len(self.connections) <= self.max_connections:
+            return True
+        longest = self.waiting.pop_first()
+        if longest is None:
+            return False
+        inbound_refusals.count_cut(inbound_refusals.CutReason.CROWDED_OUT)
+        longest.transport.abort()
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timers and removes the connection."""
         self._cancel_header_timer()
         self._cancel_write_timer()
+        self.waiting.discard(self)
         self.held = memoryview(b"")
         super().connection_lost(exc)
 
@@ -133,6 +153,21 @@
     def _is_unanswered(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _waits_for_client(self) -> bool:
+        """Returns whether nothing but the client can bring on the next step."""
+        if self.flow.write_paused:
+            return True
+        if self.pipeline:
+            return False
+        in_body = self.counts.phase is inbound_counts.Phase.BODY
+        return in_body or not self._is_unanswered()
+
+    def _update_waiting(self) -> None:
+        if self._waits_for_client():
+            self.waiting.add(self)
+        else:
+            self.waiting.discard(self)
+
     def _feed_held(self) -> None:
         held, self.held = self.held, memoryview(b"")
         self.flow.holds_input = False
@@ -142,6 +177,7 @@
     def on_response_complete(self) -> None:
         """Starts the next request, or waits for one."""
         super().on_response_complete()
+        self._update_waiting()
         if self.transport.is_closing():
             return
         if self.counts.phase is inbound_counts.Phase.HEADERS:
@@ -196,16 +232,19 @@
         if not self.cycle.response_started:
             self.cycle.keep_alive = self.keeps_alive and not self.shutting_down
         super().on_message_complete()
+        self._update_waiting()
 
     def pause_writing(self) -> None:
         """Limits the time in which the client must read."""
         super().pause_writing()
+        self._update_waiting()
         self._start_write_timer()
 
     def resume_writing(self) -> None:
         """Cancels the limit on reading."""
         self._cancel_write_timer()
         super().resume_writing()
+        self._update_waiting()
 
     def _start_write_timer(self) -> None:
         self._cancel_write_timer()
@@ -333,5 +372,9 @@
 ) -> type[InboundProtocol]:
     """Returns a protocol class that applies the given limits."""
     most = limits.connection_limit()
-    attributes = {"limits": limits, "max_connections": most}
+    attributes = {
+        "limits": limits,
+        "max_connections": most,
+        "waiting": inbound_waiting.WaitingConnections(),
+    }
     return type("LimitedProtocol", (InboundProtocol,), attributes)
--- a/dandelionpick/inbound_refusals.py
+++ b/dandelionpick/inbound_refusals.py
@@ -26,6 +26,7 @@
 class CutReason(enum.Enum):
     """Why a connection was closed without a response that says so."""
 
+    CROWDED_OUT = "crowded_out"
     EMPTY_LINES = "empty_lines"
     FRAMING = "framing"
     HANDED_OVER = "handed_over"
--- a/tests/inbound_mutants.py
+++ b/tests/inbound_mutants.py
@@ -2,9 +2,17 @@
 
 from dandelionpick import http_protocol
 from dandelionpick import inbound_counts
+from dandelionpick import inbound_waiting
 from tests import mutant
 
 INBOUND = ("tests.test_inbound_limits",)
+SERVER = ("tests.test_http_server",)
+
+
+def close_unanswered() -> None:
+    """Closes connections whose requests have no answer to make room."""
+    waiting = inbound_waiting.WaitingConnections
+    waiting.discard = lambda connections, connection: None
 
 
 def count_no_framing() -> None:
@@ -25,6 +33,12 @@
     protocol.on_headers_complete = on_headers_complete
 
 
+def make_no_room() -> None:
+    """Refuses new connections however long others wait."""
+    waiting = inbound_waiting.WaitingConnections
+    waiting.pop_first = lambda connections: None
+
+
 def parse_all_input() -> None:
     """Parses pipelined requests before earlier ones have answers."""
     protocol = http_protocol.InboundProtocol
@@ -44,6 +58,16 @@
 
 
 MUTANTS = (
+    mutant.Mutant(
+        "no connection is closed for room whose request has no answer",
+        close_unanswered,
+        SERVER,
+    ),
+    mutant.Mutant(
+        "the connection that waits longest for its client makes room",
+        make_no_room,
+        SERVER,
+    ),
     mutant.Mutant(
         "trailers, chunk extensions and empty lines are limited",
         count_no_framing,
