Limit the number of headers of a request

Cause: a header of 5 bytes becomes two strings and a tuple in a list, about 20 times its size. 16 KiB of them, inside max_header_bytes, took 360 KB on each connection; eight clients show nothing of it, 2,000 connections could take over 700 MB (computed from 192; not run).

Change: max_header_fields, 100 by default. More get 431 malformed, as larger heads do, also before the head has ended.

--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -196,7 +196,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers are discarded."""
+        if self.transport.is_closing():
+            return
         if self.counts.phase is inbound_counts.Phase.HEADERS:
+            if len(self.headers) >= self.limits.max_header_fields:
+                self._end_oversized()
+                return
             super().on_header(name, value)
             if name.lower() == b"content-length":
                 self.body_bytes = int(value)
@@ -334,7 +339,8 @@
             http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             errors.ProblemKind.MALFORMED,
             "The request line and headers are larger than"
-            f" {self.limits.max_header_bytes} bytes.",
+            f" {self.limits.max_header_bytes} bytes or have more than"
+            f" {self.limits.max_header_fields} headers.",
             "Send fewer or shorter headers.",
         )
 
--- a/dandelionpick/inbound_limits.py
+++ b/dandelionpick/inbound_limits.py
@@ -11,6 +11,7 @@
     Attributes:
         max_connections: further connections are refused with `overloaded`.
         max_header_bytes: maximum size of the request line and headers.
+        max_header_fields: maximum number of headers.
         header_timeout_s: from the start of a connection or of a request to
             the end of the headers.
         body_timeout_s: from the end of the headers to the end of the body.
@@ -28,6 +29,7 @@
 
     max_connections: int = 2_000
     max_header_bytes: int = 16_384
+    max_header_fields: int = 100
     header_timeout_s: float = 10.0
     body_timeout_s: float = 10.0
     keep_alive_s: float = 60.0
--- a/tests/inbound_mutants.py
+++ b/tests/inbound_mutants.py
@@ -1,5 +1,7 @@
 """Mutants that disable the limits on inbound connections."""
 
+import dataclasses
+
 from dandelionpick import http_protocol
 from dandelionpick import inbound_counts
 from dandelionpick import inbound_waiting
@@ -15,6 +17,21 @@
     waiting.discard = lambda connections, connection: None
 
 
+def count_no_headers() -> None:
+    """Limits only the bytes of the headers, not their number."""
+    protocol = http_protocol.InboundProtocol
+    connect = protocol.connection_made
+
+    def connection_made(connection, transport):
+        limits = dataclasses.replace(
+            connection.limits, max_header_fields=1_000_000
+        )
+        connection.limits = limits
+        connect(connection, transport)
+
+    protocol.connection_made = connection_made
+
+
 def count_no_framing() -> None:
     """Limits only what the headers of a request hold."""
     inbound_counts.ByteCounts.exceeds = lambda *arguments: False
@@ -63,6 +80,11 @@
         close_unanswered,
         SERVER,
     ),
+    mutant.Mutant(
+        "the number of headers is limited",
+        count_no_headers,
+        SERVER,
+    ),
     mutant.Mutant(
         "the connection that waits longest for its client makes room",
         make_no_room,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -77,6 +77,21 @@
                 self.assertEqual(status, 431)
                 self.assertEqual(body["problem"]["kind"], "malformed")
 
+    async def test_many_headers_get_a_typed_problem(self):
+        """Each takes much more memory than its bytes."""
+        served = await self.serve(max_header_fields=10)
+        lines = b"GET /livez HTTP/1.1\r\n" + b"a: b\r\n" * 10
+        status, _, _ = await served.converse(lines + b"\r\n")
+        self.assertEqual(status, 200)
+        for name, end in (("whole", b"a: b\r\n\r\n"), ("begun", b"a: b\r\nc")):
+            with self.subTest(name):
+                status, headers, body = await served.converse(lines + end)
+                self.assertEqual(
+                    (status, headers["connection"]), (431, "close")
+                )
+                self.assertEqual(body["problem"]["kind"], "malformed")
+                self.assertIn("10 headers", body["problem"]["message"])
+
     async def test_endless_headers_are_refused(self):
         served = await self.serve(max_header_bytes=1_000)
         reader, writer = await served.connect()
