--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -1,10 +1,7 @@
-"""Inbound HTTP connections: limits and refusals."""
+"""Inbound HTTP connections: enforces their limits."""
 
 import asyncio
-import dataclasses
-import enum
 import http
-import resource
 
 import httptools
 from absl import logging
@@ -12,10 +9,11 @@
 
 from dandelionpick import errors
 from dandelionpick import inbound_counts
+from dandelionpick import inbound_limits
+from dandelionpick import inbound_refusals
 from dandelionpick import inbound_transport
+from dandelionpick import inbound_waiting
 from dandelionpick import metrics
-from dandelionpick import peer_messages
-from dandelionpick import wire
 
 # The parser can't be stopped within what it is fed with. A smaller part limits
 # how many pipelined requests (18 bytes at least) can begin in it.
@@ -30,103 +28,37 @@
 MIN_READ_BYTES = 65_536
 
 
-@dataclasses.dataclass(slots=True)
-class InboundLimits:
-    """Limits on inbound connections.
-
-    Attributes:
-        max_connections: further connections are refused with `overloaded`.
-        max_header_bytes: maximum size of the request line and headers.
-        header_timeout_s: from the start of a connection or of a request to
-            the end of the headers.
-        body_timeout_s: from the end of the headers to the end of the body.
-        keep_alive_s: how long an idle connection stays open; clients should
-            close theirs earlier.
-        max_framing_bytes: maximum size of chunk sizes, chunk extensions and
-            trailers of a body, beyond 16 bytes for each byte of the body.
-        max_unfinished_bytes: what unfinished bodies of all connections may hold
-            together, beyond 16 KiB of each.
-        write_timeout_s: how long pending output may exceed 64 KiB without 64
-            KiB being read.
-        descriptor_share: inbound connections use at most this share of the
-            process's descriptors, whatever `max_connections` is.
-    """
-
-    max_connections: int = 2_000
-    max_header_bytes: int = 16_384
-    header_timeout_s: float = 10.0
-    body_timeout_s: float = 10.0
-    keep_alive_s: float = 60.0
-    max_framing_bytes: int = 16_384
-    max_unfinished_bytes: int = 16_777_216
-    write_timeout_s: float = 30.0
-    descriptor_share: float = 0.5
-
-    def connection_limit(self) -> int:
-        """Returns how many connections may be open in this process."""
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if descriptors == resource.RLIM_INFINITY:
-            return self.max_connections
-        return min(
-            self.max_connections, int(descriptors * self.descriptor_share)
-        )
-
-
-def problem_response_bytes(
-    status: http.HTTPStatus, problem: errors.Problem
-) -> bytes:
-    """Builds a complete HTTP response that closes the connection."""
-    body = wire.encode(peer_messages.Refused(problem))
-    head = (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        "content-type: application/json\r\n"
-        f"content-length: {len(body)}\r\n"
-        "connection: close\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-class CutReason(enum.Enum):
-    """Why a connection was closed without a response that says so."""
-
-    EMPTY_LINES = "empty_lines"
-    FRAMING = "framing"
-    HANDED_OVER = "handed_over"
-    OVERLOADED = "overloaded"
-    UNREAD_ANSWERS = "unread_answers"
-
-
-def count_cut(reason: CutReason) -> None:
-    """Counts a connection that was closed without a response."""
-    metrics.add("connections_cut_total", (reason.value,), 1.0)
-
-
 class InboundProtocol(httptools_impl.HttpToolsProtocol):
     """One inbound connection.
 
     Attributes:
         limits: set on a subclass by `protocol_class`.
         max_connections: set on a subclass by `protocol_class`.
+        waiting: set on a subclass by `protocol_class`.
         counts: bytes received by what they belong to.
         body_bytes: declared length of the current body; 0 if none is declared.
+        keeps_alive: whether the connection stays open after the response to
+            the current request, if its body has ended by then.
         held: received bytes that wait until earlier requests have their
             answers.
     """
 
-    limits = InboundLimits()
+    limits = inbound_limits.InboundLimits()
     max_connections = limits.max_connections
+    waiting = inbound_waiting.WaitingConnections()
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.counts = inbound_counts.ByteCounts()
         self.body_bytes = 0
+        self.keeps_alive = False
         self.held = memoryview(b"")
         self.shutting_down = False
         self.header_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Accepts a connection, or refuses it if too many are open."""
+        """Accepts a connection, or refuses it if there is no room for it."""
         transport.max_size = READ_BYTES
         super().connection_made(
             inbound_transport.LingeringTransport(
@@ -134,15 +66,32 @@
             )
         )
         self.flow = inbound_transport.InboundFlow(self.transport)
-        if len(self.connections) > self.max_connections:
+        if not self._has_room():
             self._refuse_connection()
             return
+        self.waiting.add(self)
         self._start_header_timer()
 
+    def _has_room(self) -> bool:
+        """Returns whether there is room, for which another one may be closed.
+
+        A connection of which a whole request has no response is never closed
+        for it.
+        """
+        if len(self.connections) <= self.max_connections:
+            return True
+        longest = self.waiting.pop_first()
+        if longest is None:
+            return False
+        inbound_refusals.count_cut(inbound_refusals.CutReason.CROWDED_OUT)
+        longest.transport.abort()
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timers and removes the connection."""
         self._cancel_header_timer()
         self._cancel_write_timer()
+        self.waiting.discard(self)
         self.held = memoryview(b"")
         super().connection_lost(exc)
 
@@ -204,6 +153,21 @@
     def _is_unanswered(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _waits_for_client(self) -> bool:
+        """Returns whether nothing but the client can bring on the next step."""
+        if self.flow.write_paused:
+            return True
+        if self.pipeline:
+            return False
+        in_body = self.counts.phase is inbound_counts.Phase.BODY
+        return in_body or not self._is_unanswered()
+
+    def _update_waiting(self) -> None:
+        if self._waits_for_client():
+            self.waiting.add(self)
+        else:
+            self.waiting.discard(self)
+
     def _feed_held(self) -> None:
         held, self.held = self.held, memoryview(b"")
         self.flow.holds_input = False
@@ -213,6 +177,7 @@
     def on_response_complete(self) -> None:
         """Starts the next request, or waits for one."""
         super().on_response_complete()
+        self._update_waiting()
         if self.transport.is_closing():
             return
         if self.counts.phase is inbound_counts.Phase.HEADERS:
@@ -231,7 +196,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers are discarded."""
+        if self.transport.is_closing():
+            return
         if self.counts.phase is inbound_counts.Phase.HEADERS:
+            if len(self.headers) >= self.limits.max_header_fields:
+                self._end_oversized()
+                return
             super().on_header(name, value)
             if name.lower() == b"content-length":
                 self.body_bytes = int(value)
@@ -247,8 +217,10 @@
             return
         self.counts.enter(inbound_counts.Phase.BODY)
         super().on_headers_complete()
-        if self.shutting_down:
-            self.cycle.keep_alive = False
+        # The connection ends with a response that is sent before the end of
+        # the body: nothing limits the time or size of what would follow.
+        self.keeps_alive = self.cycle.keep_alive
+        self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body, unless the request was refused."""
@@ -260,18 +232,24 @@
         """Completes the body, unless the request was refused."""
         self.body_bytes = 0
         self.counts.enter(inbound_counts.Phase.BETWEEN)
-        if not self.transport.is_closing():
-            super().on_message_complete()
+        if self.transport.is_closing():
+            return
+        if not self.cycle.response_started:
+            self.cycle.keep_alive = self.keeps_alive and not self.shutting_down
+        super().on_message_complete()
+        self._update_waiting()
 
     def pause_writing(self) -> None:
         """Limits the time in which the client must read."""
         super().pause_writing()
+        self._update_waiting()
         self._start_write_timer()
 
     def resume_writing(self) -> None:
         """Cancels the limit on reading."""
         self._cancel_write_timer()
         super().resume_writing()
+        self._update_waiting()
 
     def _start_write_timer(self) -> None:
         self._cancel_write_timer()
@@ -291,7 +269,7 @@
         if unread_before - unread >= MIN_READ_BYTES:
             self._start_write_timer()
             return
-        count_cut(CutReason.UNREAD_ANSWERS)
+        inbound_refusals.count_cut(inbound_refusals.CutReason.UNREAD_ANSWERS)
         self.transport.abort()
 
     def send_400_response(self, msg: str) -> None:
@@ -324,21 +302,23 @@
         """
         in_body = self.counts.phase is inbound_counts.Phase.BODY
         if in_body or self._is_unanswered():
-            self._cut(CutReason.HANDED_OVER)
+            self._cut(inbound_refusals.CutReason.HANDED_OVER)
             return
         metrics.add("connections_refused_total", (kind.value,), 1.0)
         problem = errors.Problem(kind, message, remedy)
-        self.transport.write(problem_response_bytes(status, problem))
+        self.transport.write(
+            inbound_refusals.problem_response_bytes(status, problem)
+        )
         self.transport.close()
 
-    def _cut(self, reason: CutReason) -> None:
-        count_cut(reason)
+    def _cut(self, reason: inbound_refusals.CutReason) -> None:
+        inbound_refusals.count_cut(reason)
         self.transport.close()
 
     def _refuse_connection(self) -> None:
         excess = len(self.connections) - self.max_connections
         if excess > MAX_LINGERING_REFUSALS:
-            count_cut(CutReason.OVERLOADED)
+            inbound_refusals.count_cut(inbound_refusals.CutReason.OVERLOADED)
             self.transport.abort()
             return
         self.refuse(
@@ -350,16 +330,17 @@
 
     def _end_oversized(self) -> None:
         if self.counts.phase is inbound_counts.Phase.BODY:
-            self._cut(CutReason.FRAMING)
+            self._cut(inbound_refusals.CutReason.FRAMING)
             return
         if self.counts.phase is inbound_counts.Phase.BETWEEN:
-            self._cut(CutReason.EMPTY_LINES)
+            self._cut(inbound_refusals.CutReason.EMPTY_LINES)
             return
         self.refuse(
             http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             errors.ProblemKind.MALFORMED,
             "The request line and headers are larger than"
-            f" {self.limits.max_header_bytes} bytes.",
+            f" {self.limits.max_header_bytes} bytes or have more than"
+            f" {self.limits.max_header_fields} headers.",
             "Send fewer or shorter headers.",
         )
 
@@ -392,8 +373,14 @@
         )
 
 
-def protocol_class(limits: InboundLimits) -> type[InboundProtocol]:
+def protocol_class(
+    limits: inbound_limits.InboundLimits,
+) -> type[InboundProtocol]:
     """Returns a protocol class that applies the given limits."""
     most = limits.connection_limit()
-    attributes = {"limits": limits, "max_connections": most}
+    attributes = {
+        "limits": limits,
+        "max_connections": most,
+        "waiting": inbound_waiting.WaitingConnections(),
+    }
     return type("LimitedProtocol", (InboundProtocol,), attributes)
