Don't wait for targets that were out of use before a job was accepted

What callers saw: after a takeover, jobs stood still that were accepted while there was no scheduler, or just before, because of a target that had been silent since before.

Cause: the wait covered all jobs accepted before the epoch. A target that the stored roster has as silent is not used by any scheduler, so that it can't have tasks of a job that was accepted after that roster was written.

Change: such a target holds back only jobs that were accepted up to the revision of the roster.

The test failed before: nothing ran 3 s after the takeover.

--- a/dandelionpick/batch/roster.py
+++ b/dandelionpick/batch/roster.py
@@ -170,7 +170,7 @@
     )
     return not inherited or (
         schedule.stage is stages.Stage.READY
-        and not takeover_holds.find(state, schedule, now_s).all_tasks
+        and not takeover_holds.find(state, schedule, now_s).until_revision
     )
 
 
@@ -313,6 +313,7 @@
         silent_ms = schedule.roster.silent_until_ms.get(target_id, 0)
         if silent_ms:
             target.silent_until_ms = silent_ms
+            target.silent_revision = schedule.roster_revision
             left_s = (silent_ms - step.moment.unix_ms) / 1_000
             target.unlisted_until_s = min(
                 latest_s, step.moment.now_s + left_s + MAX_CLOCK_SKEW_S
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -60,6 +60,8 @@
         silent_until_ms: everything on a silent target ends by this Unix time,
             as recorded in the store; no lease is extended until the record is
             gone. 0 if there is no record.
+        silent_revision: revision of the roster that had it as silent when this
+            scheduler took over; 0 if it had not.
         cold_until_s: it works slowly until then, as its entry says.
         runs: runs that occupy resources, by task and attempt.
         used: the sum of their resources.
@@ -101,6 +103,7 @@
     quarantined_until_s: float = float("-inf")
     unlisted_until_s: float = float("-inf")
     silent_until_ms: int = 0
+    silent_revision: int = 0
     cold_until_s: float = float("-inf")
     runs: dict[tuple[model.TaskKey, ids.Attempt], job_state.Run] = (
         dataclasses.field(default_factory=dict)
--- a/dandelionpick/batch/scheduling.py
+++ b/dandelionpick/batch/scheduling.py
@@ -182,9 +182,7 @@
             job, moment.now_s, moment.unix_ms, state.limits.early_s
         )
         for step_run in job.steps.values():
-            if not (
-                holds.all_tasks and job.accepted_revision <= schedule.epoch
-            ):
+            if not holds.cover(job):
                 _stop_incomplete_gang(state, step, step_run)
             tasks = start_conditions.free_tasks(holds, schedule, job, step_run)
             if crash_budget.end_if_exhausted(state, step, job, tasks):
--- a/dandelionpick/batch/takeover_holds.py
+++ b/dandelionpick/batch/takeover_holds.py
@@ -26,37 +26,44 @@
     """What may be on targets that were not listed since the takeover.
 
     Attributes:
-        all_tasks: any task of an earlier job may be there.
+        until_revision: any task of a job that was accepted up to this revision
+            of the store may be there; 0 if none.
         targets: targets that run nothing, but may hold ends of the tasks that
             are recorded there.
     """
 
-    all_tasks: bool
+    until_revision: int
     targets: frozenset[ids.TargetId]
 
     def any(self) -> bool:
         """Returns whether any task is held back."""
-        return self.all_tasks or bool(self.targets)
+        return bool(self.until_revision or self.targets)
+
+    def cover(self, job: job_state.Job) -> bool:
+        """Returns whether any task of a job may be on one of the targets."""
+        return job.accepted_revision <= self.until_revision
 
 
 def find(
     state: state_lib.State, schedule: schedule_state.Schedule, now_s: float
 ) -> Holds:
     """Returns what the unlisted targets hold back."""
-    all_tasks = False
+    until_revision = 0
     targets = set()
     for target in schedule.targets.values():
         if target.may_hide_ends():
-            all_tasks = True
+            until_revision = schedule.epoch
         if target.listed or target.replaced:
             continue
         if now_s < leadership_bounds.leases_until_s(state, schedule, target):
-            all_tasks = True
+            # No scheduler has used it since the roster has it as silent.
+            closed = target.silent_revision or schedule.epoch
+            until_revision = max(until_revision, closed)
         elif now_s < leadership_bounds.unlisted_until_s(
             state, schedule, target
         ):
             targets.add(target.id)
-    return Holds(all_tasks, frozenset(targets))
+    return Holds(until_revision, frozenset(targets))
 
 
 def is_held(
@@ -75,7 +82,7 @@
         schedule, job, step_run
     ):
         return False
-    if holds.all_tasks:
+    if holds.cover(job):
         return True
     return _may_lack_records(job) or any(
         record.target in holds.targets for record in task.records
--- a/tests/batch_mutants.py
+++ b/tests/batch_mutants.py
@@ -43,7 +43,7 @@
 def start_unread_tasks() -> None:
     """Starts tasks that may be running on a target that was not read."""
     takeover_holds.find = lambda state, schedule, now_s: takeover_holds.Holds(
-        False, frozenset()
+        0, frozenset()
     )
 
 
@@ -232,8 +232,10 @@
     leadership_bounds.LEADERSHIP_WITHOUT_STORE_S = 1e6
     leadership_bounds.UNCONFIRMED_LEADERSHIP_S = 1e6
     takeover_holds.find = lambda state, schedule, now_s: takeover_holds.Holds(
-        now_s < schedule.began_s + 31.0
-        and any(not target.listed for target in schedule.targets.values()),
+        schedule.epoch
+        if now_s < schedule.began_s + 31.0
+        and any(not target.listed for target in schedule.targets.values())
+        else 0,
         frozenset(),
     )
 
--- a/tests/takeover_mutants.py
+++ b/tests/takeover_mutants.py
@@ -40,7 +40,7 @@
 
     def find_running(state, schedule, now_s):
         holds = find(state, schedule, now_s)
-        return takeover_holds.Holds(holds.all_tasks, frozenset())
+        return takeover_holds.Holds(holds.until_revision, frozenset())
 
     takeover_holds.find = find_running
 
--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -83,6 +83,20 @@
             killed_s + FINISH_S - fabric.now_s,
         )
 
+    def test_job_accepted_after_a_target_fell_silent_waits_for_others(self):
+        """Guards against jobs that wait for a target that was gone before."""
+        fabric = self.build(target_count=6)
+        fabric.crash_target("t0")
+        fabric.run_for(MAX_WAIT_FOR_GONE_TARGET_S / 4)
+        fabric.kill(fabric.scheduler().name)
+        name = next(it.name for it in fabric.instances.values() if it.up)
+        fabric.submit(1, builders.body(work_s=40.0), name=name)
+        fabric.run_until(fabric.scheduler, 5.0)
+        fabric.run_until(
+            lambda: any(it.runs for it in fabric.world.targets.values()),
+            MAX_STANDSTILL_S,
+        )
+
     def test_scheduler_before_the_last_one_may_still_extend_leases(self):
         """Guards against a second run beside one of an older scheduler.
 
