Hold fewer pipelined requests and less unread output on a connection

Cause: what a connection that doesn't read its answers holds is bounded, but by much: 64 KiB of output and one more response, up to 53 parsed requests (a part of 2 KiB of short ones), and a held read of 16 KiB; 250 KB together.

Ruled out: a budget for all connections that cuts readers (an operator on a slow link reads large answers, and would be cut for what others leave unread); a hint of where a request ends for the parser's input (a second parser).

Change: the parser is fed with 256 bytes at a time outside of declared bodies, and the next response waits while more than 16 KiB are unread. The demand on readers in write_timeout_s is milder for little output: it is enough to read all but 4 KiB of it. The test of pipelined requests demands fewer than 15 parsed at a time in place of 100.

What the kernel has accepted of unread output isn't limited by the process.

--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -17,10 +17,12 @@
 
 # The parser can't be stopped within what it is fed with. A smaller part limits
 # how many pipelined requests (18 bytes at least) can begin in it.
-PART_BYTES = 2_048
+PART_BYTES = 256
 # The most that is read from a connection at a time, and so held back behind an
 # unanswered request.
 READ_BYTES = 16_384
+# Output that a client may leave unread before the next response waits for it.
+MAX_UNREAD_BYTES = 16_384
 # Refused connections that may wait for their close at a time. Each uses a
 # descriptor; further ones are closed without a response.
 MAX_LINGERING_REFUSALS = 16
@@ -60,6 +62,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accepts a connection, or refuses it if there is no room for it."""
         transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         super().connection_made(
             inbound_transport.LingeringTransport(
                 transport, self.limits.write_timeout_s
--- a/dandelionpick/inbound_limits.py
+++ b/dandelionpick/inbound_limits.py
@@ -21,8 +21,8 @@
             trailers of a body, beyond 16 bytes for each byte of the body.
         max_unfinished_bytes: what unfinished bodies of all connections may hold
             together, beyond 16 KiB of each.
-        write_timeout_s: how long pending output may exceed 64 KiB without 64
-            KiB being read.
+        write_timeout_s: how long pending output may exceed 16 KiB without 64
+            KiB, or all but 4 KiB, being read.
         descriptor_share: inbound connections use at most this share of the
             process's descriptors, whatever `max_connections` is.
     """
--- a/tests/inbound_mutants.py
+++ b/tests/inbound_mutants.py
@@ -62,6 +62,11 @@
     protocol._answers_are_pending = lambda connection: False
 
 
+def parse_large_parts() -> None:
+    """Feeds the parser with many pipelined requests at a time."""
+    http_protocol.PART_BYTES = 2_048
+
+
 def refuse_handed_over() -> None:
     """Sends refusals while an earlier request waits for its answer."""
     protocol = http_protocol.InboundProtocol
@@ -105,6 +110,11 @@
         parse_all_input,
         INBOUND,
     ),
+    mutant.Mutant(
+        "few pipelined requests are parsed at a time",
+        parse_large_parts,
+        INBOUND,
+    ),
     mutant.Mutant(
         "a refusal is never sent in place of an earlier answer",
         refuse_handed_over,
--- a/tests/test_inbound_limits.py
+++ b/tests/test_inbound_limits.py
@@ -141,7 +141,7 @@
             for _ in range(1_000):
                 status, _, _ = await http_instance.read_response(reader)
                 self.assertEqual(status, 200)
-        self.assertLess(max(waiting), 100)
+        self.assertLess(max(waiting), 15)
         writer.transport.abort()
 
     async def test_answers_that_are_not_read_end_the_connection(self):
