Judge a stopped member of a gang by the ends that targets have listed

Change: the step keeps the last attempt of which a target has listed an end other than done; an unknown step is handled as for leases.

--- a/dandelionpick/batch/job_state.py
+++ b/dandelionpick/batch/job_state.py
@@ -88,7 +88,6 @@
         records: its runs that have not ended as far as is known. Those that
             are not in `runs` were lost with their target.
         records_version: version of the job's progress that has the records.
-        listed_s: a target has listed it as at work after this time.
         accounted: no run that an earlier scheduler has started can be on a
             target that was not listed.
     """
@@ -104,7 +103,6 @@
     moves: int = 0
     records: list[model.RunRecord] = dataclasses.field(default_factory=list)
     records_version: int = 0
-    listed_s: float = float("-inf")
     accounted: bool = False
 
 
@@ -117,6 +115,8 @@
         open_s: when it opened.
         tasks_left: number of tasks that are not done.
         attempts: number of attempts so far in this epoch.
+        undone_attempt: the last attempt of which a target has listed an end
+            other than done; 0 if there is none.
     """
 
     spec: model.StepSpec
@@ -127,6 +127,7 @@
     open: bool = False
     open_s: float = 0.0
     attempts: int = 0
+    undone_attempt: ids.Attempt = ids.Attempt(0)
 
 
 @dataclasses.dataclass(slots=True)
--- a/dandelionpick/batch/run_endings.py
+++ b/dandelionpick/batch/run_endings.py
@@ -208,6 +208,8 @@
         return
     step_run = job.steps[ended.task.occurrence, ended.task.step]
     until_cancelled = step_run.spec.until_cancelled
+    if ended.ending is not model.Ending.DONE:
+        step_run.undone_attempt = ended.attempt
     if ended.ending is model.Ending.DONE and not until_cancelled:
         _record_done(job, step_run, ended)
         schedule.unsaved.add(job.id)
--- a/dandelionpick/batch/unheard_runs.py
+++ b/dandelionpick/batch/unheard_runs.py
@@ -58,10 +58,11 @@
     if now_s < ended_s:
         return False
     job = schedule.jobs.get(run.task.job_id)
-    if job is None or job.ended:
+    step_run = job and job.steps.get((run.task.occurrence, run.task.step))
+    if not job or not step_run or job.ended:
         return True
-    step_run = job.step_of(run.task)
-    if step_run.spec.gang and _has_reachable_member(schedule, step_run, run):
+    # The members of a gang end together.
+    if step_run.spec.gang and step_run.undone_attempt == run.attempt:
         return True
     return not _may_have_ended(target, run, ended_s)
 
