Probes of hostile clients tell a refusal from an unready instance

Cause: the probes of schedule expected the status 503, which an instance without a store gives, but a refused connection gives, too.

Change: part of the body is demanded as well; stricter in each case.

--- a/tests/flood.py
+++ b/tests/flood.py
@@ -224,14 +224,3 @@
         return int(head.split()[1]), body
     finally:
         writer.transport.abort()
-
-
-async def status_of(address: str, path: str) -> int:
-    """Returns the status of the answer to one ordinary request."""
-    reader, writer = await asyncio.open_connection(*address.rsplit(":", 1))
-    try:
-        writer.write(f"GET {path} HTTP/1.1\r\nhost: test\r\n\r\n".encode())
-        line = await reader.readline()
-        return int(line.split()[1])
-    finally:
-        writer.transport.abort()
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -30,11 +30,12 @@
 
     Attributes:
         command: the program's command.
-        probes: for each listener the path and status of an ordinary request.
+        probes: for each listener the path, status and part of the body of the
+            answer to an ordinary request. A refusal has another body.
     """
 
     command = ""
-    probes: tuple[tuple[str, int], ...] = ()
+    probes: tuple[tuple[str, int, str], ...] = ()
 
     async def start(self, descriptors: int = 1_024) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -44,8 +45,8 @@
         )
         self.addCleanup(self.program.stop)
         await self.program.wait_until_listening()
-        for address, (path, status) in self.listeners():
-            self.assertEqual(await flood.status_of(address, path), status)
+        for address, probe in self.listeners():
+            await self.check_answer(address, probe)
         self.first_memory_mb = self.program.peak_memory_mb()
         self.first_descriptors = self.program.open_descriptors()
 
@@ -58,11 +59,19 @@
             growth_mb, MAX_GROWTH_MB, f"from {self.first_memory_mb:.0f} MB"
         )
 
-    async def check(self, address: str, probe: tuple[str, int]) -> None:
-        """Checks that the process answers and stays within its bounds."""
+    async def check_answer(
+        self, address: str, probe: tuple[str, int, str]
+    ) -> None:
+        """Checks the answer to one ordinary request."""
+        path, status, text = probe
         async with asyncio.timeout(flood.FAR_LIMIT_S):
-            status = await flood.status_of(address, probe[0])
-        self.assertEqual(status, probe[1])
+            answer = await flood.answer_of(address, path)
+        self.assertEqual(answer[0], status, answer[1])
+        self.assertIn(text, answer[1])
+
+    async def check(self, address: str, probe: tuple[str, int, str]) -> None:
+        """Checks that the process answers and stays within its bounds."""
+        await self.check_answer(address, probe)
         self.check_memory()
         self.assertLessEqual(
             self.program.open_descriptors(),
@@ -163,9 +172,7 @@
                     await self.send_all(
                         clients, flood.Input(head, b"x", 250 * 1_024)
                     )
-                    async with asyncio.timeout(flood.FAR_LIMIT_S):
-                        status = await flood.status_of(address, probe[0])
-                    self.assertEqual(status, probe[1])
+                    await self.check_answer(address, probe)
                     self.check_memory()
                 finally:
                     for client in clients:
@@ -254,14 +261,18 @@
     """An instance that serves requests."""
 
     command = "run"
-    probes = (("/livez", 200),)
+    probes = (("/livez", 200, "live"),)
 
 
 class ScheduleTest(Floods, unittest.IsolatedAsyncioTestCase):
     """An instance that schedules batch jobs; without a store it is unready."""
 
     command = "schedule"
-    probes = (("/queue/job", 503), ("/readyz", 503), ("/metrics", 200))
+    probes = (
+        ("/queue/job", 503, "no_configuration"),
+        ("/readyz", 503, "no configuration"),
+        ("/metrics", 200, "dandelionpick_"),
+    )
 
 
 if __name__ == "__main__":
