--- a/dandelionpick/http_protocol.py
+++ b/dandelionpick/http_protocol.py
@@ -78,8 +78,8 @@
     def _has_room(self) -> bool:
         """Returns whether there is room, for which another one may be closed.
 
-        A connection of which a whole request has no response is never closed
-        for it.
+        A connection of which a whole request has no response isn't closed for
+        it, unless its client leaves responses unread.
         """
         if len(self.connections) <= self.max_connections:
             return True
