--- a/tests/test_batch_standing_jobs.py
+++ b/tests/test_batch_standing_jobs.py
@@ -12,6 +12,8 @@
 # Targets of one of nine failure domains at the size that the users aim at.
 DOMAIN_TARGETS = 3_700 // 9
 DOWN_S = 0.6
+# At the end of a day, jobs have to run again after this time.
+FINISH_S = 14.0
 
 
 class StandingJobsTest(test_batch_jobs.BatchTest):
@@ -78,6 +80,22 @@
             MAX_STANDSTILL_S,
         )
 
+    def test_task_of_a_lost_target_runs_again_in_time(self):
+        """Guards against a wait of a lease and 3 s from the takeover on."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=40.0))
+        fabric.run_for(32.0)
+        lost = next(
+            name for name, it in fabric.world.targets.items() if it.runs
+        )
+        fabric.crash_target(lost)
+        killed_s = fabric.now_s
+        self.restart_all(fabric)
+        fabric.run_until(
+            lambda: any(it.runs for it in fabric.world.targets.values()),
+            killed_s + FINISH_S - fabric.now_s,
+        )
+
 
 class AccountedTasksTest(test_batch_jobs.BatchTest):
     """The scheduler is killed just after an idle target is lost or cut off."""
@@ -184,6 +202,19 @@
         fabric.until_completed(1, limit_s=10.0)
         self.assertEqual(sum(fabric.world.starts.values()), 1)
 
+    def test_task_that_fails_right_after_a_takeover(self):
+        """Guards against a retry that waits although its run was found."""
+        fabric = self.build(target_count=6)
+        fabric.submit(1, builders.body(work_s=40.0))
+        fabric.run_for(32.0)
+        self.lose_scheduler_and_target(fabric, is_cut=False)
+        fabric.run_for(0.1)
+        self.fail_runs(fabric, after_s=0.0)
+        fabric.run_for(0.3)
+        for target in fabric.world.targets.values():
+            target.fails = False
+        fabric.run_until(lambda: self.running(fabric, 1) > 0, MAX_STANDSTILL_S)
+
     def test_gang_with_a_member_on_a_lost_target_waits(self):
         """Guards against a gang of which only some members start again."""
         fabric = self.build(target_count=6)
