--- a/dandelionpick/batch/leadership_bounds.py
+++ b/dandelionpick/batch/leadership_bounds.py
@@ -110,18 +110,6 @@
     """
     if target.entry is not None:
         return target.unlisted_until_s
-    return leases_until_s(state, schedule, target)
-
-
-def leases_until_s(
-    state: state_lib.State,
-    schedule: schedule_state.Schedule,
-    target: schedule_state.Target,
-) -> float:
-    """Returns until when a target may run something for an earlier scheduler.
-
-    It may hold ends of work that was done there for longer.
-    """
     lease_s = state.limits.run_lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
     return min(
         target.unlisted_until_s,
--- a/dandelionpick/batch/schedule_state.py
+++ b/dandelionpick/batch/schedule_state.py
@@ -122,6 +122,10 @@
         dataclasses.field(default_factory=dict)
     )
 
+    def is_unlisted(self) -> bool:
+        """Returns whether an earlier scheduler's runs may be there unseen."""
+        return not (self.listed or self.replaced)
+
     def may_hide_ends(self) -> bool:
         """Returns whether it holds ends that no listing has shown so far."""
         return (
--- a/dandelionpick/batch/takeover.py
+++ b/dandelionpick/batch/takeover.py
@@ -118,7 +118,7 @@
     unlisted = [
         target.id
         for target in schedule.targets.values()
-        if not (target.listed or target.replaced)
+        if target.is_unlisted()
     ]
     if unlisted and now_s - schedule.fencing_started_s < FENCING_TIMEOUT_S:
         return
--- a/dandelionpick/batch/takeover_holds.py
+++ b/dandelionpick/batch/takeover_holds.py
@@ -46,7 +46,7 @@
     for target in schedule.targets.values():
         if target.may_hide_ends():
             return Holds(schedule.epoch)
-        if target.listed or target.replaced:
+        if not target.is_unlisted():
             continue
         if now_s < leadership_bounds.unlisted_until_s(state, schedule, target):
             # No scheduler has used it since the roster has it as silent. Jobs
--- a/dandelionpick/batch/waiting.py
+++ b/dandelionpick/batch/waiting.py
@@ -102,7 +102,7 @@
     unlisted = [
         target.id
         for target in schedule.targets.values()
-        if not (target.listed or target.replaced)
+        if target.is_unlisted()
     ]
     return {
         "jobs": len(schedule.jobs),
@@ -241,7 +241,7 @@
     silent = [
         target.id
         for target in schedule.targets.values()
-        if not (target.listed or target.replaced)
+        if target.is_unlisted()
     ]
     return {
         "targets_known": len(schedule.targets),
