--- a/review/third/cut_platform.py
+++ b/review/third/cut_platform.py
@@ -27,6 +27,8 @@
 HEARTBEAT_S = 1.5
 EXPIRY_S = 3 * HEARTBEAT_S
 LATE_S = (1.0, 6.0)
+# Longer than any caller waits.
+UNANSWERED_S = 5.0
 
 
 class Store(platform_store.PlatformStore):
@@ -53,6 +55,9 @@
         beat_s: when it reported last.
         next_beat_s: when it reports next.
         lapsed_s: when its lease last ran out.
+        held: starts that it has left unanswered and not carried out.
+        holds: whether it does so with further ones.
+        is_new: its present life has not reported yet.
         ended: when and how each run ended, by the number of its end.
     """
 
@@ -62,6 +67,9 @@
         self.beat_s = float("-inf")
         self.next_beat_s = 0.0
         self.lapsed_s = float("-inf")
+        self.held: list[dict] = []
+        self.holds = False
+        self.is_new = True
         self.ended: dict[int, tuple[float, str, str]] = {}
         super().__init__(platform.world, name, **fields)
 
@@ -102,6 +110,7 @@
         self.lines: list[str] = []
         self.broken: list[str] = []
         self.starts: dict[str, list[float]] = {}
+        self.holds_next = False
 
     def note(self, text: str) -> None:
         """Adds a line to the record."""
@@ -111,6 +120,15 @@
         """Records a start."""
         self.starts.setdefault(task, []).append(time.monotonic())
         self.note(f"{executor.id}: {task} starts, attempt {attempt}")
+        others = [
+            other.id
+            for other in self.world.targets.values()
+            if other is not executor and other.up and task in other.runs
+        ]
+        if others:
+            text = f"{task} runs on {executor.id} and on {others[0]}"
+            self.note(f"TWICE: {text}")
+            self.broken.append(text)
 
     def note_end_taken(
         self, executor: Executor, task: str, outcome: str, ended_s: float
@@ -159,15 +177,55 @@
         key = f"servers/{executor.id}"
         if now_s >= executor.next_beat_s:
             executor.next_beat_s += HEARTBEAT_S
-            if not executor.cut:
+            if executor.up and not executor.cut:
                 executor.beat_s = now_s
-                if key not in self.store.items:
+                if key not in self.store.items or executor.is_new:
+                    executor.is_new = False
                     self.store.put(key, executor.entry())
                     self.note(f"{executor.id}: has an entry")
         if now_s - executor.beat_s > EXPIRY_S and key in self.store.items:
             self.store.remove(key)
             self.note(f"{executor.id}: its entry has expired")
 
+    async def serve_target(
+        self, number: int, request: http.Request
+    ) -> responses.Response:
+        """Leaves calls unanswered that a disturbance concerns."""
+        executor = self.world.targets[f"target-{number}"]
+        if executor.up and request.url.path == "/run-start":
+            if self.holds_next:
+                self.holds_next = False
+                executor.holds = True
+            if executor.holds:
+                body = await request.json()
+                executor.held.append(body)
+                self.note(f"{executor.id}: leaves {body['task']} unanswered")
+                await asyncio.sleep(UNANSWERED_S)
+                return responses.Response(status_code=500)
+        if not executor.up:
+            await asyncio.sleep(UNANSWERED_S)
+            return responses.Response(status_code=500)
+        return await super().serve_target(number, request)
+
+    async def restart(self, executor: Executor, down_s: float) -> None:
+        """Crashes an executor, whose next life carries held starts out."""
+        self.note(f"{executor.id}: crashes")
+        executor.crash()
+        executor.holds = False
+        await asyncio.sleep(down_s)
+        executor.boot(time.monotonic())
+        executor.is_new = True
+        executor.next_beat_s = time.monotonic() + random.uniform(
+            0.0, HEARTBEAT_S
+        )
+        self.note(f"{executor.id}: is back under its id")
+        held, executor.held = executor.held, []
+        for body in held[:1]:
+            self.note(f"{executor.id}: carries the held start out")
+            executor.serve(
+                "/run-start", body, time.monotonic(), lambda reply: None
+            )
+
     async def control(self, request: http.Request) -> responses.Response:
         """Begins or ends disturbances."""
         body = await request.json()
@@ -177,6 +235,12 @@
         if "lost_share" in body:
             self.store.lost_share = body["lost_share"]
             self.store.lost_until_s = time.monotonic() + body["for_s"]
+        self.holds_next = body.get("holds_next", self.holds_next)
+        if "restart" in body:
+            executor = self.world.targets[body["restart"]]
+            self.restarts = asyncio.ensure_future(
+                self.restart(executor, body["down_s"])
+            )
         self.note(f"disturbance: {body}")
         return responses.JSONResponse({})
 
@@ -186,8 +250,18 @@
             name: list(executor.runs)
             for name, executor in self.world.targets.items()
         }
+        held = {
+            name: [body["task"] for body in executor.held]
+            for name, executor in self.world.targets.items()
+            if executor.held
+        }
         return responses.JSONResponse(
-            {"lines": self.lines, "broken": self.broken, "running": running}
+            {
+                "lines": self.lines,
+                "broken": self.broken,
+                "running": running,
+                "held": held,
+            }
         )
 
     def store_app(self):
